--- /dev/null
+++ b/src/balance.h
@@ -0,0 +1,141 @@
+// The only interface of the decision module (src/balance.cpp): settings, events in, actions out.
+#ifndef MICADOCK_BALANCE_H_
+#define MICADOCK_BALANCE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace micadock {
+
+enum class Effect { kFree, kGuarded, kSingleShot };
+enum class Scope { kAll, kZone, kCell };
+
+// One class of request. Times in seconds.
+struct ClassSettings {
+  double aim_s = 0;       // an answer within this earns the full worth
+  double deadline_s = 0;  // a client's whole patience
+  double window_s = 0;    // guarded: how long repeats are dropped, from the first attempt that may have run
+  double worth = 0;
+  double late_share = 0;  // share of the worth earned between aim and deadline
+  Effect effect = Effect::kFree;
+  Scope scope = Scope::kAll;
+};
+
+// One plan; quotas hold for each customer over all gateways together. Units and units a second.
+struct PlanSettings {
+  double rate = 0;  // 0: no rate quota
+  double burst = 0;
+  double ceiling_rate = 0;  // 0: no ceiling
+  double ceiling_burst = 0;
+  double ceiling_slack = 0;
+  double excess_worth = 0;  // share of worth earned beyond the quota
+  double over_cost = 0;     // share of worth charged beyond the quota
+  double price = 0;
+  int parallel = 0;  // 0: no cap on attempts out at once
+};
+
+struct Settings {
+  int gateway = 0;   // this gateway's number
+  int gateways = 0;  // how many there are
+  int zone = 0;
+  double resolution_s = 0;
+  bool push_discovery = false;
+  double max_units = 0;
+  bool may_count = false;
+  double count_timeout_s = 0;
+  double count_price = 0;
+  double cross_zone_price = 0;
+  bool cancel = false;
+  bool parallel_tries = false;
+  bool retry_after = false;
+  double max_retry_after_s = 0;
+  int try_limit = 0;
+  double cold_from = 0;
+  double warm_after_s = 0;
+  double tip_multiple = 0;
+  double tip_after_s = 0;
+  double ask_within_s = 0;
+  std::vector<ClassSettings> classes;
+  std::vector<PlanSettings> plans;
+};
+
+enum class BackendState { kGone, kReady, kDraining };
+struct Backend {
+  uint32_t id = 0;
+  BackendState state = BackendState::kReady;
+  int kind = 0;
+  int zone = 0;
+  int cell = 0;
+  double weight = 0;
+  double started_s = 0;  // clock of its last start; 0: long ago
+};
+
+enum class ListKind { kDelta, kFull, kCached, kFailed };
+
+struct Request {
+  uint32_t id = 0;
+  int cls = 0;
+  int plan = 0;
+  uint64_t customer = 0;
+  double left_s = 0;
+  double units = 0;
+  double entries = 1;  // gateways this customer may arrive through
+};
+
+enum class Result { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kNeverSent };
+
+struct Outcome {
+  uint32_t request = 0;
+  int attempt = 0;
+  double took_s = 0;
+  Result result = Result::kOk;
+  bool finished = false;
+  uint32_t backend = 0;
+  double true_units = 0;  // 0: not told
+};
+
+struct CountAnswer {
+  uint64_t name = 0;
+  double total = 0;
+  Result result = Result::kOk;
+};
+
+enum class ActionKind { kSend, kCancel, kRefuse, kFail, kTimer, kCount, kLog, kSubscribe };
+struct Action {
+  ActionKind kind = ActionKind::kLog;
+  uint32_t request = 0;
+  uint32_t backend = 0;
+  int attempt = 0;
+  uint64_t tag = 0;    // timer's tag, or the name of a count
+  double seconds = 0;  // patience, wait, stay-away or expiry
+  double amount = 0;   // added to the count
+  std::string text;
+};
+using Actions = std::vector<Action>;
+
+// One gateway's decisions. Every call gets the clock, in seconds, and appends actions in order.
+class Balancer {
+ public:
+  Balancer(const Settings& settings, uint64_t seed, double now, Actions* out);
+  ~Balancer();
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
+
+  void OnList(double now, ListKind kind, const std::vector<Backend>& entries, Actions* out);
+  void OnRequest(double now, const Request& request, Actions* out);
+  void OnStreamBegun(double now, uint32_t request, Actions* out);
+  void OnOutcome(double now, const Outcome& outcome, Actions* out);
+  void OnAbandoned(double now, uint32_t request, Actions* out);
+  void OnTimer(double now, uint64_t tag, Actions* out);
+  void OnCount(double now, const CountAnswer& answer, Actions* out);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace micadock
+
+#endif  // MICADOCK_BALANCE_H_
