Serve real sockets: a gateway round the decision module

Cause: the module had only the simulator's adapter; nothing spoke the protocol of clients, backends, counter and discovery.

--- /dev/null
+++ b/src/net/client_server.cpp
@@ -0,0 +1,308 @@
+#include "net/client_server.h"
+
+#include <cstdio>
+#include <optional>
+#include <vector>
+
+namespace ivygw {
+namespace {
+
+// What a client may send ahead of its answer: one whole request. Past that nothing is read until it is answered.
+constexpr size_t kMostAhead = kMaxBody + 2 * kMaxHeader;
+constexpr auto kLinger = std::chrono::seconds(1);   // for a client to read its last answer
+constexpr auto kPartial = std::chrono::seconds(10);  // for a request that has begun to become whole
+constexpr size_t kMostLingerBytes = size_t{1} << 20;
+constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
+
+const char* Reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 413: return "Payload Too Large";
+    case 429: return "Too Many Requests";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    default: return "Error";
+  }
+}
+
+}  // namespace
+
+class ClientServer::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(ClientServer* server, uint64_t id, tcp::socket socket)
+      : server_(server), id_(id), socket_(std::move(socket)), timer_(server->io_) {}
+
+  bool idle() const { return state_ == State::kReading && !begun_; }
+
+  void Start() {
+    Next();
+    Read();
+  }
+
+  void Reply(Answer answer) {
+    if (state_ != State::kHeld) return;
+    Write(std::move(answer), keep_ && !server_->asking_to_close_);
+  }
+
+  // Between requests only. Bytes that have come meanwhile are a request that is to be served.
+  bool CloseIfIdle() {
+    if (!idle()) return false;
+    char byte;
+    error_code error;
+    size_t n = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (n > 0) return false;
+    Close();
+    return true;
+  }
+
+  void Close() {
+    if (state_ == State::kClosed) return;
+    auto self = shared_from_this();
+    bool held = state_ == State::kHeld;
+    state_ = State::kClosed;
+    NotIdle();
+    timer_.cancel();
+    CloseNow(socket_);
+    ClientServer* server = server_;
+    server->connections_.erase(id_);
+    if (held) server->on_gone_(id_);
+    if (server->paused_ && server->connections_.size() < server->most_) {
+      server->paused_ = false;
+      server->Accept();
+    }
+  }
+  void Detach() {
+    state_ = State::kClosed;
+    timer_.cancel();
+    CloseNow(socket_);
+  }
+
+ private:
+  enum class State { kReading, kHeld, kWriting, kLingering, kClosed };
+
+  void NotIdle() {
+    if (idle_at_.has_value()) server_->idle_.erase(*idle_at_);
+    idle_at_.reset();
+  }
+
+  // Ready for the next request, of which bytes may have come already.
+  void Next() {
+    state_ = State::kReading;
+    begun_ = continued_ = false;
+    parser_.emplace();
+    parser_->header_limit(kMaxHeader);
+    parser_->body_limit(kMaxBody);
+    parser_->eager(true);
+    idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
+  }
+
+  void Read() {
+    if (reading_ || state_ == State::kClosed || buffer_.size() >= kMostAhead) return;
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error,
+                                                                                           size_t n) {
+      reading_ = false;
+      if (state_ == State::kClosed) return;
+      // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection; while
+      // a request is held the client has gone away.
+      if (error) return Close();
+      buffer_.commit(n);
+      if (state_ == State::kLingering) {
+        lingered_ += n;
+        buffer_.clear();
+        if (lingered_ > kMostLingerBytes) return Close();
+      } else if (state_ == State::kReading) {
+        Parse();
+      }
+      Read();
+    });
+  }
+
+  void Parse() {
+    // Empty lines before a request are passed over (RFC 9112, 2.2).
+    while (!begun_ && buffer_.size() > 0 && Front() <= '\n' && (Front() == '\r' || Front() == '\n')) {
+      buffer_.consume(1);
+    }
+    if (buffer_.size() == 0) return;
+    if (!begun_) {
+      begun_ = true;
+      NotIdle();
+    }
+    error_code error;
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      buffer_.consume(parser_->put(buffer_.data(), error));
+      if (error == http::error::need_more) {
+        // The parser leaves a header to be whole in the buffer; its own limit is asked only then.
+        if (buffer_.size() > kMaxHeader) error = http::error::header_limit;
+        break;
+      }
+      if (error) break;
+    }
+    if (error && error != http::error::need_more) return Refuse(error);
+    if (parser_->is_done()) return Whole();
+    if (parser_->is_header_done() && !continued_ &&
+        boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+      continued_ = true;
+      static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      error_code ignored;
+      socket_.send(asio::buffer(kContinue), 0, ignored);
+    }
+    if (!timed_) {
+      timed_ = true;
+      timer_.expires_after(kPartial);
+      timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+        if (!cancelled && state_ == State::kReading) Close();
+      });
+    }
+  }
+  char Front() const { return *static_cast<const char*>(buffer_.data().data()); }
+
+  void Whole() {
+    if (timed_) timer_.cancel();
+    timed_ = false;
+    keep_ = parser_->keep_alive();
+    state_ = State::kHeld;
+    server_->on_request_(id_, parser_->release());
+  }
+
+  // The framing is in doubt: the answer ends the connection.
+  void Refuse(error_code error) {
+    if (timed_) timer_.cancel();
+    Answer answer;
+    answer.status = error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400;
+    Write(std::move(answer), false);
+  }
+
+  void Write(Answer answer, bool keep) {
+    state_ = State::kWriting;
+    message_.clear();
+    message_.reserve(answer.headers.size() + answer.body.size() + 160);
+    char text[96];
+    int n = std::snprintf(text, sizeof(text), "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", answer.status,
+                          Reason(answer.status), answer.body.size());
+    message_.append(text, static_cast<size_t>(n));
+    if (answer.retry_after_s > 0) {
+      n = std::snprintf(text, sizeof(text), "Retry-After: %.3f\r\n", answer.retry_after_s);
+      message_.append(text, static_cast<size_t>(n));
+    }
+    message_.append(answer.headers);
+    if (!keep) message_ += "Connection: close\r\n";
+    message_.append("\r\n").append(answer.body);
+    WriteAll(socket_, message_, [self = shared_from_this(), this, keep](error_code error) {
+      if (state_ == State::kClosed) return;
+      if (error) return asio::post(server_->io_, [self, this] { Close(); });
+      if (!keep) return Linger();
+      Next();
+      // Bytes that came ahead are the next request. Posted: the caller may be in the middle of its actions.
+      if (buffer_.size() > 0) {
+        asio::post(server_->io_, [self, this] {
+          if (state_ == State::kReading) Parse();
+          Read();
+        });
+      } else {
+        Read();
+      }
+    });
+  }
+
+  // The last answer must reach a client that is still sending: a close with unread bytes would reset it away.
+  void Linger() {
+    state_ = State::kLingering;
+    buffer_.clear();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(kLinger);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (!cancelled) Close();
+    });
+    Read();
+  }
+
+  ClientServer* server_;
+  const uint64_t id_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;  // of a request that is not whole, then of lingering
+  boost::beast::flat_buffer buffer_{kMostAhead + kReadChunk};
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<std::list<uint64_t>::iterator> idle_at_;
+  std::string message_;
+  State state_ = State::kReading;
+  size_t lingered_ = 0;
+  bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
+};
+
+ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnGone on_gone)
+    : io_(io),
+      acceptor_(io),
+      retry_(io),
+      most_(most_connections),
+      on_request_(std::move(on_request)),
+      on_gone_(std::move(on_gone)) {}
+
+ClientServer::~ClientServer() {
+  for (auto& [id, connection] : connections_) connection->Detach();
+}
+
+void ClientServer::Listen(const tcp::endpoint& address) {
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));  // started again under the same address
+  acceptor_.bind(address);
+  acceptor_.listen(1024);
+  Accept();
+}
+
+void ClientServer::Accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      // Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning loop.
+      retry_.expires_after(kAcceptRetry);
+      retry_.async_wait([this](error_code cancelled) {
+        if (!cancelled) Accept();
+      });
+      return;
+    }
+    Taken(std::move(socket));
+    if (connections_.size() >= most_) {
+      // One that has been idle longest makes room; it may be closed between requests.
+      std::vector<uint64_t> oldest(idle_.begin(), idle_.end());
+      for (uint64_t id : oldest) {
+        if (id != last_ && connections_.at(id)->CloseIfIdle()) break;
+      }
+    }
+    paused_ = connections_.size() >= most_;
+    if (!paused_) Accept();
+  });
+}
+
+void ClientServer::Taken(tcp::socket socket) {
+  error_code error;
+  socket.non_blocking(true, error);
+  socket.set_option(tcp::no_delay(true), error);
+  uint64_t id = ++last_;
+  auto connection = std::make_shared<Connection>(this, id, std::move(socket));
+  connections_[id] = connection;
+  connection->Start();
+}
+
+void ClientServer::Reply(uint64_t connection, Answer answer) {
+  auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  auto kept = it->second;
+  kept->Reply(std::move(answer));
+}
+
+void ClientServer::CloseIdle() {
+  std::vector<uint64_t> ids(idle_.begin(), idle_.end());
+  for (uint64_t id : ids) {
+    auto it = connections_.find(id);
+    if (it != connections_.end()) it->second->CloseIfIdle();
+  }
+}
+
+}  // namespace ivygw
--- /dev/null
+++ b/src/net/client_server.h
@@ -0,0 +1,61 @@
+// The side towards clients: the listener, their connections, parsing and answers.
+#ifndef IVYGW_NET_CLIENT_SERVER_H_
+#define IVYGW_NET_CLIENT_SERVER_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+#include "net/backend_pool.h"
+
+namespace ivygw {
+
+using ClientMessage = http::request<http::string_body>;
+
+struct Answer {
+  int status = 500;
+  double retry_after_s = 0;  // 0: none
+  std::string headers;       // further header lines
+  std::string body;
+};
+
+class ClientServer {
+ public:
+  // Takes a whole request that came on `connection`; it is answered by Answer, once, now or later.
+  using OnRequest = std::function<void(uint64_t connection, ClientMessage)>;
+  // The client of a request that is not answered has gone.
+  using OnGone = std::function<void(uint64_t connection)>;
+
+  ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnGone on_gone);
+  ~ClientServer();
+
+  void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
+  tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+  void Reply(uint64_t connection, Answer answer);
+
+  void AskToClose() { asking_to_close_ = true; }  // from now on each answer ends its connection
+  void CloseIdle();                               // those on which nothing has begun
+  bool quiet() const { return connections_.empty(); }
+
+ private:
+  class Connection;
+
+  void Accept();
+  void Taken(tcp::socket socket);
+
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
+  const size_t most_;
+  OnRequest on_request_;
+  OnGone on_gone_;
+  uint64_t last_ = 0;
+  bool asking_to_close_ = false, paused_ = false;
+  std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
+  std::list<uint64_t> idle_;  // longest idle first
+};
+
+}  // namespace ivygw
+
+#endif  // IVYGW_NET_CLIENT_SERVER_H_
--- /dev/null
+++ b/src/net/counter_client.cpp
@@ -0,0 +1,290 @@
+#include "net/counter_client.h"
+
+#include <hiredis/hiredis.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <cstring>
+
+namespace ivygw {
+
+using micadock::CountAnswer;
+using micadock::Result;
+
+namespace {
+
+// A slow part of the counter holds up only what is written behind it on the same connection.
+constexpr size_t kMostConnections = 8;
+constexpr size_t kMostOut = 64;       // calls unanswered on a connection; beyond that nothing is added
+constexpr size_t kMostUnread = 8192;  // bytes of an answer that is not whole
+// Without a byte for so long while calls are out, a connection may be to a machine that is gone, which nothing
+// tells (TCP keep-alive included). It is closed and opened anew.
+constexpr auto kSilence = std::chrono::milliseconds(1000);
+constexpr auto kBackoffLeast = std::chrono::milliseconds(20), kBackoffMost = std::chrono::milliseconds(500);
+
+struct FreeReply {
+  void operator()(void* reply) const { freeReplyObject(reply); }
+};
+struct FreeReader {
+  void operator()(redisReader* reader) const { redisReaderFree(reader); }
+};
+
+}  // namespace
+
+class CounterClient::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(CounterClient* client)
+      : client_(client), socket_(client->io_), timer_(client->io_), reader_(redisReaderCreate()) {}
+
+  bool open() const { return open_; }
+  size_t out() const { return calls_.size(); }
+  bool Usable() { return open_ && (!calls_.empty() || !Stale(socket_)); }
+
+  void Connect() {
+    error_code error;
+    socket_.open(client_->address_.protocol(), error);
+    if (!error) socket_.non_blocking(true, error);
+    if (!error) socket_.set_option(tcp::no_delay(true), error);
+    if (error) return asio::post(client_->io_, [self = shared_from_this(), this] { Close(true); });
+    timer_.expires_after(client_->connect_timeout_);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (!cancelled && !open_) Close(true);
+    });
+    socket_.async_connect(client_->address_, [self = shared_from_this(), this](error_code failed) {
+      if (closed_) return;
+      if (failed) return Close(true);
+      open_ = true;
+      timer_.cancel();
+      client_->backoff_ = {};
+      Read();
+      // What waited past its time-out was told as never added, so it must not go out late.
+      size_t kept = 0;
+      std::string text;
+      for (size_t i = 0; i < calls_.size(); ++i) {
+        if (calls_[i]->ended) continue;
+        text += texts_[i];
+        calls_[kept++] = calls_[i];
+      }
+      calls_.resize(kept);
+      texts_.clear();
+      unsent_ = std::move(text);
+      heard_ = Clock::now();
+      if (!calls_.empty()) Watch();
+      Write();
+    });
+  }
+
+  void Add(std::shared_ptr<Pending> call, std::string text) {
+    calls_.push_back(std::move(call));
+    if (!open_) return texts_.push_back(std::move(text));
+    if (calls_.size() == 1) {
+      heard_ = Clock::now();
+      Watch();
+    }
+    unsent_ += text;
+    Write();
+  }
+
+  void Close(bool failed) {
+    if (closed_) return;
+    closed_ = true;
+    open_ = false;
+    auto self = shared_from_this();
+    timer_.cancel();
+    CloseNow(socket_);
+    client_->Lost(this, failed);
+    auto calls = std::move(calls_);
+    calls_.clear();
+    for (auto& call : calls) client_->End(call, call->written ? Result::kTimeout : Result::kConnectFailed);
+  }
+  void Detach() {
+    closed_ = true;
+    timer_.cancel();
+    CloseNow(socket_);
+  }
+
+ private:
+  void Write() {
+    if (writing_ || unsent_.empty()) return;
+    writing_ = true;
+    sending_.swap(unsent_);
+    unsent_.clear();
+    // Until the write has ended any of these may have gone out whole; only a call not yet handed over is known
+    // not to have been added.
+    for (auto& call : calls_) call->written = true;
+    WriteAll(socket_, sending_, [self = shared_from_this(), this](error_code error) {
+      writing_ = false;
+      if (closed_) return;
+      if (error) return asio::post(client_->io_, [self, this] { Close(true); });
+      Write();
+    });
+  }
+
+  // One timer watches for silence while calls are out; answers move only `heard_`.
+  void Watch() {
+    timer_.expires_at(heard_ + kSilence);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (cancelled || closed_ || calls_.empty()) return;
+      if (Clock::now() >= heard_ + kSilence) return Close(true);
+      Watch();
+    });
+  }
+
+  void Read() {
+    socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this(), this](error_code error,
+                                                                                     size_t n) {
+      if (closed_) return;
+      if (error) return Close(!calls_.empty());
+      heard_ = Clock::now();
+      unread_ += n;
+      if (redisReaderFeed(reader_.get(), buffer_, n) != REDIS_OK) return Close(true);
+      while (!closed_) {
+        void* raw = nullptr;
+        if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return Close(true);
+        if (raw == nullptr) break;
+        unread_ = 0;
+        std::unique_ptr<void, FreeReply> reply(raw);
+        if (!Take(*static_cast<redisReply*>(raw))) return Close(true);
+      }
+      if (closed_) return;
+      if (unread_ > kMostUnread) return Close(true);
+      if (calls_.empty()) timer_.cancel();
+      Read();
+    });
+  }
+
+  // Answers come in the order of the calls, those past their time-out among them. False on garbage.
+  bool Take(const redisReply& reply) {
+    if (calls_.empty()) return false;
+    Result result = Result::kOk;
+    double total = 0;
+    if (reply.type == REDIS_REPLY_STRING) {
+      const char* end = reply.str + reply.len;
+      auto [at, bad] = std::from_chars(reply.str, end, total);
+      if (bad != std::errc() || at != end || !std::isfinite(total)) return false;
+    } else if (reply.type == REDIS_REPLY_ERROR) {
+      result = Result::kFull;  // -BUSY and -ERR: nothing was added
+    } else {
+      return false;
+    }
+    auto call = std::move(calls_.front());
+    calls_.pop_front();
+    client_->End(call, result, total);
+    return true;
+  }
+
+  CounterClient* client_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;  // connecting, then silence
+  std::unique_ptr<redisReader, FreeReader> reader_;
+  std::deque<std::shared_ptr<Pending>> calls_;
+  std::deque<std::string> texts_;  // of the calls, before the connection is up
+  std::string unsent_, sending_;
+  char buffer_[1024];
+  size_t unread_ = 0;
+  Clock::time_point heard_{};
+  bool open_ = false, closed_ = false, writing_ = false;
+};
+
+CounterClient::CounterClient(asio::io_context& io, tcp::endpoint address, double timeout_s,
+                             double connect_timeout_s, Done done)
+    : io_(io),
+      address_(address),
+      timeout_(Seconds(timeout_s)),
+      connect_timeout_(Seconds(connect_timeout_s)),
+      done_(std::move(done)),
+      timer_(io) {}
+
+CounterClient::~CounterClient() {
+  for (auto& connection : connections_) connection->Detach();
+}
+
+void CounterClient::Start() { Choose(); }
+
+// An idle connection, else a new one while there may be more, else the one with the fewest calls out.
+CounterClient::Connection* CounterClient::Choose() {
+  Connection *idle = nullptr, *open = nullptr, *coming = nullptr;
+  std::vector<std::shared_ptr<Connection>> all = connections_;
+  for (auto& connection : all) {
+    if (!connection->open()) {
+      coming = connection.get();
+    } else if (!connection->Usable()) {
+      connection->Close(false);
+    } else if (connection->out() == 0) {
+      if (idle == nullptr) idle = connection.get();
+    } else if (open == nullptr || connection->out() < open->out()) {
+      open = connection.get();
+    }
+  }
+  if (idle != nullptr) return idle;
+  if (coming == nullptr && connections_.size() < kMostConnections && Clock::now() >= not_before_) {
+    auto fresh = std::make_shared<Connection>(this);
+    connections_.push_back(fresh);
+    fresh->Connect();
+    coming = fresh.get();
+  }
+  return open != nullptr ? open : coming;
+}
+
+void CounterClient::Call(uint64_t name, double amount, double keep_s) {
+  auto call = std::make_shared<Pending>();
+  call->name = name;
+  call->give_up = Clock::now() + timeout_;
+  Connection* connection = Choose();
+  if (connection == nullptr || connection->out() >= kMostOut) {
+    return asio::post(io_, [this, call] { End(call, Result::kConnectFailed); });
+  }
+  char key[17], sum[64], keep[16];
+  int key_n = std::snprintf(key, sizeof(key), "%016llx", static_cast<unsigned long long>(name));
+  double bounded = std::isfinite(amount) ? std::clamp(amount, -1e9, 1e9) : 0;
+  int sum_n = std::snprintf(sum, sizeof(sum), "%.6f", bounded);
+  int keep_n = std::snprintf(keep, sizeof(keep), "%d",
+                             static_cast<int>(std::clamp(std::ceil(keep_s * 1000), 1.0, 60000.0)));
+  std::string text = "*4\r\n$5\r\nTALLY\r\n";
+  for (auto [part, n] : {std::pair{key, key_n}, std::pair{sum, sum_n}, std::pair{keep, keep_n}}) {
+    text += "$" + std::to_string(n) + "\r\n";
+    text.append(part, static_cast<size_t>(n)).append("\r\n");
+  }
+  waiting_.push_back(call);
+  connection->Add(std::move(call), std::move(text));
+  ArmTimeouts();
+}
+
+void CounterClient::End(const std::shared_ptr<Pending>& call, Result result, double total) {
+  if (call->ended) return;
+  call->ended = true;
+  CountAnswer answer;
+  answer.name = call->name;
+  answer.total = total;
+  answer.result = result;
+  done_(answer);
+}
+
+void CounterClient::ArmTimeouts() {
+  while (!waiting_.empty() && waiting_.front()->ended) waiting_.pop_front();
+  if (armed_ || waiting_.empty()) return;
+  armed_ = true;
+  timer_.expires_at(waiting_.front()->give_up);
+  timer_.async_wait([this](error_code cancelled) {
+    if (cancelled) return;
+    armed_ = false;
+    while (!waiting_.empty() && (waiting_.front()->ended || Clock::now() >= waiting_.front()->give_up)) {
+      auto call = std::move(waiting_.front());
+      waiting_.pop_front();
+      End(call, call->written ? Result::kTimeout : Result::kConnectFailed);
+    }
+    ArmTimeouts();
+  });
+}
+
+void CounterClient::Lost(Connection* connection, bool failed) {
+  std::erase_if(connections_, [connection](const auto& c) { return c.get() == connection; });
+  if (!failed) return;
+  // A counter that refuses is not hammered.
+  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, kBackoffMost);
+  not_before_ = Clock::now() + backoff_;
+}
+
+}  // namespace ivygw
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,79 @@
+// What all HTTP connections of the gateway share: sizes, header copying, and one write a message.
+#ifndef IVYGW_NET_HTTP_H_
+#define IVYGW_NET_HTTP_H_
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace ivygw {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+inline constexpr size_t kMaxBody = 64 * 1024;
+inline constexpr size_t kMaxHeader = 16 * 1024;
+inline constexpr size_t kReadChunk = 4096;
+
+inline std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+// Headers that end at this hop (RFC 9110, 7.6.1), or that the gateway writes itself.
+inline bool HopByHop(http::field name) {
+  switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+    case http::field::content_length: return true;
+    default: return false;
+  }
+}
+
+template <typename Fields, typename Skip>
+void AppendEndToEnd(const Fields& fields, std::string* out, Skip skip) {
+  http::token_list named(fields[http::field::connection]);
+  for (const auto& field : fields) {
+    if (HopByHop(field.name()) || named.exists(field.name_string()) || skip(field)) continue;
+    out->append(View(field.name_string())).append(": ").append(View(field.value())).append("\r\n");
+  }
+}
+
+// Sends at once what the socket takes, which is nearly always the whole message in one system call, and the
+// rest as it drains. Calls done(error) at once or later; `text` lives until then in the caller's hands.
+template <typename Done>
+void WriteAll(tcp::socket& socket, const std::string& text, Done done) {
+  error_code error;
+  size_t sent = socket.send(asio::buffer(text), 0, error);
+  if (error == asio::error::would_block) error = {};
+  if (error || sent == text.size()) return done(error);
+  asio::async_write(socket, asio::buffer(text.data() + sent, text.size() - sent),
+                    [done = std::move(done)](error_code later, size_t) mutable { done(later); });
+}
+
+// Whether the peer has closed a kept connection, or sent bytes that nobody asked for.
+inline bool Stale(tcp::socket& socket) {
+  char byte;
+  error_code error;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+inline void CloseNow(tcp::socket& socket) {
+  error_code ignored;
+  socket.close(ignored);
+}
+
+}  // namespace ivygw
+
+#endif  // IVYGW_NET_HTTP_H_
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -1,5 +1,6 @@
 #include "wire.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstring>
@@ -393,4 +394,34 @@
   return s;
 }
 
+SiteSettings ParseSite(std::string_view text) {
+  Pairs in(text);
+  SiteSettings s;
+  auto names = [&](const std::string& list) {
+    std::vector<std::string> out;
+    for (int i = 0; i < in.Whole(list + ".count"); ++i) {
+      out.push_back(in.Text(list + "." + std::to_string(i) + ".name"));
+    }
+    return out;
+  };
+  auto split = [&](const std::string& key) {
+    std::vector<std::string> out;
+    std::string_view rest = in.Text(key);
+    while (!rest.empty()) {
+      size_t end = std::min(rest.find(','), rest.size());
+      out.emplace_back(rest.substr(0, end));
+      rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return out;
+  };
+  s.classes = names("request-classes");
+  s.plans = names("tiers-of-service");
+  s.zones = split("zones");
+  s.kinds = split("kinds");
+  s.conn_idle_s = in.Number("limits.conn-idle-s");
+  s.connect_timeout_s = in.Number("limits.connect-timeout-s");
+  s.drain_grace_s = in.Number("invariants.drain-grace-s");
+  return s;
+}
+
 }  // namespace micadock
--- a/src/wire.h
+++ b/src/wire.h
@@ -88,6 +88,15 @@
 // Reads path=value lines; throws WireError naming the key that is missing or unreadable.
 Settings ParseSettings(std::string_view text);
 
+// What a real gateway needs of the same lines and the module does not: names and the limits of sockets.
+struct SiteSettings {
+  std::vector<std::string> classes, plans, zones, kinds;
+  double conn_idle_s = 0;
+  double connect_timeout_s = 0;
+  double drain_grace_s = 0;
+};
+SiteSettings ParseSite(std::string_view text);
+
 }  // namespace micadock
 
 #endif  // MICADOCK_WIRE_H_
