--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -22,7 +22,7 @@
 struct BackendPool::Backend {
   tcp::endpoint address;
   bool draining = false;
-  Clock::time_point no_send_after{};                   // of a draining one
+  Clock::time_point no_send_after{};              // of a draining one
   std::vector<std::shared_ptr<Connection>> kept;  // idle; the most recently used last
 };
 
@@ -115,8 +115,8 @@
       if (closed_ || !busy_) return;
       // Guards against a late connect: patience over, or the grace of a drain past. Nothing is sent then.
       const Backend* b = pool_->Find(backend_);
-      bool late = Clock::now() >= give_up_ || b == nullptr ||
-                  (b->draining && Clock::now() >= b->no_send_after);
+      bool late =
+          Clock::now() >= give_up_ || b == nullptr || (b->draining && Clock::now() >= b->no_send_after);
       if (failed || late) return Finish(Result::kConnectFailed);
       open_ = true;
       WaitUntil(give_up_);
@@ -143,22 +143,22 @@
 
   void Read() {
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error,
-                                                                                           size_t n) {
-      reading_ = false;
-      if (closed_) return;
-      buffer_.commit(n);
-      if (!busy_) return DropIdle();  // closed by the backend while idle, or bytes that nobody asked for
-      if (!error) {
-        Parse();
-        if (!closed_ && !reading_) Read();
-        return;
-      }
-      error_code bad;
-      if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(bad);
-      if (error == asio::error::eof && !bad && parser_->is_done()) return Answered(false);
-      Finish(written_ ? Result::kReset : Result::kConnectFailed);
-    });
+    socket_.async_read_some(
+        buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error, size_t n) {
+          reading_ = false;
+          if (closed_) return;
+          buffer_.commit(n);
+          if (!busy_) return DropIdle();  // closed by the backend while idle, or bytes that nobody asked for
+          if (!error) {
+            Parse();
+            if (!closed_ && !reading_) Read();
+            return;
+          }
+          error_code bad;
+          if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(bad);
+          if (error == asio::error::eof && !bad && parser_->is_done()) return Answered(false);
+          Finish(written_ ? Result::kReset : Result::kConnectFailed);
+        });
   }
 
   void Parse() {
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -39,8 +39,8 @@
   void Drain(uint32_t backend);                          // told to be draining: nothing new after the grace
   void Remove(uint32_t backend);                         // told to be gone: nothing new at all
 
-  // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call, unless
-  // Cancel ends the attempt. Returns the attempt's number for Cancel.
+  // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call,
+  // unless Cancel ends the attempt. Returns the attempt's number for Cancel.
   uint64_t Send(uint32_t backend, std::string message, double patience_s, Done done);
 
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -7,9 +7,10 @@
 namespace ivygw {
 namespace {
 
-// What a client may send ahead of its answer: one whole request. Past that nothing is read until it is answered.
+// What a client may send ahead of its answer: one whole request. Past that nothing is read until it is
+// answered.
 constexpr size_t kMostAhead = kMaxBody + 2 * kMaxHeader;
-constexpr auto kLinger = std::chrono::seconds(1);   // for a client to read its last answer
+constexpr auto kLinger = std::chrono::seconds(1);    // for a client to read its last answer
 constexpr auto kPartial = std::chrono::seconds(10);  // for a request that has begun to become whole
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
@@ -104,23 +105,23 @@
   void Read() {
     if (reading_ || state_ == State::kClosed || buffer_.size() >= kMostAhead) return;
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error,
-                                                                                           size_t n) {
-      reading_ = false;
-      if (state_ == State::kClosed) return;
-      // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection; while
-      // a request is held the client has gone away.
-      if (error) return Close();
-      buffer_.commit(n);
-      if (state_ == State::kLingering) {
-        lingered_ += n;
-        buffer_.clear();
-        if (lingered_ > kMostLingerBytes) return Close();
-      } else if (state_ == State::kReading) {
-        Parse();
-      }
-      Read();
-    });
+    socket_.async_read_some(buffer_.prepare(kReadChunk),
+                            [self = shared_from_this(), this](error_code error, size_t n) {
+                              reading_ = false;
+                              if (state_ == State::kClosed) return;
+                              // An end in the middle of an answer's last bytes, or while nothing is held,
+                              // only ends the connection; while a request is held the client has gone away.
+                              if (error) return Close();
+                              buffer_.commit(n);
+                              if (state_ == State::kLingering) {
+                                lingered_ += n;
+                                buffer_.clear();
+                                if (lingered_ > kMostLingerBytes) return Close();
+                              } else if (state_ == State::kReading) {
+                                Parse();
+                              }
+                              Read();
+                            });
   }
 
   void Parse() {
@@ -236,7 +237,8 @@
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
 };
 
-ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnGone on_gone)
+ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
+                           OnGone on_gone)
     : io_(io),
       acceptor_(io),
       retry_(io),
@@ -260,7 +262,8 @@
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
-      // Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning loop.
+      // Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning
+      // loop.
       retry_.expires_after(kAcceptRetry);
       retry_.async_wait([this](error_code cancelled) {
         if (!cancelled) Accept();
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -19,8 +19,8 @@
 constexpr size_t kMostConnections = 8;
 constexpr size_t kMostOut = 64;       // calls unanswered on a connection; beyond that nothing is added
 constexpr size_t kMostUnread = 8192;  // bytes of an answer that is not whole
-// Without a byte for so long while calls are out, a connection may be to a machine that is gone, which nothing
-// tells (TCP keep-alive included). It is closed and opened anew.
+// Without a byte for so long while calls are out, a connection may be to a machine that is gone, which
+// nothing tells (TCP keep-alive included). It is closed and opened anew.
 constexpr auto kSilence = std::chrono::milliseconds(1000);
 constexpr auto kBackoffLeast = std::chrono::milliseconds(20), kBackoffMost = std::chrono::milliseconds(500);
 
@@ -111,8 +111,8 @@
     writing_ = true;
     sending_.swap(unsent_);
     unsent_.clear();
-    // Until the write has ended any of these may have gone out whole; only a call not yet handed over is known
-    // not to have been added.
+    // Until the write has ended any of these may have gone out whole; only a call not yet handed over is
+    // known not to have been added.
     for (auto& call : calls_) call->written = true;
     WriteAll(socket_, sending_, [self = shared_from_this(), this](error_code error) {
       writing_ = false;
@@ -133,26 +133,26 @@
   }
 
   void Read() {
-    socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this(), this](error_code error,
-                                                                                     size_t n) {
-      if (closed_) return;
-      if (error) return Close(!calls_.empty());
-      heard_ = Clock::now();
-      unread_ += n;
-      if (redisReaderFeed(reader_.get(), buffer_, n) != REDIS_OK) return Close(true);
-      while (!closed_) {
-        void* raw = nullptr;
-        if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return Close(true);
-        if (raw == nullptr) break;
-        unread_ = 0;
-        std::unique_ptr<void, FreeReply> reply(raw);
-        if (!Take(*static_cast<redisReply*>(raw))) return Close(true);
-      }
-      if (closed_) return;
-      if (unread_ > kMostUnread) return Close(true);
-      if (calls_.empty()) timer_.cancel();
-      Read();
-    });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this(), this](error_code error, size_t n) {
+                              if (closed_) return;
+                              if (error) return Close(!calls_.empty());
+                              heard_ = Clock::now();
+                              unread_ += n;
+                              if (redisReaderFeed(reader_.get(), buffer_, n) != REDIS_OK) return Close(true);
+                              while (!closed_) {
+                                void* raw = nullptr;
+                                if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return Close(true);
+                                if (raw == nullptr) break;
+                                unread_ = 0;
+                                std::unique_ptr<void, FreeReply> reply(raw);
+                                if (!Take(*static_cast<redisReply*>(raw))) return Close(true);
+                              }
+                              if (closed_) return;
+                              if (unread_ > kMostUnread) return Close(true);
+                              if (calls_.empty()) timer_.cancel();
+                              Read();
+                            });
   }
 
   // Answers come in the order of the calls, those past their time-out among them. False on garbage.
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -12,13 +12,15 @@
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
-constexpr int kWaitMs = 10000;  // of a watch: a silent agent is noticed this and kPatience after its last word
+constexpr int kWaitMs =
+    10000;  // of a watch: a silent agent is noticed this and kPatience after its last word
 constexpr auto kPatience = std::chrono::milliseconds(2000);
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
   auto it = std::find(names.begin(), names.end(), PlainName(name));
-  return static_cast<int>(it - names.begin());  // one that the settings do not name comes after all that they do
+  return static_cast<int>(it -
+                          names.begin());  // one that the settings do not name comes after all that they do
 }
 
 }  // namespace
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -102,9 +102,10 @@
                std::chrono::duration<double>(Clock::now().time_since_epoch()).count()),
       pool_(io, config.site.conn_idle_s, config.site.connect_timeout_s, config.site.drain_grace_s,
             static_cast<size_t>((config.sockets - kOwnSockets) * (1 - kClientShare))),
-      server_(io, static_cast<size_t>((config.sockets - kOwnSockets) * kClientShare),
-              [this](uint64_t connection, ClientMessage m) { OnMessage(connection, std::move(m)); },
-              [this](uint64_t connection) { OnGone(connection); }),
+      server_(
+          io, static_cast<size_t>((config.sockets - kOwnSockets) * kClientShare),
+          [this](uint64_t connection, ClientMessage m) { OnMessage(connection, std::move(m)); },
+          [this](uint64_t connection) { OnGone(connection); }),
       discovery_(
           io, config.discovery, config.site, &ids_,
           [this](BackendList list) {
@@ -149,8 +150,8 @@
   return epoch_s_ + std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
 }
 
-// Actions run after the module's call has returned, and none of them calls it: whatever they bring about comes
-// as an event of its own. Guards against re-entry.
+// Actions run after the module's call has returned, and none of them calls it: whatever they bring about
+// comes as an event of its own. Guards against re-entry.
 template <typename Call>
 void Gateway::Tell(Call call) {
   call(*balancer_, Now(), &actions_);
@@ -223,7 +224,9 @@
   call.request.id = id;
   call.request.left_s = call.timeout_s - margin;
   AddTimer(held.deadline, Due::kGuard, id);
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnRequest(now, call.request, out); });
+  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
+    b.OnRequest(now, call.request, out);
+  });
 }
 
 void Gateway::SendAttempt(const Action& action) {
@@ -251,10 +254,9 @@
   message.append(std::to_string(std::max(1L, std::lround(patience * 1000)))).append("\r\n\r\n");
   message.append(held.body);
   held.attempts.back().out = true;
-  held.attempts.back().number = pool_.Send(backend, std::move(message), patience,
-                                           [this, id, attempt, backend](AttemptEnd end) {
-                                             OnEnd(id, attempt, backend, std::move(end));
-                                           });
+  held.attempts.back().number = pool_.Send(
+      backend, std::move(message), patience,
+      [this, id, attempt, backend](AttemptEnd end) { OnEnd(id, attempt, backend, std::move(end)); });
 }
 
 void Gateway::CancelAttempt(const Action& action) {
@@ -282,8 +284,8 @@
   reporting_ = id;
   Result r = end.result;
   if (r != Result::kFull && r != Result::kConnectFailed && r != Result::kNeverSent) held.may_have_run = true;
-  // The first good answer goes to the client by itself and ends the request. Told to the module first would be
-  // as good, but its client is waiting.
+  // The first good answer goes to the client by itself and ends the request. Told to the module first would
+  // be as good, but its client is waiting.
   if (r == Result::kOk && !held.answered) {
     Answer answer;
     answer.status = 200;
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,516 @@
+// The gateway over loopback sockets: each trap that its code guards against, seen from outside.
+#include <memory>
+
+#include "gateway_rig.h"
+#include "net/counter_client.h"
+#include "net/discovery_client.h"
+
+namespace {
+
+using namespace rig;  // NOLINT
+
+// The counter: answers one call after another by `answer(name, amount)`; an empty text answers nothing.
+class Counter {
+ public:
+  using Answer = std::function<std::string(const std::string&, double)>;
+  explicit Counter(Answer answer)
+      : server_([this, answer = std::move(answer)](Wire& wire) {
+          for (;;) {
+            std::vector<std::string> parts;
+            std::string first;
+            if (!Line(wire, &first)) return;
+            for (int i = 0; i < std::atoi(first.c_str() + 1); ++i) {
+              std::string size, part;
+              if (!Line(wire, &size) || !Line(wire, &part)) return;
+              EXPECT_EQ(static_cast<size_t>(std::atoi(size.c_str() + 1)), part.size());
+              parts.push_back(part);
+            }
+            EXPECT_EQ(parts.size(), 4u);
+            EXPECT_LE(parts[1].size(), 64u);
+            calls.Add();
+            wire.Write(answer(parts[1], std::atof(parts[2].c_str())));
+          }
+        }) {}
+  int port() const { return server_.port(); }
+  int connections() const { return server_.connections; }
+  void Stop() { server_.Stop(); }
+  Event calls;
+
+ private:
+  static bool Line(Wire& wire, std::string* line) {
+    size_t end;
+    while ((end = wire.unread.find("\r\n")) == std::string::npos) {
+      if (!wire.More()) return false;
+    }
+    *line = wire.unread.substr(0, end);
+    wire.unread.erase(0, end + 2);
+    return true;
+  }
+  Server server_;
+};
+
+std::string Bulk(const std::string& text) {
+  return "$" + std::to_string(text.size()) + "\r\n" + text + "\r\n";
+}
+
+// A gateway among peers that behave, with the given backends.
+struct Site {
+  explicit Site(const json& entries, json config = {}, const char* program = IVYGW, rlim_t descriptors = 0) {
+    discovery.Set(entries);
+    if (!config.is_object()) config = Config(0, 0);
+    config["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
+    config["counter"] = "127.0.0.1:" + std::to_string(counter.port());
+    gateway = std::make_unique<Process>(config, program, descriptors);
+    EXPECT_NE(gateway->port, 0) << gateway->line;
+    EXPECT_TRUE(discovery.Told());
+  }
+  Counter counter{[](const std::string&, double) { return Bulk("0"); }};
+  Discovery discovery;
+  std::unique_ptr<Process> gateway;
+};
+
+Backend::Answer Says(const std::string& text) {
+  return [text](const Message&, Wire&) { return text; };
+}
+// Says nothing until the gateway gives the attempt up.
+Backend::Answer Hangs(Event* given_up) {
+  return [given_up](const Message&, Wire& wire) {
+    if (wire.Ended()) given_up->Add();
+    return std::string();
+  };
+}
+// A port where nothing listens.
+int DeadPort() {
+  return Server([](Wire&) {}).port();
+}
+
+TEST(Gateway, PassesRequestAndAnswerOnUnchangedAndKeepsConnections) {
+  Backend backend(
+      [](const Message& m, Wire&) { return Ok("echo:" + m.body, "X-Note: kept\r\nX-Cost-Units: 2\r\n"); });
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+  Message answer = Ask(*client, Request("send-lead?a=b%20c", 1, 3000, "X-Own: 7\r\n", "the body"));
+  EXPECT_EQ(answer.status(), 200);
+  EXPECT_EQ(answer.body, "echo:the body");
+  EXPECT_EQ(answer.Header("X-Note"), "kept");
+  Message sent = backend.request(0);
+  EXPECT_EQ(sent.head.substr(0, sent.head.find("\r\n")), "POST /send-lead?a=b%20c HTTP/1.1");
+  EXPECT_EQ(sent.body, "the body");
+  EXPECT_EQ(sent.Header("X-Own"), "7");
+  EXPECT_FALSE(sent.Header("Request-Id").empty());
+  EXPECT_EQ(sent.head.find("Request-Timeout-Ms"), sent.head.rfind("Request-Timeout-Ms"));
+  EXPECT_LE(std::atoi(sent.Header("Request-Timeout-Ms").c_str()), 3000);
+  EXPECT_EQ(Ask(*client, Request("save-scenario", 1, 3000, "", "b")).status(), 200);
+  EXPECT_FALSE(backend.request(1).Header("Idempotency-Key").empty());
+  EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
+  EXPECT_EQ(backend.connections(), 1);
+}
+
+TEST(Gateway, AnswersBadInputItselfAndGoesOn) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto without = [](std::string request, const std::string& header) {
+    size_t at = request.find(header + ":");
+    return request.erase(at, request.find("\r\n", at) + 2 - at);
+  };
+  auto with = [](std::string request, const std::string& from, const std::string& to) {
+    return request.replace(request.find(from), from.size(), to);
+  };
+  std::string good = Request("quote"), big(64 * 1024 + 1, 'b'), ready = "GET /-/ready HTTP/1.1\r\n";
+  std::vector<std::pair<std::string, int>> cases = {
+      {"no http at all\r\n\r\n", 400},
+      {"GET /quote HTTP/9.9\r\n\r\n", 400},
+      {without(good, "Request-Id"), 400},
+      {without(good, "X-Tier"), 400},
+      {without(good, "Cookie"), 400},
+      {without(good, "Request-Timeout-Ms"), 400},
+      {without(good, "X-Call-Terms"), 400},
+      {without(Request("save-scenario"), "Idempotency-Key"), 400},
+      {with(good, "business", "unheard-of"), 400},
+      {with(good, "/quote", "/unheard-of"), 400},
+      {with(good, "client=00000000b4d65521", "client=xyz"), 400},
+      {with(good, "Ms: 3000", "Ms: soon"), 400},
+      {with(good, "Ms: 3000", "Ms: -5"), 400},
+      {with(good, "units=1", "units=nan"), 400},
+      {with(good, "units=1", "units=-1"), 400},
+      {with(good, "spread=1", "spread=0"), 400},
+      {with(good, "GET", "POST"), 405},
+      {"GET /-/other HTTP/1.1\r\nHost: x\r\n\r\n", 404},
+      {Request("send-lead", 1, 3000, "", big), 413},
+      {ready + "X-Large: " + std::string(40000, 'h') + "\r\n\r\n", 431},
+      {ready + "Content-Length: many\r\n\r\n", 400},
+  };
+  for (const auto& [text, status] : cases) {
+    auto client = site.gateway->Connect();
+    EXPECT_EQ(Ask(*client, text).status(), status) << text.substr(0, 300);
+  }
+  EXPECT_EQ(backend.requests.count(), 0);
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, without(good, "X-Tier")).status(), 400);
+  EXPECT_EQ(Ask(*client, good).status(), 200) << "the framing was sound, so the connection goes on";
+}
+
+// Bytes that come before the answer to the request before them are the next request.
+TEST(Gateway, LosesNoPipelinedBytes) {
+  Backend backend([](const Message& m, Wire&) { return Ok(m.body); });
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  std::string third = Request("send-lead", 1, 3000, "", "three");
+  client->Write(Request("send-lead", 1, 3000, "", "one") + Request("send-lead", 1, 3000, "", "two") +
+                third.substr(0, 40));
+  EXPECT_EQ(client->Read().body, "one");
+  EXPECT_EQ(client->Read().body, "two");
+  client->Write(third.substr(40));
+  EXPECT_EQ(client->Read().body, "three");
+}
+
+TEST(Gateway, NeverSendsAnUnsafeRequestAgainOnceItMayHaveRun) {
+  std::vector<std::string> ends = {"", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                                   "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "garbage\r\n\r\n"};
+  for (const std::string& end : ends) {
+    Backend backend([end](const Message&, Wire& wire) {
+      wire.Write(end);
+      return std::string();
+    });
+    Site site(json::array({Entry("s1", backend.port())}));
+    auto client = site.gateway->Connect();
+    EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 502) << end;
+    EXPECT_EQ(backend.requests.count(), 1) << end;
+  }
+}
+
+TEST(Gateway, TakesOnlyNotStartedAsTurnedAway) {
+  Backend full(Says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"));
+  Site site(json::array({Entry("s1", full.port())}));
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 503) << "it never ran, so asking again is harmless";
+}
+
+// What could not be connected to has not run, so another backend may get even an unsafe request.
+TEST(Gateway, TriesElsewhereWhatCouldNotConnect) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("dead", DeadPort()), Entry("live", backend.port())}));
+  auto client = site.gateway->Connect();
+  for (int i = 0; i < 6; ++i) EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 200);
+  EXPECT_EQ(backend.requests.count(), 6);
+}
+
+// A kept connection that the backend has ended, or written to unasked, takes no further request.
+TEST(Gateway, ReusesNoStaleConnection) {
+  for (std::string after : {"close", "bytes", "header"}) {
+    Event closed;
+    Backend backend([&](const Message&, Wire& wire) {
+      if (after == "header") return Ok("x", "Connection: close\r\n");
+      wire.Write(Ok("x") + (after == "bytes" ? "unasked" : ""));
+      if (after == "bytes") {
+        if (wire.Ended()) closed.Add();
+      }
+      return std::string();
+    });
+    Site site(json::array({Entry("s1", backend.port())}));
+    auto client = site.gateway->Connect();
+    EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 200) << after;
+    if (after == "bytes") {
+      EXPECT_TRUE(closed.Wait());
+    }
+    // The end may cross the next request; from the one after it on the connection is known to be over.
+    if (after == "close") Ask(*client, Request("quote"));
+    EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 200) << after;
+  }
+}
+
+TEST(Gateway, ClosesKeptConnectionsBeforeTheIdleLimit) {
+  Event closed;
+  Backend backend([&](const Message&, Wire& wire) {
+    wire.Write(Ok("x"));
+    if (wire.Ended()) closed.Add();
+    return std::string();
+  });
+  json config = Config(0, 0);
+  config["settings"]["limits"]["conn-idle-s"] = 0.5;
+  Site site(json::array({Entry("s1", backend.port())}), config);
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).status(), 200);
+  EXPECT_TRUE(closed.Wait());
+}
+
+TEST(Gateway, GivesUpASilentBackendInTimeAndClosesItsConnection) {
+  Event given_up;
+  Backend backend(Hangs(&given_up));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, Request("send-lead", 1, 400)).status(), 502);
+  EXPECT_TRUE(given_up.Wait());
+  EXPECT_EQ(backend.requests.count(), 1);
+}
+
+// A connection that comes up after its attempt was given up carries nothing.
+TEST(Gateway, SendsNothingOnALateConnection) {
+  sockaddr_in at;
+  int fd = Loopback(&at, 0);
+  ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+  ASSERT_EQ(listen(fd, 0), 0);
+  socklen_t size = sizeof(at);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  auto filler = Wire::To(ntohs(at.sin_port));  // takes the only place in the listener's queue
+  {
+    Site site(json::array({Entry("s1", ntohs(at.sin_port))}));
+    auto client = site.gateway->Connect();
+    EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 503);
+  }
+  // The gateway has ended, so all that it ever sent is here.
+  pollfd ready{fd, POLLIN, 0};
+  for (int i = 0; i < 20 && poll(&ready, 1, 0) > 0; ++i) {
+    Wire late(accept(fd, nullptr, nullptr));
+    filler->Close();
+    late.More();
+    EXPECT_EQ(late.unread, "");
+  }
+  close(fd);
+}
+
+TEST(Gateway, CancelsWhatIsOutWhenItsClientHasGone) {
+  Event given_up;
+  Backend backend(Hangs(&given_up));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  client->Write(Request("send-lead", 1, 600000));
+  EXPECT_TRUE(backend.requests.Wait());
+  client->Close();
+  EXPECT_TRUE(given_up.Wait());
+}
+
+// The module's refusal comes at once, with the time after which to come back.
+TEST(Gateway, RefusesBeyondTheQuotaAtOnceWithRetryAfter) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  Message last;
+  for (int i = 0; i < 10 && last.status() != 429; ++i) {
+    std::string request = Request("quote", 1, 600000);
+    request.replace(request.find("X-Tier: business"), 16, "X-Tier: small");
+    last = Ask(*client, request);
+  }
+  EXPECT_EQ(last.status(), 429);
+  EXPECT_GT(std::atof(last.Header("Retry-After").c_str()), 0);
+}
+
+// If the module says nothing the answer still comes in time, and promises harmlessness only where that is
+// known.
+TEST(Gateway, AnswersInTimeForAModuleThatIsSilent) {
+  Event given_up;
+  Backend backend(Hangs(&given_up));
+  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW_SILENT);
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote", 1, 200)).status(), 503);
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("send-lead", 1, 200)).status(), 503);
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("save-scenario", 1, 200)).status(), 504);
+  EXPECT_TRUE(given_up.Wait()) << "what is out at the answer is given up";
+}
+
+TEST(Gateway, FollowsDiscovery) {
+  Backend one(Says(Ok("one"))), two(Says(Ok("two")));
+  Site site(json::array({Entry("a", one.port())}));
+  auto client = site.gateway->Connect();
+  auto told = [&] {
+    EXPECT_TRUE(site.discovery.Told());
+    return Ask(*client, Request("quote")).body;
+  };
+  EXPECT_EQ(told(), "one");
+  site.discovery.Set(json::array({Entry("b", two.port())}));
+  EXPECT_EQ(told(), "two") << "what a whole list does not name is gone";
+  site.discovery.Set(json::array({Entry("b", one.port())}));
+  EXPECT_EQ(told(), "one") << "an address may change";
+  site.discovery.Set(json::array({Entry("a", two.port()), Entry("b", one.port(), "leaving")}), false,
+                     json::array({Entry("a", two.port()), Entry("b", one.port(), "leaving")}));
+  EXPECT_EQ(told(), "two") << "nothing new to one that leaves";
+  site.discovery.Set(json::array({Entry("a", two.port())}), true, {}, "no list");
+  EXPECT_EQ(told(), "two") << "garbage changes nothing, and is asked for again";
+}
+
+TEST(Gateway, ServesByTheKnownListWhileDiscoveryIsSilent) {
+  Backend backend(Says(Ok("x")));
+  Discovery discovery;
+  discovery.Silence(true);
+  Counter counter([](const std::string&, double) { return Bulk("0"); });
+  Process gateway(Config(discovery.port(), counter.port(), json::array({Entry("s1", backend.port())})));
+  auto client = gateway.Connect();
+  EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
+  for (int i = 0; i < 3000; ++i) {  // ready without discovery, once its first call has failed
+    if (Ask(*client, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200) break;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_EQ(Ask(*client, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+}
+
+TEST(Gateway, ServesWithACounterThatFails) {
+  for (std::string answer :
+       {"", "-BUSY full\r\n", "-ERR no\r\n", "garbage\r\n", "$999999999\r\n", "$3\r\nabc\r\n"}) {
+    Backend backend(Says(Ok("x")));
+    Discovery discovery;
+    discovery.Set(json::array({Entry("s1", backend.port())}));
+    Counter counter([&](const std::string&, double) { return answer; });
+    Process gateway(Config(discovery.port(), counter.port()));
+    EXPECT_TRUE(discovery.Told());
+    auto client = gateway.Connect();
+    for (int i = 0; i < 8; ++i) EXPECT_EQ(Ask(*client, Request("quote", 2)).status(), 200) << answer;
+    EXPECT_GT(counter.calls.count(), 0) << answer;
+  }
+}
+
+TEST(Gateway, OnSigtermFinishesWhatItHoldsAndServesWhatStillComes) {
+  Event held, go;
+  Backend backend([&](const Message&, Wire&) {
+    held.Add();
+    go.Wait();
+    return Ok("x");
+  });
+  Backend other([&](const Message& m, Wire&) { return held.Add(), go.Wait(), Ok(m.body); });
+  Site site(json::array({Entry("s1", backend.port()), Entry("s2", other.port())}));
+  auto client = site.gateway->Connect(), later = site.gateway->Connect();
+  client->Write(Request("send-lead", 1, 3000));
+  EXPECT_TRUE(held.Wait());
+  site.gateway->Signal(SIGTERM);
+  auto probe = site.gateway->Connect();
+  for (int i = 0; i < 3000 && Ask(*probe, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200; ++i) {
+  }
+  auto fresh = site.gateway->Connect();  // a new connection, and one that was there before
+  fresh->Write(Request("save-scenario"));
+  later->Write(Request("save-scenario"));
+  EXPECT_TRUE(held.Wait(3));
+  go.Add();
+  for (Wire* wire : {client.get(), fresh.get(), later.get()}) {
+    Message answer = wire->Read();
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_EQ(answer.Header("Connection"), "close");
+    EXPECT_TRUE(wire->Ended());
+  }
+  EXPECT_EQ(site.gateway->Exit(), 0);
+}
+
+// More connections than there are descriptors: the longest idle make room, and what waits is taken later.
+TEST(Gateway, SurvivesRunningOutOfDescriptors) {
+  Backend backend(Says(Ok("x")));
+  json config = Config(0, 0);
+  config["limits"]["sockets"] = 64;
+  for (rlim_t limit : {64, 16}) {  // within its budget, and with less than that
+    Site site(json::array({Entry("s1", backend.port())}), config, IVYGW, limit);
+    std::vector<std::unique_ptr<Wire>> idle;
+    for (int i = 0; i < 60; ++i) idle.push_back(site.gateway->Connect());
+    auto client = site.gateway->Connect();
+    if (limit < 64) idle.clear();
+    EXPECT_NE(Ask(*client, Request("quote")).status(), 0);
+    idle.clear();
+    int status = 0;
+    for (int i = 0; i < 100 && status != 200; ++i)
+      status = Ask(*site.gateway->Connect(), Request("quote")).status();
+    EXPECT_EQ(status, 200);
+  }
+}
+
+TEST(Gateway, SaysInOneLineWhatSettingIsMissing) {
+  json missing = Config(1, 1), bad = Config(1, 1), list = Config(1, 1);
+  missing["settings"]["invariants"].erase("cold-from");
+  bad["listen"] = "nowhere";
+  list["known"] = {{"index", "x"}};
+  std::vector<std::pair<std::string, std::string>> cases = {{missing.dump(), "invariants.cold-from"},
+                                                            {bad.dump(), "listen=nowhere"},
+                                                            {list.dump(), "known"},
+                                                            {"{", "JSON"}};
+  for (const auto& [text, word] : cases) {
+    Process gateway(text, IVYGW, 0);
+    EXPECT_NE(gateway.Exit(), 0);
+    EXPECT_NE(gateway.line.find(word), std::string::npos) << gateway.line;
+    EXPECT_EQ(gateway.rest, "") << "one line";
+  }
+}
+
+// Names of one hash get ids of their own, the same whatever order they come in.
+TEST(BackendIds, TellsNamesOfOneHashApart) {
+  ivygw::BackendIds one([](std::string_view) { return 7u; }), two([](std::string_view) { return 7u; });
+  micadock::SiteSettings site;
+  json ab = {{"index", 1}, {"snapshot", true}, {"endpoints", {Entry("a", 1), Entry("b", 2)}}};
+  json ba = {{"index", 1}, {"snapshot", true}, {"endpoints", {Entry("b", 2), Entry("a", 1)}}};
+  auto first = ivygw::ParseList(ab, site, &one), second = ivygw::ParseList(ba, site, &two);
+  EXPECT_NE(first.entries[0].backend.id, first.entries[1].backend.id);
+  EXPECT_EQ(first.entries[0].backend.id, second.entries[1].backend.id);
+  EXPECT_EQ(first.entries[1].backend.id, second.entries[0].backend.id);
+}
+
+// The client of the counter, driven directly: its loop runs until `done`.
+struct Calls {
+  Calls(int port, double timeout_s)
+      : client(io, {boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)}, timeout_s, 5,
+               [this](micadock::CountAnswer a) { answers.push_back(a); }) {}
+  void Until(const std::function<bool()>& done) {
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(kLimitS);
+    while (!done() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(50));
+    EXPECT_TRUE(done());
+  }
+  boost::asio::io_context io;
+  std::vector<micadock::CountAnswer> answers;
+  ivygw::CounterClient client;
+};
+
+// An answer past its call's time-out is matched to that call, not to the next one on the connection.
+TEST(CounterClient, MatchesAnswersInOrderAlsoLateOnes) {
+  Event go;
+  Counter counter([&](const std::string&, double amount) {
+    if (amount == 1) go.Wait();
+    return Bulk(std::to_string(amount));
+  });
+  Calls calls(counter.port(), 0.2);
+  calls.client.Call(11, 1, 5);
+  calls.Until([&] { return calls.answers.size() == 1; });
+  EXPECT_EQ(calls.answers[0].result, micadock::Result::kTimeout) << "it may have been added";
+  go.Add();
+  for (int i = 0; i < 20; ++i) {
+    calls.client.Call(20 + i, 2 + i, 5);
+    calls.Until([&] { return calls.answers.size() == 2 + static_cast<size_t>(i); });
+    if (calls.answers.back().result != micadock::Result::kOk) continue;
+    EXPECT_EQ(calls.answers.back().name, 20u + i);
+    EXPECT_EQ(calls.answers.back().total, 2.0 + i);
+  }
+}
+
+TEST(CounterClient, TellsWhatWasNeverAddedFromWhatMayHaveBeen) {
+  Counter busy([](const std::string&, double) { return std::string("-BUSY\r\n"); });
+  Calls turned_away(busy.port(), 30);
+  turned_away.client.Call(1, 1, 5);
+  turned_away.Until([&] { return turned_away.answers.size() == 1; });
+  EXPECT_EQ(turned_away.answers[0].result, micadock::Result::kFull);
+
+  Calls refused(DeadPort(), 30);
+  for (int i = 0; i < 200; ++i) refused.client.Call(i, 1, 5);
+  refused.Until([&] { return refused.answers.size() == 200; });
+  for (const auto& a : refused.answers) EXPECT_EQ(a.result, micadock::Result::kConnectFailed);
+
+  Counter broken([](const std::string&, double) { return std::string("?\r\n"); });
+  Calls broke(broken.port(), 30);
+  broke.client.Call(1, 1, 5);
+  broke.Until([&] { return broke.answers.size() == 1; });
+  EXPECT_EQ(broke.answers[0].result, micadock::Result::kTimeout);
+}
+
+// A silent counter: what is out is bounded, every call ends, and once it is silent for long the connections
+// are opened anew.
+TEST(CounterClient, BoundsItsQueuesAndReconnects) {
+  std::atomic<bool> silent{true};
+  Counter counter([&](const std::string&, double) { return silent ? std::string() : Bulk("5"); });
+  Calls calls(counter.port(), 0.05);
+  for (int i = 0; i < 5000; ++i) calls.client.Call(i, 1, 5);
+  calls.Until([&] { return calls.answers.size() == 5000; });
+  EXPECT_LE(counter.calls.count(), 32 * 64);
+  EXPECT_LE(counter.connections(), 32);
+  silent = false;
+  uint64_t name = 10000;
+  calls.Until([&] {
+    if (calls.answers.back().result == micadock::Result::kOk) return true;
+    calls.client.Call(++name, 1, 5);
+    size_t before = calls.answers.size();
+    calls.Until([&] { return calls.answers.size() > before; });
+    return calls.answers.back().result == micadock::Result::kOk;
+  });
+}
+
+}  // namespace
