Set sockets and parsers up in one place

Cause: the same four lines opened a socket, and the same four bounded a parser, in backend_pool, client_server, counter_client and discovery_client. They are now Open, Prepare and Renew in net/http.h.

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -47,10 +47,7 @@
     done_ = std::move(done);
     began_ = Clock::now();
     give_up_ = began_ + Seconds(std::max(0.0, patience_s));
-    parser_.emplace();
-    parser_->header_limit(kMaxHeader);
-    parser_->body_limit(kMaxAnswer);
-    parser_->eager(true);
+    Renew(&parser_, kMaxAnswer);
     if (open_) {
       WaitUntil(give_up_);
       Write();
@@ -103,10 +100,7 @@
   }
 
   void Connect() {
-    error_code error;
-    socket_.open(address_.protocol(), error);
-    if (!error) socket_.non_blocking(true, error);
-    if (!error) socket_.set_option(tcp::no_delay(true), error);
+    error_code error = Open(socket_, address_);
     if (error) {
       return asio::post(pool_->io_, [self = shared_from_this(), this] { Finish(Result::kConnectFailed); });
     }
@@ -169,10 +163,7 @@
       // Garbage, or an answer past every bound, ends this exchange.
       if (error) return Finish(written_ ? Result::kReset : Result::kConnectFailed);
       if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
-        parser_.emplace();  // an interim answer: the final one follows
-        parser_->header_limit(kMaxHeader);
-        parser_->body_limit(kMaxAnswer);
-        parser_->eager(true);
+        Renew(&parser_, kMaxAnswer);  // an interim answer: the final one follows
       }
     }
     if (!parser_->is_done()) return;
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -97,10 +97,7 @@
   void Next() {
     state_ = State::kReading;
     begun_ = continued_ = false;
-    parser_.emplace();
-    parser_->header_limit(kMaxHeader);
-    parser_->body_limit(kMaxBody);
-    parser_->eager(true);
+    Renew(&parser_, kMaxBody);
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
   }
 
@@ -298,9 +295,7 @@
 }
 
 void ClientServer::Taken(tcp::socket socket) {
-  error_code error;
-  socket.non_blocking(true, error);
-  socket.set_option(tcp::no_delay(true), error);
+  Prepare(socket);
   uint64_t id = ++last_;
   auto connection = std::make_shared<Connection>(this, id, std::move(socket));
   connections_[id] = connection;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -43,10 +43,7 @@
   bool Usable() { return open_ && (!calls_.empty() || !Stale(socket_)); }
 
   void Connect() {
-    error_code error;
-    socket_.open(client_->address_.protocol(), error);
-    if (!error) socket_.non_blocking(true, error);
-    if (!error) socket_.set_option(tcp::no_delay(true), error);
+    error_code error = Open(socket_, client_->address_);
     if (error) return asio::post(client_->io_, [self = shared_from_this(), this] { Close(true); });
     timer_.expires_after(client_->connect_timeout_);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -117,10 +117,7 @@
   message_ = "GET /api/targets";
   if (watch) message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(kWaitMs);
   message_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
-  parser_.emplace();
-  parser_->header_limit(kMaxHeader);
-  parser_->body_limit(kMaxList);
-  parser_->eager(true);
+  Renew(&parser_, kMaxList);
   timer_.expires_after(kPatience + std::chrono::milliseconds(watch ? kWaitMs : 0));
   timer_.async_wait([this, turn](error_code cancelled) {
     if (!cancelled && turn == turn_) Failed();
@@ -135,10 +132,7 @@
 
 void DiscoveryClient::Connect() {
   buffer_.clear();
-  error_code error;
-  socket_.open(address_.protocol(), error);
-  if (!error) socket_.non_blocking(true, error);
-  if (!error) socket_.set_option(tcp::no_delay(true), error);
+  error_code error = Open(socket_, address_);
   if (error) return Failed();
   socket_.async_connect(address_, [this, turn = turn_](error_code failed) {
     if (turn != turn_) return;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -69,6 +70,28 @@
   return error != asio::error::would_block;
 }
 
+// Non-blocking and without delay, as every socket here is.
+inline error_code Prepare(tcp::socket& socket) {
+  error_code error;
+  socket.non_blocking(true, error);
+  if (!error) socket.set_option(tcp::no_delay(true), error);
+  return error;
+}
+inline error_code Open(tcp::socket& socket, const tcp::endpoint& address) {
+  error_code error;
+  socket.open(address.protocol(), error);
+  return error ? error : Prepare(socket);
+}
+
+// A parser for the next message, with its bounds.
+template <typename Parser>
+void Renew(std::optional<Parser>* parser, size_t most_body) {
+  parser->emplace();
+  (*parser)->header_limit(kMaxHeader);
+  (*parser)->body_limit(most_body);
+  (*parser)->eager(true);
+}
+
 inline void CloseNow(tcp::socket& socket) {
   error_code ignored;
   socket.close(ignored);
