Read the configuration again on SIGHUP, in the running process

Cause: main.cpp waited for SIGTERM and SIGINT only, so SIGHUP ended the process by its default action (seen: 'n0 crashed: exited with 129', six requests lost with it). DiscoveryClient and CounterClient held const addresses, so nothing could move either.

Now LB_CONFIG is read again; discovery asks the new agent for the whole list at once (whole_next_, an index of before is not used) and the old list serves until it comes; counter calls that are out stay on their old connections (leaving_) and end by what these say, while unwritten ones end as never added and new ones open connections to the new address without backoff. A file that can't be read is one log line. The same addresses again do nothing.

Checked: the new test fails on the program of before (it ends); repeated SIGHUPs, a broken file and SIGTERM right behind SIGHUP are in it.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -91,11 +91,17 @@
     auto self = shared_from_this();
     timer_.cancel();
     CloseNow(socket_);
-    client_->Lost(this, failed);
+    client_->Lost(this, failed && !leaving_);
     auto calls = std::move(calls_);
     calls_.clear();
     for (auto& call : calls) client_->End(call, call->written ? Result::kTimeout : Result::kConnectFailed);
   }
+  // Takes no further call. Closed when what is out is answered; what was not written yet never goes out.
+  void Leave() {
+    leaving_ = true;
+    if (!open_ || calls_.empty()) Close(false);
+  }
+  bool closed() const { return closed_; }
   void Detach() {
     closed_ = true;
     timer_.cancel();
@@ -147,6 +153,7 @@
                               }
                               if (closed_) return;
                               if (unread_ > kMostUnread) return Close(true);
+                              if (calls_.empty() && leaving_) return Close(false);
                               if (calls_.empty()) timer_.cancel();
                               Read();
                             });
@@ -182,7 +189,7 @@
   char buffer_[1024];
   size_t unread_ = 0;
   Clock::time_point heard_{};
-  bool open_ = false, closed_ = false, writing_ = false;
+  bool open_ = false, closed_ = false, writing_ = false, leaving_ = false;
 };
 
 CounterClient::CounterClient(asio::io_context& io, tcp::endpoint address, double timeout_s,
@@ -196,10 +203,26 @@
 
 CounterClient::~CounterClient() {
   for (auto& connection : connections_) connection->Detach();
+  for (auto& connection : leaving_) connection->Detach();
 }
 
 void CounterClient::Start() { Choose(); }
 
+void CounterClient::Move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  backoff_ = {};
+  not_before_ = {};
+  std::vector<std::shared_ptr<Connection>> before = std::move(connections_);
+  connections_.clear();
+  Start();
+  // Ends calls, and so may bring about further ones: these find the new address.
+  for (auto& connection : before) {
+    connection->Leave();
+    if (!connection->closed()) leaving_.push_back(connection);
+  }
+}
+
 // An idle connection, else a new one while there may be more, else the one with the fewest calls out.
 CounterClient::Connection* CounterClient::Choose() {
   Connection *idle = nullptr, *open = nullptr, *coming = nullptr;
@@ -277,7 +300,9 @@
 }
 
 void CounterClient::Lost(Connection* connection, bool failed) {
-  std::erase_if(connections_, [connection](const auto& c) { return c.get() == connection; });
+  for (auto* list : {&connections_, &leaving_}) {
+    std::erase_if(*list, [connection](const auto& c) { return c.get() == connection; });
+  }
   if (!failed) return;
   // A counter that refuses is not hammered.
   backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, kBackoffMost);
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -22,6 +22,8 @@
 
   void Start();  // opens a first connection, so that no call waits for it
   void Call(uint64_t name, double amount, double keep_s);
+  // From now on calls go to another address. What is out is still answered by the one before.
+  void Move(const tcp::endpoint& address);
 
  private:
   class Connection;
@@ -38,10 +40,11 @@
   void Lost(Connection* connection, bool failed);
 
   asio::io_context& io_;
-  const tcp::endpoint address_;
+  tcp::endpoint address_;
   const Clock::duration timeout_, connect_timeout_;
   Done done_;
   std::vector<std::shared_ptr<Connection>> connections_;
+  std::vector<std::shared_ptr<Connection>> leaving_;  // to an address before, with calls out
   std::deque<std::shared_ptr<Pending>> waiting_;  // by time: every call has the same time-out
   asio::steady_timer timer_;
   bool armed_ = false;
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -103,11 +103,14 @@
   Ask();
 }
 
-void DiscoveryClient::Stop() {
-  running_ = false;
-  ++turn_;
-  timer_.cancel();
+// A version that the agent before gave means nothing to this one.
+void DiscoveryClient::Move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  whole_next_ = true;
+  backoff_ = {};
   CloseNow(socket_);
+  Ask();
 }
 
 void DiscoveryClient::Ask() {
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -53,7 +53,7 @@
                   BackendIds* ids, OnList on_list, OnFailed on_failed);
 
   void Start();  // no-op once running: what fails is tried again here
-  void Stop();
+  void Move(const tcp::endpoint& address);  // asks another agent for the whole list, at once
 
  private:
   void Ask();
@@ -64,7 +64,7 @@
   void Failed();
 
   asio::io_context& io_;
-  const tcp::endpoint address_;
+  tcp::endpoint address_;
   const micadock::SiteSettings& site_;
   BackendIds* ids_;
   OnList on_list_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -410,6 +410,11 @@
   });
 }
 
+void Gateway::Reload(const Config& fresh) {
+  discovery_.Move(fresh.discovery);
+  if (counter_ && fresh.has_counter) counter_->Move(fresh.counter);
+}
+
 void Gateway::Shutdown() {
   if (shutdown_at_) return;
   shutdown_at_ = Clock::now();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -37,6 +37,7 @@
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
   void Shutdown();
+  void Reload(const Config& fresh);  // moves to the discovery and counter that it names
 
  private:
   struct Attempt {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -248,6 +248,7 @@
             size_t at = ask.head.find("after=");
             long after = at == std::string::npos ? -1 : std::atol(ask.head.c_str() + at + 6);
             std::unique_lock lock(mutex_);
+            asked.Add();
             if (after >= 0) watches_[after].Add();
             changed_.wait(lock, [&] { return stopping_ || (!silent_ && index_ > after); });
             if (stopping_) return;
@@ -289,6 +290,7 @@
     return event.Wait();
   }
   int port() const { return server_.port(); }
+  Event asked;
 
  private:
   std::mutex mutex_;
@@ -401,6 +403,13 @@
     unlink(path_.c_str());
   }
   void Signal(int signal) { kill(pid_, signal); }
+  // Puts another configuration in the file's place, as a whole, and says so.
+  void Reload(const std::string& config) {
+    std::string fresh = path_ + ".new";
+    std::ofstream(fresh) << config;
+    EXPECT_EQ(rename(fresh.c_str(), path_.c_str()), 0);
+    Signal(SIGHUP);
+  }
   int Exit() {
     int status = 0;
     waitpid(pid_, &status, 0);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -413,6 +413,34 @@
   EXPECT_EQ(site.gateway->Exit(), 0);
 }
 
+// SIGHUP: the file is read again, and discovery and counter are those that it names now. The list of before
+// serves until the new agent has given its own; a file that can't be read changes nothing.
+TEST(Gateway, MovesToOtherAddressesOnSighup) {
+  Backend one(Says(Ok("one"))), two(Says(Ok("two")));
+  Counter counter([](const std::string&, double) { return Bulk("0"); });
+  Discovery discovery;
+  discovery.Silence(true);
+  discovery.Set(json::array({Entry("s2", two.port())}));
+  Site site(json::array({Entry("s1", one.port())}));
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, Request("quote", 2)).body, "one");
+  site.gateway->Reload("{");
+  EXPECT_EQ(Ask(*client, Request("quote", 2)).body, "one");
+  json config = Config(discovery.port(), counter.port());
+  for (int i = 0; i < 3; ++i) site.gateway->Reload(config.dump());
+  EXPECT_TRUE(discovery.asked.Wait()) << "at once";
+  EXPECT_EQ(Ask(*client, Request("quote", 2)).body, "one") << "the list as last known";
+  discovery.Silence(false);
+  EXPECT_TRUE(discovery.Told());
+  EXPECT_EQ(Ask(*client, Request("quote", 2)).body, "two") << "the new agent's whole list";
+  for (int i = 0; i < 100 && counter.calls.count() == 0; ++i) Ask(*client, Request("quote", 2));
+  EXPECT_GT(counter.calls.count(), 0);
+  site.gateway->Signal(SIGHUP);
+  site.gateway->Signal(SIGTERM);
+  EXPECT_EQ(site.gateway->Exit(), 0);
+  EXPECT_NE(site.gateway->rest.find("kept as it was"), std::string::npos);
+}
+
 // More connections than there are descriptors: the longest idle make room, and what waits is taken later.
 TEST(Gateway, SurvivesRunningOutOfDescriptors) {
   Backend backend(Says(Ok("x")));
@@ -498,6 +526,25 @@
   }
 }
 
+// Calls out when the address changes end by what the old counter says; new ones go to the new one.
+TEST(CounterClient, MovesToAnotherAddressAndEndsWhatIsOut) {
+  Event go;
+  Counter before([&](const std::string&, double) { return go.Wait(), Bulk("7"); });
+  Counter after([](const std::string&, double) { return Bulk("9"); });
+  Calls calls(before.port(), 30);
+  calls.client.Call(1, 1, 5);
+  calls.Until([&] { return before.calls.count() == 1; });
+  calls.client.Move({boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(after.port())});
+  calls.client.Call(2, 1, 5);
+  calls.Until([&] { return calls.answers.size() == 1; });
+  EXPECT_EQ(calls.answers[0].name, 2u);
+  EXPECT_EQ(calls.answers[0].total, 9);
+  go.Add();
+  calls.Until([&] { return calls.answers.size() == 2; });
+  EXPECT_EQ(calls.answers[1].name, 1u);
+  EXPECT_EQ(calls.answers[1].total, 7);
+}
+
 TEST(CounterClient, TellsWhatWasNeverAddedFromWhatMayHaveBeen) {
   Counter busy([](const std::string&, double) { return std::string("-BUSY\r\n"); });
   Calls turned_away(busy.port(), 30);
