Read every message a stage at a time, with one bound and one rule of framing

With eager(true) (http.h, Renew) Boost 1.74's basic_parser::put sets body_limit in finish_header and then loops on when body bytes came with the head, which loses the error and runs string_body's init, a reserve of the length told. Ruled out: clients' buffers (RSS stood at 5.4 MB until then), the counter's replies, timers.

Now http.h's Feed is the one reader of clients, backends and discovery: not eager, heads whole before they are parsed, 16 KB a head, chunk line or trailer, and framing told once. At most 16 1xx answers go ahead of one.

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -16,6 +16,7 @@
 // Off the drain's grace: the time a write may take to come out on a busy core.
 constexpr double kGraceMarginS = 0.1;
 constexpr size_t kMaxAnswer = kMaxBody;
+constexpr int kMostInterim = 16;  // 1xx answers ahead of the final one
 
 }  // namespace
 
@@ -47,6 +48,7 @@
     done_ = std::move(done);
     began_ = Clock::now();
     give_up_ = began_ + Seconds(std::max(0.0, patience_s));
+    interim_ = 0;
     Renew(&parser_, kMaxAnswer);
     if (open_) {
       WaitUntil(give_up_);
@@ -150,23 +152,23 @@
           }
           error_code bad;
           if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(bad);
-          if (error == asio::error::eof && !bad && parser_->is_done()) return Answered(false);
+          // A body that only the end of the connection ends may have been cut short.
+          bool whole = !bad && parser_->is_done() && parser_->get().result_int() != 200;
+          if (error == asio::error::eof && whole) return Answered(false);
           Finish(written_ ? Result::kReset : Result::kConnectFailed);
         });
   }
 
   void Parse() {
-    error_code error;
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-      buffer_.consume(parser_->put(buffer_.data(), error));
-      if (error == http::error::need_more) return;
+    for (;;) {
       // Garbage, or an answer past every bound, ends this exchange.
-      if (error) return Finish(written_ ? Result::kReset : Result::kConnectFailed);
-      if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
-        Renew(&parser_, kMaxAnswer);  // an interim answer: the final one follows
-      }
+      bool bad = Feed(*parser_, buffer_) || interim_ > kMostInterim;
+      if (bad) return Finish(written_ ? Result::kReset : Result::kConnectFailed);
+      if (!parser_->is_done()) return;
+      if (parser_->get().result_int() / 100 != 1) break;
+      ++interim_;  // an interim answer: the final one follows
+      Renew(&parser_, kMaxAnswer);
     }
-    if (!parser_->is_done()) return;
     // An answer to a request that is not all written: it has not begun, and the framing is in doubt.
     if (!written_) return Finish(Result::kConnectFailed);
     Answered(parser_->keep_alive() && buffer_.size() == 0);
@@ -232,6 +234,7 @@
   std::string message_;
   Done done_;
   uint64_t attempt_ = 0;
+  int interim_ = 0;
   Clock::time_point began_, give_up_;
   bool open_ = false, closed_ = false, busy_ = false, reading_ = false;
   bool written_ = false;  // the attempt's last byte: from here on it may have run
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -133,17 +133,7 @@
       begun_ = true;
       NotIdle();
     }
-    error_code error;
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-      buffer_.consume(parser_->put(buffer_.data(), error));
-      if (error == http::error::need_more) {
-        // The parser leaves a header to be whole in the buffer; its own limit is asked only then.
-        if (buffer_.size() > kMaxHeader) error = http::error::header_limit;
-        break;
-      }
-      if (error) break;
-    }
-    if (error && error != http::error::need_more) return Refuse(error);
+    if (error_code error = Feed(*parser_, buffer_)) return Refuse(error);
     if (parser_->is_done()) return Whole();
     if (parser_->is_header_done() && !continued_ &&
         boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -162,10 +162,7 @@
     } else if (error) {
       return Failed();
     }
-    while (buffer_.size() > 0 && !parser_->is_done() && !bad) {
-      buffer_.consume(parser_->put(buffer_.data(), bad));
-    }
-    if (bad == http::error::need_more) bad = {};
+    if (!bad && !parser_->is_done()) bad = Feed(*parser_, buffer_);
     if (bad) return Failed();
     if (parser_->is_done()) return Answered();
     if (error) return Failed();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -2,6 +2,7 @@
 #ifndef IVYGW_NET_HTTP_H_
 #define IVYGW_NET_HTTP_H_
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -89,7 +90,51 @@
   parser->emplace();
   (*parser)->header_limit(kMaxHeader);
   (*parser)->body_limit(most_body);
-  (*parser)->eager(true);
+}
+
+// Whether one reader alone can tell where the message ends (RFC 9112, 6.3): a length or chunks, told once and
+// plainly. Guards against a second message that hides in a body.
+template <typename Fields>
+bool SoundFraming(const Fields& message) {
+  size_t lengths = message.count(http::field::content_length);
+  size_t codings = message.count(http::field::transfer_encoding);
+  if (codings == 0) {
+    return lengths == 0 || (lengths == 1 && View(message[http::field::content_length]).find(',') ==
+                                                std::string_view::npos);
+  }
+  return codings == 1 && lengths == 0 && message.version() == 11 &&
+         boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
+// Gives the parser what has come. A head is taken when it is whole, so that it can be looked at, and no
+// message part but a body grows past kMaxHeader. Never eager: Beast 1.74 goes on to a body that is past its
+// limit when bytes of it have come with the head, and reserves its whole length.
+template <typename Parser>
+error_code Feed(Parser& parser, boost::beast::flat_buffer& buffer) {
+  if (!parser.got_some()) {
+    std::string_view head(static_cast<const char*>(buffer.data().data()), buffer.size());
+    size_t end = head.find("\r\n\r\n");
+    if (std::min(end, head.size()) > kMaxHeader) return http::error::header_limit;
+    if (end == std::string_view::npos) return {};
+    head = head.substr(0, end);  // no line that goes on with the one before (RFC 9112, 5.2)
+    for (std::string_view fold : {"\r\n ", "\r\n\t"}) {
+      if (head.find(fold) != std::string_view::npos) return http::error::bad_obs_fold;
+    }
+  }
+  while (buffer.size() > 0 && !parser.is_done()) {
+    error_code error;
+    bool before = parser.is_header_done();
+    buffer.consume(parser.put(buffer.data(), error));
+    if (error == http::error::need_more) {
+      if (buffer.size() > kMaxHeader) return http::error::header_limit;
+      return {};
+    }
+    if (error) return error;
+    if (!before && parser.is_header_done() && !SoundFraming(parser.get())) {
+      return http::error::bad_transfer_encoding;
+    }
+  }
+  return {};
 }
 
 inline void CloseNow(tcp::socket& socket) {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -418,6 +418,13 @@
     close(err_);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
+  double peak_mb() const {  // most memory resident so far
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string text; std::getline(status, text);) {
+      if (text.rfind("VmHWM:", 0) == 0) return std::atof(text.c_str() + 6) / 1024;
+    }
+    return 0;
+  }
   std::unique_ptr<Wire> Connect() const { return Wire::To(port); }
   int port = 0;
   std::string line, rest;  // the log: its first line, and after Exit the others
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -145,6 +145,30 @@
     auto client = site.gateway->Connect();
     EXPECT_EQ(Ask(*client, text).status(), status) << text.substr(0, 300);
   }
+  // Framing that two readers may take two ways: an error and a close, and nothing of it is passed on.
+  std::string post = Request("send-lead"), hidden = Request("send-lead");
+  std::string length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n", chunked = "chunked\r\n";
+  std::string coding = "Transfer-Encoding: ";
+  post.resize(post.size() - 2);
+  for (const std::string& lines :
+       {length + coding + chunked, coding + chunked + length, coding + "identity\r\n" + length,
+        length + coding + "identity\r\n", coding + "gzip, " + chunked, coding + "chunked, gzip\r\n",
+        coding + "identity\r\n", coding + "gzip\r\n" + coding + chunked, coding + "\r\n", length + length,
+        length + "Content-Length: 3\r\n", std::string("Content-Length: -1\r\n"),
+        std::string("Content-Length: 3, 3\r\n"), std::string("Content-Length: +3\r\n"),
+        std::string("Content-Length: 18446744073709551617\r\n"), std::string("X-Odd: a\r\n folded\r\n"),
+        std::string("X-Odd: a\r\n\tfolded\r\n"), std::string("X-Odd : a\r\n"), std::string("X-Odd\r\n"),
+        std::string("X-Odd: a\nb: c\r\n"), "Content-Length : 3\r\n" + length}) {
+    auto client = site.gateway->Connect();
+    EXPECT_EQ(Ask(*client, post + lines + "\r\n" + hidden).status(), 400) << lines;
+    EXPECT_TRUE(client->Ended()) << lines;
+  }
+  std::string chunk = post + coding + chunked + "\r\n";
+  for (std::string body : {"zz\r\n", "-1\r\n", "ffffffffffffffffff\r\n", "3\r\nabcd\r\n"}) {
+    EXPECT_EQ(Ask(*site.gateway->Connect(), chunk + body + hidden).status(), 400) << body;
+  }
+  EXPECT_EQ(Ask(*site.gateway->Connect(), chunk + "fffff\r\n").status(), 413);
+  EXPECT_EQ(Ask(*site.gateway->Connect(), post + "Content-Length: 62914560\r\n\r\n" + big).status(), 413);
   EXPECT_EQ(backend.requests.count(), 0);
   auto client = site.gateway->Connect();
   EXPECT_EQ(Ask(*client, without(good, "X-Tier")).status(), 400);
@@ -168,7 +192,8 @@
 TEST(Gateway, NeverSendsAnUnsafeRequestAgainOnceItMayHaveRun) {
   std::vector<std::string> ends = {"", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
                                    "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
-                                   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "garbage\r\n\r\n"};
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "garbage\r\n\r\n",
+                                   "HTTP/1.1 200 OK\r\n\r\nno length"};
   for (const std::string& end : ends) {
     Backend backend([end](const Message&, Wire& wire) {
       wire.Write(end);
@@ -181,6 +206,31 @@
   }
 }
 
+// An answer that can't be read has failed and may have run, and costs no more memory than a good one.
+TEST(Gateway, OutlivesAnswersThatCannotBeRead) {
+  std::string many, lines(100000, 'h'), ok = "HTTP/1.1 200 OK\r\n";
+  for (int i = 0; i < 100; ++i) many += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  for (std::string spoilt :
+       {ok + "Content-Length: 3000000000\r\n\r\nand more", ok + "X-Endless: " + lines, std::string(200, '\1'),
+        ok + "Content-Length: -4\r\n\r\nbody", ok + "Content-Length: 2\r\nContent-Length: 4\r\n\r\nbody",
+        ok + "Content-Length: 4\r\nTransfer-Encoding: identity\r\n\r\nbody",
+        ok + "Content-Length: 4, 4\r\n\r\nbody", many + Ok("x")}) {
+    Event given_up;
+    Backend backend([&](const Message&, Wire& wire) {
+      wire.Write(spoilt);
+      if (wire.Ended()) given_up.Add();
+      return std::string();
+    });
+    json config = Config(0, 0);
+    config["limits"]["memory_mb"] = 32;
+    Site site(json::array({Entry("s1", backend.port())}), config);
+    auto client = site.gateway->Connect();
+    EXPECT_EQ(Ask(*client, Request("send-lead", 1, 1000)).status(), 502) << spoilt.substr(0, 99);
+    EXPECT_TRUE(given_up.Wait());
+    EXPECT_LT(site.gateway->peak_mb(), 32) << spoilt.substr(0, 99);
+  }
+}
+
 TEST(Gateway, TakesOnlyNotStartedAsTurnedAway) {
   Backend full(Says("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"));
   Site site(json::array({Entry("s1", full.port())}));
