Let a counter call wait three time-outs for its answer

CounterClient ended them at 30 ms (gateway.cpp gave it count_timeout_s), the module took the amount for added but its total for unknown, so the next total counted the gateway's own units as other gateways' (TakeTotal: others = total - c->total - amount). Ruled out: -BUSY (none), one call behind another on a connection (two connections, 0 or 1 out). The protocol sets no time-out for callers.

Now a call waits 3 x count_timeout_s, and a connection's silence limit is at least twice that. Held requests wait up to 60 ms longer where the counter is silent; the module goes on taking answers past 24 ms for a sign of crowding.

The test failed on the program of before.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -21,7 +21,7 @@
 constexpr size_t kMostUnread = 8192;  // bytes of an answer that is not whole
 // Without a byte for so long while calls are out, a connection may be to a machine that is gone, which
 // nothing tells (TCP keep-alive included). It is closed and opened anew.
-constexpr auto kSilence = std::chrono::milliseconds(1000);
+constexpr auto kSilence = std::chrono::milliseconds(1000);  // at least, and twice what a call waits
 constexpr auto kBackoffLeast = std::chrono::milliseconds(20), kBackoffMost = std::chrono::milliseconds(500);
 
 struct FreeReply {
@@ -127,10 +127,10 @@
 
   // One timer watches for silence while calls are out; answers move only `heard_`.
   void Watch() {
-    timer_.expires_at(heard_ + kSilence);
+    timer_.expires_at(heard_ + client_->silence_);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
       if (cancelled || closed_ || calls_.empty()) return;
-      if (Clock::now() >= heard_ + kSilence) return Close(true);
+      if (Clock::now() >= heard_ + client_->silence_) return Close(true);
       Watch();
     });
   }
@@ -197,6 +197,7 @@
     : io_(io),
       address_(address),
       timeout_(Seconds(timeout_s)),
+      silence_(std::max<Clock::duration>(kSilence, 2 * timeout_)),
       connect_timeout_(Seconds(connect_timeout_s)),
       done_(std::move(done)),
       timer_(io) {}
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -41,7 +41,7 @@
 
   asio::io_context& io_;
   tcp::endpoint address_;
-  const Clock::duration timeout_, connect_timeout_;
+  const Clock::duration timeout_, silence_, connect_timeout_;
   Done done_;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<std::shared_ptr<Connection>> leaving_;  // to an address before, with calls out
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -19,6 +19,9 @@
 // Off a client's time: what the way back and a busy core may take, so that the last byte is out in time.
 constexpr double kMarginS = 0.01, kMarginShare = 0.1;
 constexpr double kMostTimeoutS = 600;
+// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however late,
+// and what a late answer tells is worth more than the wait: given up, its amount would pass for others' use.
+constexpr double kCountPatience = 3;
 // Descriptors that are neither a client's nor a backend's: log, epoll, timer, listener, counter, discovery.
 constexpr int kOwnSockets = 48;
 constexpr double kClientShare = 0.6;  // of the rest
@@ -121,7 +124,7 @@
       timer_(io),
       shutdown_timer_(io) {
   if (config.has_counter) {
-    counter_.emplace(io, config.counter, config.settings.count_timeout_s, config.site.connect_timeout_s,
+    counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
                      [this](micadock::CountAnswer answer) {
                        Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
                          b.OnCount(now, answer, out);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -424,6 +424,33 @@
   }
 }
 
+// A counter answers when a call has had its turn. What it says after its time-out counts all the same.
+TEST(Gateway, TakesWhatTheCounterSaysLate) {
+  Event answered;
+  Counter slow([&](const std::string&, double) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    answered.Add();
+    return Bulk("100000");
+  });
+  Backend backend(Says(Ok("x")));
+  Discovery discovery;
+  discovery.Set(json::array({Entry("s1", backend.port())}));
+  json config = Config(discovery.port(), slow.port());
+  config["settings"]["specifics"]["counter-timeout-s"] = 1.0;
+  config["settings"]["tiers-of-service"][0]["store-size"] = 12000;  // a window of 1,000 s
+  Process gateway(config);
+  EXPECT_TRUE(discovery.Told());
+  auto client = gateway.Connect();
+  EXPECT_EQ(Ask(*client, Request("quote", 2)).status(), 200);
+  EXPECT_TRUE(answered.Wait());
+  int status = 0;
+  for (int i = 0; i < 40 && status != 429; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(25));
+    status = Ask(*client, Request("quote", 2)).status();
+  }
+  EXPECT_EQ(status, 429) << "others have used all that there is";
+}
+
 TEST(Gateway, OnSigtermFinishesWhatItHoldsAndServesWhatStillComes) {
   Event held, go;
   Backend backend([&](const Message&, Wire&) {
