Ask the counter again at once after a spoilt answer or a reset

Cause: counter_client.cpp closed the connection as failed on an answer with no number and on a reset under a call, so that further calls failed for 20 ms and more (not_before_) though the counter was there; the module counts four such in a row as silence. Only a connection that never comes up, or is silent, now waits. What was written ends as perhaps added, as before.

The new test covers a spoilt answer to every second call.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -84,6 +84,8 @@
     Write();
   }
 
+  // `failed`: there is no counter to be had at the address. One that was, and then spoilt an answer or reset a
+  // connection, may be asked again on another at once.
   void Close(bool failed) {
     if (closed_) return;
     closed_ = true;
@@ -120,7 +122,7 @@
     WriteAll(socket_, sending_, [self = shared_from_this(), this](error_code error) {
       writing_ = false;
       if (closed_) return;
-      if (error) return asio::post(client_->io_, [self, this] { Close(true); });
+      if (error) return asio::post(client_->io_, [self, this] { Close(false); });
       Write();
     });
   }
@@ -139,20 +141,20 @@
     socket_.async_read_some(asio::buffer(buffer_),
                             [self = shared_from_this(), this](error_code error, size_t n) {
                               if (closed_) return;
-                              if (error) return Close(!calls_.empty());
+                              if (error) return Close(false);
                               heard_ = Clock::now();
                               unread_ += n;
-                              if (redisReaderFeed(reader_.get(), buffer_, n) != REDIS_OK) return Close(true);
+                              if (redisReaderFeed(reader_.get(), buffer_, n) != REDIS_OK) return Close(false);
                               while (!closed_) {
                                 void* raw = nullptr;
-                                if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return Close(true);
+                                if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return Close(false);
                                 if (raw == nullptr) break;
                                 unread_ = 0;
                                 std::unique_ptr<void, FreeReply> reply(raw);
-                                if (!Take(*static_cast<redisReply*>(raw))) return Close(true);
+                                if (!Take(*static_cast<redisReply*>(raw))) return Close(false);
                               }
                               if (closed_) return;
-                              if (unread_ > kMostUnread) return Close(true);
+                              if (unread_ > kMostUnread) return Close(false);
                               if (calls_.empty() && leaving_) return Close(false);
                               if (calls_.empty()) timer_.cancel();
                               Read();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -719,6 +719,19 @@
   EXPECT_EQ(broke.answers[0].result, micadock::Result::kTimeout);
 }
 
+// One answer that can't be read ends what was out on its connection, all of which may have been added, and
+// nothing else: the next call goes out at once on another.
+TEST(CounterClient, GoesOnAfterASpoiltAnswer) {
+  std::atomic<int> seen{0};
+  Counter counter([&](const std::string&, double) { return seen++ % 2 == 0 ? "$x\r\n" : Bulk("3"); });
+  Calls calls(counter.port(), 30);
+  for (size_t i = 0; i < 40; ++i) {
+    calls.client.Call(i, 1, 5);
+    calls.Until([&] { return calls.answers.size() == i + 1; });
+    EXPECT_EQ(calls.answers[i].result, i % 2 == 0 ? micadock::Result::kTimeout : micadock::Result::kOk) << i;
+  }
+}
+
 // A silent counter: what is out is bounded, every call ends, and once it is silent for long the connections
 // are opened anew.
 TEST(CounterClient, BoundsItsQueuesAndReconnects) {
