--- /dev/null
+++ b/apps/ivygw.cpp
@@ -0,0 +1,72 @@
+// ivygw: one real gateway. Reads its command line, starts it, waits for signals, gives the exit status.
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <functional>
+#include <string>
+
+#include "gateway/gateway.h"
+#include "version.h"
+
+namespace {
+
+// Exit status: 0 for a sound configuration, 1 with each fault on a line of its own.
+int Check(const std::string& path) {
+  std::vector<std::string> faults = ivygw::Faults(path);
+  for (const std::string& fault : faults) std::fprintf(stderr, "%s: %s\n", path.c_str(), fault.c_str());
+  if (faults.empty()) std::printf("%s: sound\n", path.c_str());
+  return faults.empty() ? 0 : 1;
+}
+
+int Run(const std::string& path) {
+  std::signal(SIGPIPE, SIG_IGN);
+  ivygw::Config config = ivygw::LoadConfig(path);
+  boost::asio::io_context io(1);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT), reload(io, SIGHUP);
+  ivygw::Gateway gateway(io, config);
+  signals.async_wait([&](boost::system::error_code error, int) {
+    if (error) return;
+    std::fprintf(stderr, "closing\n");
+    gateway.Close();
+  });
+  // The file may name other addresses of discovery and counter. One that can't be read changes nothing.
+  std::function<void()> await_reload = [&] {
+    reload.async_wait([&](boost::system::error_code error, int) {
+      if (error) return;
+      try {
+        gateway.Reload(ivygw::LoadConfig(path));
+        std::fprintf(stderr, "configuration read again\n");
+      } catch (const std::exception& bad) {
+        std::fprintf(stderr, "configuration kept as it was: %s\n", bad.what());
+      }
+      await_reload();
+    });
+  };
+  await_reload();
+  auto local = gateway.local();
+  std::fprintf(stderr, "%s listens on %s:%d\n", config.name.c_str(), local.address().to_string().c_str(),
+               local.port());
+  io.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("ivygw: a gateway that holds quotas, chooses a backend, and answers in time", "ivygw");
+  std::string path;
+  bool check = false;
+  app.add_option("-c,--config", path, "the configuration, a JSON file")->envname("LB_CONFIG");
+  app.add_flag("--check", check, "only say what is wrong with the configuration: exit status 0, or 1");
+  app.set_version_flag("--version", std::string("ivygw ") + ivygw::kVersion);
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (path.empty()) throw micadock::WireError("LB_CONFIG does not name the configuration, and no --config is given");
+    return check ? Check(path) : Run(path);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "ivygw: %s\n", error.what());
+    return 1;
+  }
+}
--- a/src/simhost.cpp
+++ b/apps/micadock_simhost.cpp
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-#include "balance.h"
-#include "wire.h"
+#include "policy/balance.h"
+#include "simwire/wire.h"
 
 namespace micadock {
 namespace {
--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -1,7 +1,7 @@
 // The smallest embedding: one gateway, one plan, one request from arrival to answer.
 #include <cstdio>
 
-#include "balance.h"
+#include "policy/balance.h"
 
 int main() {
   micadock::Settings site;
--- a/src/net/config.h
+++ b/src/gateway/config.h
@@ -1,19 +1,18 @@
 // Reads a gateway's config.json into settings; holds no decision.
-#ifndef IVYGW_NET_CONFIG_H_
-#define IVYGW_NET_CONFIG_H_
+#ifndef IVYGW_GATEWAY_CONFIG_H_
+#define IVYGW_GATEWAY_CONFIG_H_
 
-#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
-#include "balance.h"
-#include "wire.h"
+#include "net/address.h"
+#include "policy/balance.h"
+#include "settings/settings.h"
 
 namespace ivygw {
 
-using boost::asio::ip::tcp;
-
 struct Config {
   std::string name;
   tcp::endpoint listen;
@@ -28,19 +27,16 @@
   micadock::SiteSettings site;
 };
 
-// "10.0.0.4:5000"; throws micadock::WireError naming `key` on anything else.
-tcp::endpoint ParseAddress(const std::string& key, const std::string& text);
-
 // The path=value lines that ParseSettings reads, from the nested form of the same settings.
 std::string Flatten(const nlohmann::json& settings);
 
-// Spaces and commas in names become '_', as they do in the flat form.
-std::string PlainName(std::string_view name);
-
-// Throws micadock::WireError, in plain words, on what is missing or unreadable.
-Config ParseConfig(const std::string& text);
+// Throws micadock::WireError, in plain words, on what is missing or unreadable. With `faults` it goes on after most
+// faults and gathers them there; what is returned is of use only where there is none.
+Config ParseConfig(const std::string& text, std::vector<std::string>* faults = nullptr);
 Config LoadConfig(const std::string& path);
+// Everything that is wrong with the file, one text each.
+std::vector<std::string> Faults(const std::string& path);
 
 }  // namespace ivygw
 
-#endif  // IVYGW_NET_CONFIG_H_
+#endif  // IVYGW_GATEWAY_CONFIG_H_
--- a/src/net/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,6 @@
-#include "net/gateway.h"
+#include "gateway/gateway.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdio>
 
@@ -18,18 +17,12 @@
 
 // Off a client's time: what the way back and a busy core may take, so that the last byte is out in time.
 constexpr double kMarginS = 0.01, kMarginShare = 0.1;
-constexpr unsigned long kMostTimeoutMs = 60000;
-constexpr size_t kMostId = 64;
-constexpr uint64_t kCustomers = 1ULL << 33;
 // Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however late,
 // and what a late answer tells is worth more than the wait: given up, its amount would pass for others' use.
 constexpr double kCountPatience = 3;
 // Descriptors that are neither a client's nor a backend's: log, epoll, timer, listener, counter, discovery.
 constexpr int kOwnSockets = 48;
 constexpr double kClientShare = 0.6;  // of the rest
-// After SIGTERM clients go on coming for up to 0.4 s. Then kept connections are closed, and what is held is
-// finished within the longest deadline.
-constexpr double kStillComingS = 0.5, kEndMarginS = 0.6;
 
 // Bounded by both limits: what a client's exchange may keep in memory at most is its body, the copy that goes
 // to a backend, and the answer.
@@ -41,91 +34,8 @@
   return static_cast<size_t>(std::max(1.0, std::min(by_sockets, by_memory)));
 }
 
-template <typename T>
-bool Number(std::string_view text, T* value, int base = 10) {
-  if (text.empty()) return false;
-  std::from_chars_result result{};
-  if constexpr (std::is_floating_point_v<T>) {
-    result = std::from_chars(text.data(), text.data() + text.size(), *value);
-  } else {
-    result = std::from_chars(text.data(), text.data() + text.size(), *value, base);
-  }
-  return result.ec == std::errc() && result.ptr == text.data() + text.size();
-}
-
-std::string_view Trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
-  return text;
-}
-
-// The value of `name` in a list of name=value parts; none where it is repeated.
-std::optional<std::string_view> Part(std::string_view list, char between, std::string_view name) {
-  std::optional<std::string_view> found;
-  while (!list.empty()) {
-    size_t end = std::min(list.find(between), list.size());
-    std::string_view part = Trim(list.substr(0, end));
-    list.remove_prefix(std::min(end + 1, list.size()));
-    size_t equals = part.find('=');
-    if (equals != std::string_view::npos && Trim(part.substr(0, equals)) == name) {
-      if (found) return std::nullopt;
-      found = Trim(part.substr(equals + 1));
-    }
-  }
-  return found;
-}
-
-int Position(const std::vector<std::string>& names, std::string_view name) {
-  for (size_t i = 0; i < names.size(); ++i) {
-    if (names[i] == name) return static_cast<int>(i);
-  }
-  return -1;
-}
-
 }  // namespace
 
-ClientCall ReadCall(const ClientMessage& message, const Config& config) {
-  ClientCall call;
-  call.status = 400;
-  std::string_view target = View(message.target());
-  if (target.empty() || target.front() != '/') return call;
-  micadock::Request& r = call.request;
-  std::string_view path = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
-  r.cls = Position(config.site.classes, PlainName(path));
-  r.plan = Position(config.site.plans, PlainName(View(message["X-Tier"])));
-  if (r.cls < 0 || r.plan < 0) return call;
-  // Said twice is not said. What the module keeps of a customer comes of these, so all of it is looked at
-  // before: one bad request in a customer's name must not count as that customer's own.
-  for (std::string_view once :
-       {"Host", "Request-Id", "X-Tier", "Cookie", "Request-Timeout-Ms", "Idempotency-Key", "X-Call-Terms"}) {
-    if (message.count({once.data(), once.size()}) > 1) return call;
-  }
-  call.id = View(message["Request-Id"]);
-  if (call.id.empty() || call.id.size() > kMostId) return call;
-  auto customer = Part(View(message[http::field::cookie]), ';', "client");
-  if (!customer || customer->size() > 16 || !Number(*customer, &r.customer, 16)) return call;
-  if (r.customer >= kCustomers) return call;
-  const micadock::ClassSettings& cls = config.settings.classes[static_cast<size_t>(r.cls)];
-  unsigned long timeout_ms = 0;
-  if (!Number(View(message["Request-Timeout-Ms"]), &timeout_ms) || timeout_ms < 1) return call;
-  if (timeout_ms > kMostTimeoutMs) return call;
-  call.timeout_s = std::min(static_cast<double>(timeout_ms) / 1000, cls.deadline_s);
-  std::string_view terms = View(message["X-Call-Terms"]);
-  auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread"), first = Part(terms, ',', "first");
-  if (!units || !Number(*units, &r.units) || !std::isfinite(r.units) || r.units <= 0) return call;
-  if (config.settings.max_units > 0 && r.units > config.settings.max_units) return call;
-  int gateways = std::max(1, config.settings.gateways), entries = 0, from = 0;
-  if (!spread || !Number(*spread, &entries) || entries < 1 || entries > gateways) return call;
-  if (!first || !Number(*first, &from) || from < 0 || from >= gateways) return call;
-  r.entries = entries;
-  Effect effect = cls.effect;
-  if (effect == Effect::kGuarded && View(message["Idempotency-Key"]).empty()) return call;
-  call.status = 405;
-  if (message.method() != (effect == Effect::kFree ? http::verb::get : http::verb::post)) return call;
-  call.status = 0;
-  return call;
-}
-
 Gateway::Gateway(asio::io_context& io, const Config& config)
     : io_(io),
       config_(config),
@@ -149,8 +59,10 @@
             });
             ready_ = true;  // by the list as last known
           }),
-      timer_(io),
-      shutdown_timer_(io) {
+      timers_(
+          io, [this](Due due, uint64_t tag) { OnDue(due, tag); }, [this] { CheckShutdown(); }),
+      shutdown_(
+          io, [this] { CheckShutdown(); }, [this] { io_.stop(); }) {
   if (config.has_counter) {
     counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
                      [this](micadock::CountAnswer answer) {
@@ -207,7 +119,7 @@
       return Finish(action.request, std::move(answer));
     }
     case ActionKind::kTimer:
-      return AddTimer(Clock::now() + Seconds(std::max(0.0, action.seconds)), Due::kModule, action.tag);
+      return timers_.Add(Clock::now() + Seconds(std::max(0.0, action.seconds)), Due::kModule, action.tag);
     case ActionKind::kCount:
       if (counter_) return counter_->Call(action.tag, action.amount, action.seconds);
       return asio::post(io_, [this, name = action.tag] {
@@ -224,7 +136,7 @@
   std::string_view target = View(message.target());
   if (target.substr(0, 3) == "/-/") {
     Answer answer;
-    answer.status = target == "/-/ready" ? (ready_ && !shutdown_at_ ? 200 : 503) : 404;
+    answer.status = target == "/-/ready" ? (ready_ && !shutdown_.begun() ? 200 : 503) : 404;
     return server_.Reply(connection, std::move(answer));
   }
   ClientCall call = ReadCall(message, config_);
@@ -258,7 +170,7 @@
   held.body = std::move(message.body());
   call.request.id = id;
   call.request.left_s = call.timeout_s - margin;
-  AddTimer(held.deadline, Due::kGuard, id);
+  timers_.Add(held.deadline, Due::kGuard, id);
   Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
     b.OnRequest(now, call.request, out);
   });
@@ -379,7 +291,7 @@
 }
 
 void Gateway::OnClosed(uint64_t connection, bool held) {
-  if (shutdown_at_) asio::post(io_, [this] { CheckShutdown(); });
+  if (shutdown_.begun()) asio::post(io_, [this] { CheckShutdown(); });
   auto it = by_connection_.find(connection);
   if (!held || it == by_connection_.end()) return;
   uint32_t id = it->second;
@@ -418,34 +330,9 @@
   Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnList(now, kind, entries, out); });
 }
 
-void Gateway::AddTimer(Clock::time_point at, Due due, uint64_t tag) {
-  timers_.push({at, due, tag});
-  if (!armed_ || at < *armed_) ArmTimers();
-}
-
-void Gateway::ArmTimers() {
-  if (timers_.empty()) return;
-  armed_ = timers_.top().at;
-  timer_.expires_at(*armed_);
-  timer_.async_wait([this](error_code cancelled) {
-    if (cancelled) return;
-    armed_.reset();
-    auto now = Clock::now();
-    std::vector<Timer> due;
-    while (!timers_.empty() && timers_.top().at <= now) {
-      due.push_back(timers_.top());
-      timers_.pop();
-    }
-    for (const Timer& timer : due) {
-      if (timer.due == Due::kGuard) {
-        Guard(static_cast<uint32_t>(timer.tag));
-        continue;
-      }
-      Tell([&](micadock::Balancer& b, double at, micadock::Actions* out) { b.OnTimer(at, timer.tag, out); });
-    }
-    if (!armed_) ArmTimers();
-    CheckShutdown();
-  });
+void Gateway::OnDue(Due due, uint64_t tag) {
+  if (due == Due::kGuard) return Guard(static_cast<uint32_t>(tag));
+  Tell([&](micadock::Balancer& b, double at, micadock::Actions* out) { b.OnTimer(at, tag, out); });
 }
 
 void Gateway::Reload(const Config& fresh) {
@@ -453,26 +340,14 @@
   if (counter_ && fresh.has_counter) counter_->Move(fresh.counter);
 }
 
-void Gateway::Shutdown() {
-  if (shutdown_at_) return;
-  shutdown_at_ = Clock::now();
-  server_.AskToClose();
-  shutdown_timer_.expires_after(Seconds(kStillComingS));
-  shutdown_timer_.async_wait([this](error_code cancelled) {
-    if (cancelled) return;
-    server_.CloseIdle();
-    double longest = 0;
-    for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_s);
-    shutdown_timer_.expires_at(*shutdown_at_ + Seconds(longest + kEndMarginS));
-    shutdown_timer_.async_wait([this](error_code stopped) {
-      if (!stopped) io_.stop();
-    });
-    CheckShutdown();
-  });
+void Gateway::Close() {
+  double longest = 0;
+  for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline_s);
+  if (shutdown_.Begin(longest)) server_.AskToClose();
 }
 
 void Gateway::CheckShutdown() {
-  if (!shutdown_at_ || Clock::now() < *shutdown_at_ + Seconds(kStillComingS)) return;
+  if (!shutdown_.closing()) return;
   server_.CloseIdle();
   if (by_connection_.empty() && server_.Quiet()) io_.stop();
 }
--- a/src/net/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,36 +1,29 @@
 // The only caller of the decision module: turns what happens on sockets into its calls, and its actions into
 // work. Owns request ids, timers and the clock. Decides nothing.
-#ifndef IVYGW_NET_GATEWAY_H_
-#define IVYGW_NET_GATEWAY_H_
+#ifndef IVYGW_GATEWAY_GATEWAY_H_
+#define IVYGW_GATEWAY_GATEWAY_H_
 
 #include <algorithm>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
-#include "balance.h"
+#include "gateway/client_call.h"
+#include "gateway/config.h"
+#include "gateway/shutdown.h"
+#include "gateway/timers.h"
 #include "net/backend_pool.h"
 #include "net/client_server.h"
-#include "net/config.h"
 #include "net/counter_client.h"
 #include "net/discovery_client.h"
+#include "policy/balance.h"
 
 namespace ivygw {
 
-// What a client's message says; `status` is 0 where it is sound, else the answer to give.
-struct ClientCall {
-  int status = 0;
-  micadock::Request request;
-  double timeout_s = 0;
-  std::string_view id;  // in the message
-};
-ClientCall ReadCall(const ClientMessage& message, const Config& config);
-
 class Gateway {
  public:
   Gateway(asio::io_context& io, const Config& config);
@@ -39,7 +32,7 @@
   tcp::endpoint local() const { return server_.local(); }
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
-  void Shutdown();
+  void Close();
   void Reload(const Config& fresh);  // moves to the discovery and counter that it names
 
  private:
@@ -59,12 +52,6 @@
     }
   };
   enum class Due { kModule, kGuard };
-  struct Timer {
-    Clock::time_point at;
-    Due due;
-    uint64_t tag;
-    bool operator>(const Timer& other) const { return at > other.at; }
-  };
 
   double Now() const;
   template <typename Call>
@@ -81,8 +68,7 @@
   void OnMessage(uint64_t connection, ClientMessage message);
   void OnClosed(uint64_t connection, bool held);
   void OnList(const BackendList& list, micadock::ListKind kind);
-  void AddTimer(Clock::time_point at, Due due, uint64_t tag);
-  void ArmTimers();
+  void OnDue(Due due, uint64_t tag);
   void CheckShutdown();
 
   asio::io_context& io_;
@@ -99,16 +85,13 @@
   std::unordered_set<std::string> open_ids_;                // the clients' ids of what is held
   uint32_t last_id_ = 0;
   uint32_t reporting_ = 0;  // the request of which an outcome is being told
-  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
-  asio::steady_timer timer_;
-  std::optional<Clock::time_point> armed_;
+  Timers<Due> timers_;
   micadock::Actions actions_, acting_;
   bool ready_ = false;
-  std::optional<Clock::time_point> shutdown_at_;
-  asio::steady_timer shutdown_timer_;
+  Shutdown shutdown_;
   std::optional<micadock::Balancer> balancer_;
 };
 
 }  // namespace ivygw
 
-#endif  // IVYGW_NET_GATEWAY_H_
+#endif  // IVYGW_GATEWAY_GATEWAY_H_
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -3,22 +3,17 @@
 #ifndef IVYGW_NET_BACKEND_POOL_H_
 #define IVYGW_NET_BACKEND_POOL_H_
 
-#include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
 #include <unordered_map>
 
-#include "balance.h"
+#include "net/clock.h"
 #include "net/http.h"
+#include "policy/balance.h"
 
 namespace ivygw {
 
-using Clock = std::chrono::steady_clock;
-inline Clock::duration Seconds(double s) {
-  return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(s));
-}
-
 struct AttemptEnd {
   micadock::Result result = micadock::Result::kOk;
   double took_s = 0;
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -7,7 +7,8 @@
 #include <memory>
 #include <unordered_map>
 
-#include "net/backend_pool.h"
+#include "net/clock.h"
+#include "net/http.h"
 
 namespace ivygw {
 
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -7,8 +7,9 @@
 #include <memory>
 #include <vector>
 
-#include "balance.h"
-#include "net/backend_pool.h"
+#include "net/clock.h"
+#include "net/http.h"
+#include "policy/balance.h"
 
 namespace ivygw {
 
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "net/config.h"
-
 namespace ivygw {
 namespace {
 
@@ -19,7 +17,7 @@
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
-  auto it = std::find(names.begin(), names.end(), PlainName(name));
+  auto it = std::find(names.begin(), names.end(), micadock::PlainName(name));
   return static_cast<int>(it -
                           names.begin());  // one that the settings do not name comes after all that they do
 }
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -10,9 +10,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "balance.h"
-#include "net/backend_pool.h"
-#include "wire.h"
+#include "net/clock.h"
+#include "net/address.h"
+#include "net/http.h"
+#include "policy/balance.h"
+#include "settings/settings.h"
 
 namespace ivygw {
 
--- a/src/balance.cpp
+++ b/src/policy/balance.cpp
@@ -1,5 +1,5 @@
-// The decision module of micadock: every decision, table and tuned value. Its interface is src/balance.h.
-#include "balance.h"
+// The decision module of micadock: every decision, table and tuned value. Its interface is balance.h.
+#include "policy/balance.h"
 
 #include <algorithm>
 #include <array>
--- a/src/balance.h
+++ b/src/policy/balance.h
@@ -1,6 +1,6 @@
-// The only interface of the decision module (src/balance.cpp): settings, events in, actions out.
-#ifndef MICADOCK_BALANCE_H_
-#define MICADOCK_BALANCE_H_
+// The only interface of the decision module (balance.cpp): settings, events in, actions out.
+#ifndef MICADOCK_POLICY_BALANCE_H_
+#define MICADOCK_POLICY_BALANCE_H_
 
 #include <cstdint>
 #include <memory>
@@ -138,4 +138,4 @@
 
 }  // namespace micadock
 
-#endif  // MICADOCK_BALANCE_H_
+#endif  // MICADOCK_POLICY_BALANCE_H_
--- a/src/wire.h
+++ b/src/simwire/wire.h
@@ -1,26 +1,19 @@
-// Codec of the bench's wire and parsing of its settings. Holds no decision.
-#ifndef MICADOCK_WIRE_H_
-#define MICADOCK_WIRE_H_
+// Codec of the simulator's wire: frames of events in, frames of actions out. Holds no decision, does no I/O.
+#ifndef MICADOCK_SIMWIRE_WIRE_H_
+#define MICADOCK_SIMWIRE_WIRE_H_
 
 #include <array>
 #include <cstdint>
-#include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
-#include "balance.h"
+#include "policy/balance.h"
+#include "settings/settings.h"
 
 namespace micadock {
 
-// What is wrong with a frame or a setting, in plain words.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 inline constexpr size_t kMaxFrameBytes = size_t{1} << 28;
 
 struct WireUp {
@@ -85,18 +78,6 @@
   std::string bytes_;
 };
 
-// Reads path=value lines; throws WireError naming the key that is missing or unreadable.
-Settings ParseSettings(std::string_view text);
-
-// What a real gateway needs of the same lines and the module does not: names and the limits of sockets.
-struct SiteSettings {
-  std::vector<std::string> classes, plans, zones, kinds;
-  double conn_idle_s = 0;
-  double connect_timeout_s = 0;
-  double drain_grace_s = 0;
-};
-SiteSettings ParseSite(std::string_view text);
-
 }  // namespace micadock
 
-#endif  // MICADOCK_WIRE_H_
+#endif  // MICADOCK_SIMWIRE_WIRE_H_
--- /dev/null
+++ b/tests/gateway/command_line_test.cpp
@@ -0,0 +1,53 @@
+// The command line of ivygw: what it validates, and what it says.
+#include "rig/gateway_rig.h"
+#include "rig/program.h"
+
+namespace {
+
+using namespace rig;  // NOLINT
+
+TEST(CommandLine, ChecksASoundConfigurationWithoutStarting) {
+  TemporaryFile file(Config(1, 1).dump());
+  Ran ran = RunProgram(IVYGW, {"--config", file.path(), "--check"});
+  EXPECT_EQ(ran.status, 0) << ran.out;
+  EXPECT_NE(ran.out.find("sound"), std::string::npos);
+}
+
+// Every fault is told at once, one a line, each with the name of its field.
+TEST(CommandLine, CheckNamesEachFaultOnALineOfItsOwn) {
+  json bad = Config(1, 1);
+  bad["listen"] = "nowhere";
+  bad["seed"] = "not hex";
+  bad["limits"]["sockets"] = 3;
+  bad["known"] = {{"index", "x"}};
+  bad["settings"]["invariants"].erase("cold-from");
+  bad["settings"]["request-classes"][1]["effect"] = "odd";
+  bad["settings"]["limits"]["try-limit"] = 1.5;
+  TemporaryFile file(bad.dump());
+  Ran ran = RunProgram(IVYGW, {"--config", file.path(), "--check"});
+  EXPECT_EQ(ran.status, 1);
+  for (const char* field : {"listen=nowhere", "seed=not hex", "limits.sockets", "known: ", "invariants.cold-from",
+                            "request-classes.1.effect=odd", "limits.try-limit=1.5"}) {
+    EXPECT_NE(ran.out.find(field), std::string::npos) << field << " in\n" << ran.out;
+  }
+  EXPECT_EQ(std::count(ran.out.begin(), ran.out.end(), '\n'), 7) << ran.out;
+}
+
+TEST(CommandLine, SaysWhatIsMissingOrUnknown) {
+  EXPECT_NE(RunProgram(IVYGW, {}).out.find("LB_CONFIG"), std::string::npos);
+  EXPECT_EQ(RunProgram(IVYGW, {}).status, 1);
+  Ran absent = RunProgram(IVYGW, {"--check", "--config", "/nowhere/at/all.json"});
+  EXPECT_EQ(absent.status, 1);
+  EXPECT_NE(absent.out.find("/nowhere/at/all.json"), std::string::npos);
+  EXPECT_NE(RunProgram(IVYGW, {"--unheard-of"}).status, 0);
+}
+
+TEST(CommandLine, TellsVersionAndHelp) {
+  Ran version = RunProgram(IVYGW, {"--version"}), help = RunProgram(IVYGW, {"--help"});
+  EXPECT_EQ(version.status, 0);
+  EXPECT_EQ(version.out.substr(0, 6), "ivygw ");
+  EXPECT_EQ(help.status, 0);
+  EXPECT_NE(help.out.find("--config"), std::string::npos);
+}
+
+}  // namespace
--- a/tests/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,7 +1,7 @@
 // The gateway over loopback sockets: each trap that its code guards against, seen from outside.
 #include <memory>
 
-#include "gateway_rig.h"
+#include "rig/gateway_rig.h"
 #include "net/counter_client.h"
 #include "net/discovery_client.h"
 
--- a/tests/silent_balancer.cpp
+++ b/tests/gateway/silent_balancer.cpp
@@ -1,6 +1,6 @@
 // A module that never answers, linked in the real one's place: what the gateway's guard is for. Keyed
 // requests are sent to the backend listed last, once.
-#include "balance.h"
+#include "policy/balance.h"
 
 namespace micadock {
 
--- a/tests/balance_test.cpp
+++ b/tests/policy/balance_test.cpp
@@ -1,4 +1,4 @@
-#include "balance.h"
+#include "policy/balance.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/wire_test.cpp
+++ b/tests/simwire/wire_test.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "simwire/wire.h"
 
 #include <gtest/gtest.h>
 #include <sys/wait.h>
