--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstdio>
 
+#include "gateway/limits.h"
+
 namespace ivygw {
 
 using micadock::Action;
@@ -15,11 +17,6 @@
 
 namespace {
 
-// Off a client's time: what the way back and a busy core may take, so that the last byte is out in time.
-constexpr double kMarginS = 0.01, kMarginShare = 0.1;
-// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however late,
-// and what a late answer tells is worth more than the wait: given up, its amount would pass for others' use.
-constexpr double kCountPatience = 3;
 // Descriptors that are neither a client's nor a backend's: log, epoll, timer, listener, counter, discovery.
 constexpr int kOwnSockets = 48;
 constexpr double kClientShare = 0.6;  // of the rest
@@ -155,7 +152,7 @@
   held.id = call.id;
   open_ids_.insert(held.id);
   by_connection_[connection] = id;
-  double margin = std::min(kMarginS, kMarginShare * call.timeout_s);
+  double margin = AnswerMargin(call.timeout_s);
   held.deadline = Clock::now() + Seconds(call.timeout_s - margin / 2);
   held.free = config_.settings.classes[static_cast<size_t>(call.request.cls)].effect == Effect::kFree;
   held.head.reserve(512);
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -4,17 +4,14 @@
 #include <cmath>
 #include <optional>
 
+#include "net/limits.h"
+
 namespace ivygw {
 
 using micadock::Result;
 
 namespace {
 
-// Kept connections are closed this share of the backend's own idle limit after their last answer. Guards
-// against a request written just as the backend closes, which would end as a reset.
-constexpr double kIdleShare = 0.7;
-// Off the drain's grace: the time a write may take to come out on a busy core.
-constexpr double kGraceMarginS = 0.1;
 constexpr size_t kMaxAnswer = kMaxBody;
 constexpr int kMostInterim = 16;  // 1xx answers ahead of the final one
 
