--- a/apps/ivygw_rehearse.cpp
+++ b/apps/ivygw_rehearse.cpp
@@ -198,7 +198,13 @@
                   static_cast<double>(use.peak_kb) / 1024);
     }
     std::printf("emulator: %.2f s of CPU, %zu descriptors at most\n", run.own_cpu_s, run.most_descriptors);
-    return Conclude(run.record, directory, true);
+    int status = Conclude(run.record, directory, true);
+    if (run.own_failures > 0) {
+      std::printf("%llu requests were not sent for want of descriptors here: the run is void\n",
+                  static_cast<unsigned long long>(run.own_failures));
+      return 3;
+    }
+    return status;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "ivygw-rehearse: %s\n", error.what());
     return 2;
--- a/src/rehearsal/socket_run.cpp
+++ b/src/rehearsal/socket_run.cpp
@@ -40,6 +40,19 @@
   return seconds(use.ru_utime) + seconds(use.ru_stime);
 }
 
+// Listeners, gateways' pipes and the loop's own, and room for a hundred requests under way.
+void WantDescriptors(const scenario::Scenario& s) {
+  rlim_t least = static_cast<rlim_t>(s.gateways) * static_cast<rlim_t>(s.NodeCount() + 4) + 200;
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+  if (limit.rlim_max < least) {
+    throw std::runtime_error("this scenario needs " + std::to_string(least) + " descriptors at the least, and " +
+                             std::to_string(limit.rlim_max) + " are allowed (ulimit -Hn)");
+  }
+}
+
 // Asks a gateway whether it is ready, until it is.
 class ReadyProbe : public std::enable_shared_from_this<ReadyProbe> {
  public:
@@ -124,6 +137,7 @@
     if (!failure_.empty()) throw std::runtime_error(failure_);
     world_.Finish();
     run_.own_cpu_s = CpuS() - cpu;
+    run_.own_failures = port_.own_failures();
     return std::move(run_);
   }
 
@@ -232,6 +246,7 @@
 
 SocketRun PlaySockets(const scenario::Scenario& scenario, uint64_t seed, const SocketOptions& options,
                       const OnProgress& on_progress) {
+  WantDescriptors(scenario);
   SocketSite site(scenario, seed, options, on_progress);
   return site.Play();
 }
--- a/src/rehearsal/socket_run.h
+++ b/src/rehearsal/socket_run.h
@@ -31,9 +31,11 @@
   bool interrupted = false;     // by SIGINT or SIGTERM: everything was ended, the record goes up to there
   double own_cpu_s = 0;         // of this process, over the run
   size_t most_descriptors = 0;
+  uint64_t own_failures = 0;    // requests not sent for want of descriptors here: the run is void
 };
 
-// Throws std::runtime_error where a gateway can't be started or does not get ready. Leaves no process behind.
+// Throws std::runtime_error where a gateway can't be started or does not get ready, or where this process may not
+// have the descriptors that the scenario needs at the least. Leaves no process behind.
 SocketRun PlaySockets(const scenario::Scenario& scenario, uint64_t seed, const SocketOptions& options,
                       const OnProgress& on_progress = {});
 
--- a/src/standin/client_sockets.cpp
+++ b/src/standin/client_sockets.cpp
@@ -42,7 +42,10 @@
     }
     const tcp::endpoint& address = owner_->addresses_[static_cast<size_t>(gateway_)];
     error_code error = Open(socket_, address);
-    if (error) return asio::post(owner_->io_, [self = shared_from_this(), this] { NotTaken(); });
+    if (error) {
+      ++owner_->own_failures_;
+      return asio::post(owner_->io_, [self = shared_from_this(), this] { NotTaken(); });
+    }
     socket_.async_connect(address, [self = shared_from_this(), this](error_code failed) {
       if (closed_) return;
       if (failed) return NotTaken();
--- a/src/standin/client_sockets.h
+++ b/src/standin/client_sockets.h
@@ -23,6 +23,8 @@
   void Ask(int gateway, const emulator::ClientCall& call) override;
   void Drop(uint64_t id) override;
   void CloseIdle();
+  // Requests that were not sent for want of a descriptor or of memory here: the generator's fault, not a gateway's.
+  uint64_t own_failures() const { return own_failures_; }
 
  private:
   class Connection;
@@ -35,6 +37,7 @@
   std::vector<tcp::endpoint> addresses_;
   std::vector<std::vector<std::shared_ptr<Connection>>> idle_;  // by gateway, the most recently used last
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> busy_;
+  uint64_t own_failures_ = 0;
   bool ending_ = false;
 };
 
--- a/src/standin/listener.cpp
+++ b/src/standin/listener.cpp
@@ -5,16 +5,18 @@
 namespace {
 constexpr int kBacklog = 4096;
 constexpr int kFilling = 4;
+constexpr auto kAgain = std::chrono::milliseconds(10);
 }  // namespace
 
 Listener::Listener(asio::io_context& io, OnSocket on_socket)
-    : io_(io), on_socket_(std::move(on_socket)), acceptor_(io) {
+    : io_(io), on_socket_(std::move(on_socket)), acceptor_(io), again_(io) {
   Accept();
 }
 
 void Listener::Bind() {
   error_code ignored;
   acceptor_.close(ignored);
+  again_.cancel();
   filling_.clear();
   acceptor_.open(tcp::v4());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -43,10 +45,15 @@
 void Listener::Next() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (!error) {
-      Prepare(socket);
-      on_socket_(std::move(socket));
+    if (error) {  // out of descriptors: what waits is taken when there is room; never a loop that spins
+      again_.expires_after(kAgain);
+      again_.async_wait([this](error_code cancelled) {
+        if (!cancelled && acceptor_.is_open()) Next();
+      });
+      return;
     }
+    Prepare(socket);
+    on_socket_(std::move(socket));
     Next();
   });
 }
--- a/src/standin/listener.h
+++ b/src/standin/listener.h
@@ -29,6 +29,7 @@
   asio::io_context& io_;
   OnSocket on_socket_;
   tcp::acceptor acceptor_;
+  asio::steady_timer again_;
   std::vector<tcp::socket> filling_;
   uint16_t port_ = 0;
 };
--- a/tests/rehearsal/socket_run_test.cpp
+++ b/tests/rehearsal/socket_run_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -144,6 +145,42 @@
   }
 }
 
+// Out of descriptors: too few to begin with are named, and running out later voids the run and ends it as usual.
+TEST(Rehearse, RunningOutOfDescriptorsIsItsOwnFault) {
+  Folder folder;
+  auto limited = [&](int limit, const std::string& more) {
+    return rig::RunProgram("/bin/sh", {"-c", "ulimit -n " + std::to_string(limit) + "; exec " REHEARSE
+                                             " calm --shorten 0.15 --out " + folder.path() + more});
+  };
+  rig::Ran few = limited(100, "");
+  EXPECT_EQ(few.status, 2) << few.out;
+  EXPECT_NE(few.out.find("descriptors at the least"), std::string::npos) << few.out;
+  rig::Ran later = limited(240, " --rate 2000 --gateway-program /bin/false");
+  EXPECT_EQ(later.status, 2) << later.out;
+  scenario::Scenario s = Short("calm", 0.15, 20);
+  scenario::Stream crowd;  // more at once than there are descriptors
+  crowd.plan = "enterprise";
+  crowd.request_class = "quote";
+  crowd.batch = 400;
+  crowd.every_s = 1;
+  crowd.at_s = 1;
+  s.streams.push_back(crowd);
+  pid_t pid = fork();
+  if (pid == 0) {
+    rlimit small{300, 300};
+    setrlimit(RLIMIT_NOFILE, &small);
+    SocketOptions options;
+    options.program = IVYGW;
+    options.directory = folder.path();
+    options.lead_s = 4;
+    SocketRun run = PlaySockets(s, 1, options);
+    _exit(run.own_failures > 0 && run.most_descriptors <= 300 ? 0 : 9);
+  }
+  int status = 0;
+  waitpid(pid, &status, 0);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+}
+
 // Two at once on one machine: neither meets the other.
 TEST(Rehearse, TwoRunAtOnceAndLeaveTheirReports) {
   Folder first, second;
