--- a/src/checker/checker.cpp
+++ b/src/checker/checker.cpp
@@ -181,6 +181,12 @@
   // Ceilings go by the guess that came with the request, when its first attempt has come whole to a node.
   void OnFirstAttempt(const Event& e, const Asked& a) {
     const eventlog::PlanFacts& plan = facts_.plans[static_cast<size_t>(a.ask.plan)];
+    if (plan.rate > 0) {
+      Bucket& quota = sent_on_[a.ask.customer];
+      quota.Take(e.t, plan.rate, plan.burst, a.ask.units);
+      double& most = over_[static_cast<size_t>(a.ask.plan)];
+      most = std::max(most, -quota.level);
+    }
     if (plan.ceiling_rate <= 0) return;
     double most = plan.ceiling_burst + plan.ceiling_slack + plan.ceiling_rate * kCeilingReadS;
     Bucket& bucket = ceilings_[a.ask.customer];
@@ -304,6 +310,7 @@
       Service s;
       s.name = p.name;
       s.to_s = facts_.duration_s;
+      s.most_over_units = over_[v_.plans.size()];
       v_.plans.push_back(s);
     }
     std::vector<std::vector<double>> took(v_.phases.size() + v_.plans.size() + 1);
@@ -393,7 +400,8 @@
   std::map<int, Window> nodes_;
   std::map<int, int> addresses_;  // by node
   std::map<int, std::vector<double>> killed_;
-  std::unordered_map<uint64_t, Bucket> ceilings_;
+  std::unordered_map<uint64_t, Bucket> ceilings_, sent_on_;
+  std::map<size_t, double> over_;  // by plan
   std::vector<double> late_, added_;
 };
 
--- a/src/checker/checker.h
+++ b/src/checker/checker.h
@@ -33,6 +33,9 @@
   uint64_t served = 0, refused = 0, failed = 0, unanswered = 0;
   double worth_offered = 0, worth_served = 0;  // inside the quotas; served: within the aim
   double mean_s = 0, p50_s = 0, p99_s = 0;     // of served tries, from the intended time
+  // Of plans with a quota: the most that one customer was sent on for beyond what its store ever held, by the guesses,
+  // in any stretch of time.
+  double most_over_units = 0;
   double Share() const { return worth_offered > 0 ? worth_served / worth_offered : 1; }
 };
 
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -42,6 +42,45 @@
   return it->get<std::string>();
 }
 
+// "counter_access": {"kind": "redis", "username": ..., "password": ..., "database": 0, "prefix": ...}
+CounterAccess ReadAccess(const json& all) {
+  CounterAccess access;
+  auto it = all.find("counter_access");
+  if (it == all.end() || it->is_null()) return access;
+  if (!it->is_object()) throw WireError("setting is unreadable: counter_access");
+  for (const auto& [key, value] : it->items()) {
+    std::string name = "counter_access." + key;
+    if (key == "database") {
+      if (!value.is_number_integer() || value < 0 || value > 1000000) throw WireError("setting is unreadable: " + name);
+      access.database = value.get<int>();
+      continue;
+    }
+    if (!value.is_string()) throw WireError("setting is unreadable: " + name);
+    std::string text = value.get<std::string>();
+    if (key == "kind") {
+      if (text != "tally" && text != "redis") throw WireError("setting is unreadable: " + name + "=" + text);
+      access.kind = text == "redis" ? CounterKind::kRedis : CounterKind::kTally;
+    } else if (key == "username") {
+      access.username = text;
+    } else if (key == "password") {
+      access.password = text;
+    } else if (key == "prefix") {
+      if (text.size() > 48) throw WireError("setting is unreadable: " + name + " (48 bytes at most)");
+      access.prefix = text;
+    } else {
+      throw WireError("unknown setting: " + name);
+    }
+  }
+  bool redis = access.kind == CounterKind::kRedis;
+  if (!redis && (!access.username.empty() || !access.password.empty() || access.database != 0)) {
+    throw WireError("counter_access.kind=tally takes no username, password or database");
+  }
+  if (!access.username.empty() && access.password.empty()) {
+    throw WireError("setting is missing: counter_access.password");
+  }
+  return access;
+}
+
 }  // namespace
 
 std::string Flatten(const json& settings) {
@@ -71,6 +110,7 @@
     config.has_counter = true;
     config.counter = ParseAddress("counter", Text(all, "counter"));
   });
+  part([&] { config.counter_access = ReadAccess(all); });
   part([&] {
     std::string seed = Text(all, "seed");
     auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "net/address.h"
+#include "net/counter_protocol.h"
 #include "policy/balance.h"
 #include "settings/settings.h"
 
@@ -19,6 +20,7 @@
   tcp::endpoint discovery;
   tcp::endpoint counter;
   bool has_counter = false;
+  CounterAccess counter_access;  // which engine it is, and how to get in
   uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 192;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,7 +66,8 @@
                        Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
                          b.OnCount(now, answer, out);
                        });
-                     });
+                     },
+                     config.counter_access);
     counter_->Start();
   }
   BackendList known;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -3,7 +3,6 @@
 #include <hiredis/hiredis.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdio>
 #include <cstring>
@@ -68,6 +67,8 @@
       texts_.clear();
       unsent_ = std::move(text);
       heard_ = Clock::now();
+      greeting_ = client_->protocol_->greeting_answers();
+      if (greeting_ > 0) unsent_ = client_->protocol_->Greeting() + unsent_;
       if (!calls_.empty()) Watch();
       Write();
     });
@@ -163,21 +164,18 @@
 
   // Answers come in the order of the calls, those past their time-out among them. False on garbage.
   bool Take(const redisReply& reply) {
-    if (calls_.empty()) return false;
-    Result result = Result::kOk;
-    double total = 0;
-    if (reply.type == REDIS_REPLY_STRING) {
-      const char* end = reply.str + reply.len;
-      auto [at, bad] = std::from_chars(reply.str, end, total);
-      if (bad != std::errc() || at != end || !std::isfinite(total)) return false;
-    } else if (reply.type == REDIS_REPLY_ERROR) {
-      result = Result::kFull;  // -BUSY and -ERR: nothing was added
-    } else {
-      return false;
+    if (greeting_ > 0) {  // refused: wrong credentials, no such database
+      --greeting_;
+      return reply.type == REDIS_REPLY_STATUS;
     }
+    if (calls_.empty()) return false;
+    CounterReading reading = client_->protocol_->Read(reply, &calls_.front()->state);
+    if (reading.what == CounterReading::What::kMore) return true;
+    if (reading.what == CounterReading::What::kSpoilt) return false;
     auto call = std::move(calls_.front());
     calls_.pop_front();
-    client_->End(call, result, total);
+    bool added = reading.what == CounterReading::What::kTotal;
+    client_->End(call, added ? Result::kOk : Result::kFull, reading.total);
     return true;
   }
 
@@ -189,19 +187,20 @@
   std::deque<std::string> texts_;  // of the calls, before the connection is up
   std::string unsent_, sending_;
   char buffer_[1024];
-  size_t unread_ = 0;
+  size_t unread_ = 0, greeting_ = 0;  // answers to the greeting that are still to come
   Clock::time_point heard_{};
   bool open_ = false, closed_ = false, writing_ = false, leaving_ = false;
 };
 
 CounterClient::CounterClient(asio::io_context& io, tcp::endpoint address, double timeout_s,
-                             double connect_timeout_s, Done done)
+                             double connect_timeout_s, Done done, const CounterAccess& access)
     : io_(io),
       address_(address),
       timeout_(Seconds(timeout_s)),
       silence_(std::max<Clock::duration>(kSilence, 2 * timeout_)),
       connect_timeout_(Seconds(connect_timeout_s)),
       done_(std::move(done)),
+      protocol_(MakeCounterProtocol(access)),
       timer_(io) {}
 
 CounterClient::~CounterClient() {
@@ -259,17 +258,11 @@
   if (connection == nullptr || connection->out() >= kMostOut) {
     return asio::post(io_, [this, call] { End(call, Result::kConnectFailed); });
   }
-  char key[17], sum[64], keep[16];
-  int key_n = std::snprintf(key, sizeof(key), "%016llx", static_cast<unsigned long long>(name));
+  char key[17];
+  std::snprintf(key, sizeof(key), "%016llx", static_cast<unsigned long long>(name));
   double bounded = std::isfinite(amount) ? std::clamp(amount, -1e9, 1e9) : 0;
-  int sum_n = std::snprintf(sum, sizeof(sum), "%.6f", bounded);
-  int keep_n = std::snprintf(keep, sizeof(keep), "%d",
-                             static_cast<int>(std::clamp(std::ceil(keep_s * 1000), 1.0, 60000.0)));
-  std::string text = "*4\r\n$5\r\nTALLY\r\n";
-  for (auto [part, n] : {std::pair{key, key_n}, std::pair{sum, sum_n}, std::pair{keep, keep_n}}) {
-    text += "$" + std::to_string(n) + "\r\n";
-    text.append(part, static_cast<size_t>(n)).append("\r\n");
-  }
+  int keep_ms = static_cast<int>(std::clamp(std::ceil(keep_s * 1000), 1.0, 60000.0));
+  std::string text = protocol_->Call(key, bounded, keep_ms);
   waiting_.push_back(call);
   connection->Add(std::move(call), std::move(text));
   ArmTimeouts();
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -1,4 +1,5 @@
-// Calls to the counter over RESP2, pipelined on few connections. Each call ends exactly once.
+// Calls to the counter over RESP2, pipelined on few connections. Each call ends exactly once. What a call is and what
+// its answers mean is the protocol's (counter_protocol.h): the platform's, or that of Redis and Valkey.
 #ifndef IVYGW_NET_COUNTER_CLIENT_H_
 #define IVYGW_NET_COUNTER_CLIENT_H_
 
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "net/clock.h"
+#include "net/counter_protocol.h"
 #include "net/http.h"
 #include "policy/balance.h"
 
@@ -18,7 +20,7 @@
   using Done = std::function<void(micadock::CountAnswer)>;
 
   CounterClient(asio::io_context& io, tcp::endpoint address, double timeout_s, double connect_timeout_s,
-                Done done);
+                Done done, const CounterAccess& access = {});
   ~CounterClient();
 
   void Start();  // opens a first connection, so that no call waits for it
@@ -32,6 +34,7 @@
     uint64_t name = 0;
     bool ended = false;    // answered or timed out: a later answer is only matched
     bool written = false;  // may have been added
+    CounterCallState state;  // of its answers
     Clock::time_point give_up{};
   };
 
@@ -44,6 +47,7 @@
   tcp::endpoint address_;
   const Clock::duration timeout_, silence_, connect_timeout_;
   Done done_;
+  const std::unique_ptr<CounterProtocol> protocol_;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<std::shared_ptr<Connection>> leaving_;  // to an address before, with calls out
   std::deque<std::shared_ptr<Pending>> waiting_;  // by time: every call has the same time-out
--- /dev/null
+++ b/src/policy/quotas.cpp
@@ -0,0 +1,332 @@
+#include "policy/quotas.h"
+
+namespace micadock {
+namespace {
+
+// Tuned values; each is ours unless the paper is named.
+constexpr double kBatchShare = 0.25;    // of the tokens left, over the entries: what may be sent untold
+constexpr double kFlushWindows = 0.25;  // windows after which untold units are told anyway
+constexpr double kSlackShare = 0.95;  // of a ceiling's slack that is used: the rest is for rounding
+constexpr double kEpochS = 4;  // s after which attempts out are counted anew: a dead gateway's are gone then
+constexpr double kIdleWindows = 3, kIdleS = 10;  // idle customers are dropped after both
+constexpr double kGapMaxS = 0.3;      // s between a gateway's calls to a counter that fails, but no more
+constexpr double kSilentCalls = 100;  // calls a second than this of all gateways
+constexpr int kSilentRun = 4;         // failed calls in a row after which the counter counts as silent
+constexpr double kLeastPart = 0.5;  // of an even part, that traffic moving here in silence finds
+constexpr double kSlowCall = 0.8;   // of the counter's time-out, after which an answer is a sign of crowding
+constexpr double kCrowdGrow = 0.1, kCrowdShrink = 0.1;  // of the price of crowding, on such a sign; on none
+constexpr double kDearCall = 5, kMostUntold = 0.8;  // share of such tries for each price of a call; at most
+constexpr double kCallsPerAsk = 1.5;    // one to ask and add, at times one to put that right
+constexpr double kAskPatience = 4;      // of the counter's time-out, that a try must have left to be held
+constexpr double kJustTold = 0.9;       // of attempts told, still out: too few have ended to guess
+constexpr double kOutKeepS = 1;         // s for which a customer's attempts out stay like what was told
+constexpr double kInsideAtFirst = 0.7;                   // share of tries inside, until questions tell
+constexpr double kLearnInside = 0.05, kLearnOwn = 0.3;  // weight of one for the plan, and for the customer
+
+}  // namespace
+
+Quotas::Quotas(const Settings& s, Dice* dice, Ticks* ticks, double now)
+    : s_(s), dice_(dice), ticks_(ticks), start_(now), inside_(s.plans.size(), kInsideAtFirst) {}
+
+double Quotas::Cap(const PlanSettings& p) { return p.ceiling_burst + kSlackShare * p.ceiling_slack; }
+
+Customer& Quotas::Find(const Request& r, double now) {
+  auto [it, fresh] = customers_.try_emplace(r.customer);
+  Customer& c = it->second;
+  if (fresh) {
+    const PlanSettings& p = s_.plans[r.plan];
+    c.plan = r.plan;
+    c.inside = inside_[r.plan];
+    c.entries = std::clamp(r.entries, 1.0, static_cast<double>(std::max(1, s_.gateways)));
+    c.at = c.born = now;
+    c.tokens = p.burst;
+    c.others = p.rate * (c.entries - 1) / c.entries;
+    // The ceiling's part is held alone: nothing tells a started gateway what was spent before, so its store
+    // fills from nought since the start. Guards against restarts and a counter that forgets.
+    c.ceiling = std::min(Cap(p) / c.entries, p.ceiling_rate / c.entries * (now - start_));
+    if (p.rate > 0) c.window = WindowNow(p, now);
+  }
+  c.seen = now;
+  c.asked_all += r.units;
+  return c;
+}
+
+double Quotas::IdleS(const PlanSettings& p) const {
+  double idle = std::max(kIdleS, p.rate > 0 ? kIdleWindows * WindowS(p) : 0);
+  if (p.ceiling_rate > 0) idle = std::max(idle, 2 * (p.ceiling_burst + p.ceiling_slack) / p.ceiling_rate);
+  return idle;
+}
+
+void Quotas::Expire(double now) {
+  if (now - swept_at_ < kIdleS / 10) return;
+  swept_at_ = now;
+  std::erase_if(customers_, [&](const auto& entry) {
+    const Customer& c = entry.second;
+    return now > c.seen + IdleS(PlanOf(c)) && !c.calling && !c.out_calling && c.open == 0;
+  });
+}
+
+void Quotas::Refill(Customer* c, double now) {
+  const PlanSettings& p = PlanOf(*c);
+  double dt = now - c->at;
+  if (dt <= 0) return;
+  c->at = now;
+  c->ceiling = std::min(Cap(p) / c->entries, c->ceiling + p.ceiling_rate / c->entries * dt);
+  if (p.rate <= 0) return;
+  // What others send is assumed to go on as last told, until the counter tells; this also holds the quota
+  // to this gateway's part of it while the counter is silent, frozen or new.
+  c->tokens = std::min(p.burst, c->tokens + (p.rate - Others(*c)) * dt);
+  int64_t window = WindowNow(p, now);
+  if (window != c->window) {
+    double width = WindowS(p);
+    bool lost = window > c->window + 1 && c->entries > 1 && !Quiet();  // others' use since is not known
+    double over = c->used - p.rate * width * static_cast<double>(window - c->window);
+    c->used = c->carried = lost ? 0 : std::clamp(over, 0.0, p.burst);
+    if (lost) c->known = false;
+    c->window = window;
+    c->pending = std::min(c->pending, p.burst);  // a long silence is not paid back for longer than a burst
+    c->total = 0;
+  }
+}
+
+// The share term V_i / sum V * (W - mu_i) for the last tick in which the customer asked.
+void Quotas::Lend(Customer* c, double units, double now) {
+  int64_t tick = ticks_->Roll(now);
+  if (c->asked_tick != tick) {
+    if (c->asked_tick >= 0 && tick - c->asked_tick < Ticks::kTicks) {
+      const Tick& t = ticks_->At(c->asked_tick);
+      double mu = std::max(0.0, c->tokens), room = std::max(0.0, PlanOf(*c).burst - c->tokens);
+      if (!t.pressed && t.asked > 0 && t.served > mu) {
+        c->loan = std::min(room, c->loan + c->asked / t.asked * (t.served - mu));
+      }
+    }
+    c->asked_tick = tick;
+    c->asked = 0;
+  }
+  c->asked += units;
+  ticks_->At(tick).asked += units;
+}
+
+// The share of tries let in without a question that are not told, the others standing for them: a customer
+// seen by each of many gateways once would otherwise go untold, or take a call each time.
+double Quotas::Dear() const { return std::min(kMostUntold, kDearCall * (crowd_ + s_.count_price)); }
+
+void Quotas::MaybeCount(uint64_t id, Customer* c, double now, Actions* out) {
+  const PlanSettings& p = PlanOf(*c);
+  if (!s_.may_count || p.rate <= 0 || c->calling || now < counter_after_) return;
+  double age = now - c->read_at, left = std::max(0.0, c->tokens);
+  double batch = std::max(1.0, kBatchShare * left / c->entries);
+  bool due = (!c->known && Dear() < 0.5) || std::fabs(c->pending) >= batch || !c->waiting.empty();
+  if (c->pending > 0 && age > kFlushWindows * WindowS(p)) due = true;
+  if (!due || !Ring({id, c->window, c->pending, false, now}, 3 * WindowS(p), out)) return;
+  c->calling = true;
+  c->pending = 0;
+}
+
+bool Quotas::Ring(const Call& call, double expiry, Actions* out) {
+  uint64_t window = static_cast<uint64_t>(call.open ? ~call.window : call.window);
+  uint64_t name = Mix(call.customer * 0x100000001b3ULL + Mix(window));
+  if (!calls_.try_emplace(name, call).second) return false;
+  counter_after_ = call.sent + crowd_ * crowd_ * std::max(kGapMaxS, s_.gateways / kSilentCalls);
+  Action& a = Emit(out, ActionKind::kCount);
+  a.tag = name;
+  a.amount = call.amount;
+  a.seconds = std::min(60.0, expiry);
+  return true;
+}
+
+Quotas::Heard Quotas::OnCount(double now, const CountAnswer& answer, Actions* out) {
+  auto it = calls_.find(answer.name);
+  if (it == calls_.end()) return {};
+  Call call = it->second;
+  calls_.erase(it);
+  auto found = customers_.find(call.customer);
+  if (found == customers_.end()) return {};
+  Customer* c = &found->second;
+  Refill(c, now);
+  (call.open ? c->out_calling : c->calling) = false;
+  // Calls grow dearer and rarer by what fails, whether the counter is silent, refuses, is slow or crowded,
+  // and come back answer by answer, without a flood. Harms by older totals where chance alone loses calls.
+  bool ok = answer.result == Result::kOk, was = Quiet();
+  bool easy = ok && now - call.sent < kSlowCall * s_.count_timeout_s;
+  failed_calls_ = ok ? 0 : failed_calls_ + 1;
+  crowd_ += easy ? -kCrowdShrink * crowd_ : kCrowdGrow * (1 - crowd_);
+  if (was && !Quiet()) Log(out, "counter answers again");
+  if (!was && Quiet()) Log(out, "counter is silent: going by this gateway's part of each quota");
+  if (call.open) {
+    TakeOpen(c, call, answer, now);
+  } else if (ok) {
+    if (call.window == c->window) TakeTotal(call.customer, c, call.amount, answer.total, now, out);
+    double debt = std::clamp(answer.total - PlanOf(*c).burst, 0.0, PlanOf(*c).burst);  // rate x window
+    if (call.window + 1 == c->window && call.amount == 0) Charge(c, debt, 1);
+  } else if (answer.result != Result::kTimeout) {
+    c->pending += call.amount;
+  }
+  return {call.customer, c, ok};
+}
+
+bool Quotas::Quiet() const { return failed_calls_ >= kSilentRun; }
+
+// Units a second that others are taken to send. While the counter is silent, this gateway keeps to its part
+// of the use as last told, so that a rise everywhere does not make each pass what the others left before.
+double Quotas::Others(const Customer& c) const {
+  if (!Quiet() || !c.known || c.own + c.others <= 0) return c.others;
+  double part = std::max(c.own / (c.own + c.others), kLeastPart / c.entries);
+  return std::max(c.others, PlanOf(c).rate * (1 - part));
+}
+
+void Quotas::TakeTotal(uint64_t id, Customer* c, double amount, double total, double now, Actions* out) {
+  const PlanSettings& p = PlanOf(*c);
+  double width = WindowS(p), in_window = now - static_cast<double>(c->window) * width;
+  double others = total - c->total - amount, span = now - c->read_at;
+  c->read_at = now;
+  c->total = total;
+  if (others < -s_.max_units) {
+    // Totals hardly fall in a window, so the counter has forgotten: what was assumed stands, the bucket and
+    // the window's own memory go on. Guards against lost, emptied and restarted counters alike.
+    if (now - forgot_log_ > 5) Log(out, "counter has lost counts: keeping what was known");
+    forgot_log_ = now;
+    return;
+  }
+  // The first told of in a window tells burst less S for all, most of whom see a customer too seldom to
+  // know it, or reads the window before. Where both fail a full store is taken.
+  bool first = others < 1e-3 && total > 0 && total - amount < 1e-3;
+  if (first && c->known) c->pending += c->carried;
+  if (first && !c->known && (1 - c->inside) * Loss(p) > kCallsPerAsk * s_.count_price + crowd_) {
+    c->calling = Ring({id, c->window - 1, 0, false, now}, 2 * width, out);
+  }
+  others = std::max(0.0, others) - std::min(c->carried, std::max(0.0, others));
+  c->carried = 0;
+  c->used += others;
+  double weight = c->known ? 1 - std::exp(-span / (0.5 * width)) : 1;
+  span = c->known ? std::max(span, 1e-3) : std::max(in_window, 0.5 * width);
+  c->others += weight * (std::min(2 * p.rate, others / span) - c->others);
+  c->others = std::min(c->others, p.rate);
+  c->own += weight * (std::max(0.0, amount) / span - c->own);
+  c->tokens = std::min(p.burst, p.burst + p.rate * in_window - c->used);
+  c->known = true;
+}
+
+Verdict Quotas::Judge(Customer* c, const Request& r, double work_s, double now, double* chance) {
+  const PlanSettings& p = PlanOf(*c);
+  Refill(c, now);
+  Lend(c, r.units, now);
+  *chance = 0;
+  if (p.ceiling_rate > 0 && c->ceiling < r.units) return Verdict::kOver;
+  bool soft = Soft(p), alone = c->entries < 2;
+  double loss = Loss(p), told = 1;
+  if (p.parallel > 0) {
+    told = OpenRoom(*c, p, work_s, now);
+    if (p.rate <= 0) {
+      double keep = alone ? 1 : c->out_at < 0 ? 0 : Quiet() ? 1 : std::exp(-(now - c->out_at) / kOutKeepS);
+      *chance = c->open >= p.parallel ? 0 : keep * told + (1 - keep) * c->inside;
+      if (*chance * (1 + loss) >= loss) return Verdict::kInside;
+      return soft && !ticks_->Pressed(now) ? Verdict::kLent : Verdict::kOver;
+    }
+  }
+  bool room = c->tokens >= r.units && told * (1 + loss) >= loss;
+  double first_part = (p.burst + p.rate * (now - c->born)) / c->entries;
+  if (!c->known && c->passed > 0 && c->passed + r.units > first_part) room = false;
+  if (c->used + r.units > p.burst + p.rate * WindowS(p)) room = false;
+  double repeats = (c->asked_all - r.units) * c->entries / (now - c->born + kIdleS);
+  double prior = c->inside / (1 + (Quiet() ? 0 : std::max(0.0, repeats / p.rate - 0.5)));
+  if (!c->known && !alone && prior * (1 + loss) < loss) room = false;
+  double age = now - c->read_at, keep = !c->known ? 0 : alone || Quiet() ? 1 : std::exp(-age / WindowS(p));
+  double spread = std::sqrt(0.01 + 0.5 * s_.max_units * (alone ? 0 : c->others) * age);
+  double z = (c->tokens - r.units) / spread;
+  *chance = (keep / (1 + std::exp(-1.7 * z)) + (1 - keep) * prior) * std::min(1.0, told);
+  if (room) return Verdict::kInside;
+  if (soft && c->tokens + c->loan >= r.units && !ticks_->Pressed(now)) return Verdict::kLent;
+  return Verdict::kOver;
+}
+
+bool Quotas::WorthAsking(const Customer& c, const Request& r, double chance, double now) {
+  const PlanSettings& p = PlanOf(c);
+  if (!s_.may_count || Soft(p) || c.entries < 2) return false;
+  if (r.left_s < kAskPatience * s_.count_timeout_s) return false;
+  double gain = std::min(chance, (1 - chance) * Loss(p)) * (0.5 + dice_->Unit());
+  if (gain < kCallsPerAsk * s_.count_price + crowd_) return false;
+  return now >= counter_after_ || c.calling || c.out_calling;
+}
+
+// Chance that fewer attempts of other gateways are out than the cap leaves free: at random about what was
+// told last, fading to the mean told; exactly what was told where that has just come.
+double Quotas::OpenRoom(const Customer& c, const PlanSettings& p, double span, double now) const {
+  int free = p.parallel - c.open;
+  double stays = c.out_at < 0 ? 0 : std::exp(-(now - c.out_at) / span);
+  if (free <= 0 || stays > kJustTold) return free > c.out_others ? 1 : 0;
+  double mean = stays * c.out_others + (1 - stays) * c.out_mean, term = std::exp(-mean), sum = 0;
+  for (int k = 0; k < free; term *= mean / ++k) sum += term;
+  return sum;
+}
+
+void Quotas::TellOpen(uint64_t id, Customer* c, double now, Actions* out) {
+  const PlanSettings& p = PlanOf(*c);
+  if (!s_.may_count || p.parallel <= 0 || c->entries < 2 || c->out_calling || now < counter_after_) return;
+  int64_t epoch = static_cast<int64_t>(std::floor(now / kEpochS));
+  if (epoch != c->epoch) {
+    c->epoch = epoch;
+    c->told = 0;
+  }
+  double amount = c->open - c->told;
+  if (amount == 0 && c->waiting.empty()) return;
+  c->out_calling = Ring({id, epoch, amount, true, now}, 2 * kEpochS, out);
+}
+
+void Quotas::TakeOpen(Customer* c, const Call& call, const CountAnswer& answer, double now) {
+  if (call.window != c->epoch) return;
+  if (answer.result == Result::kOk || answer.result == Result::kTimeout) c->told += call.amount;
+  if (answer.result != Result::kOk) return;
+  double weight = c->out_at < 0 ? 1 : 1 - std::exp(-(now - c->out_at) / 1.0);
+  c->out_others = std::max(0.0, answer.total - c->told);
+  c->out_mean += weight * (c->out_others - c->out_mean);
+  c->out_at = now;
+}
+
+void Quotas::Charge(Customer* c, double units, double sign) {
+  const PlanSettings& p = PlanOf(*c);
+  if (p.rate <= 0) return void(c->open += sign > 0 ? 1 : -1);
+  c->tokens = std::min(p.burst, c->tokens - sign * units);
+  c->used += sign * units;
+  c->pending += sign * units;
+  if (!c->known) c->passed += sign * units;
+}
+
+void Quotas::Admit(Customer* c, const Request& r, bool inside, bool asked) {
+  const PlanSettings& p = PlanOf(*c);
+  if (p.ceiling_rate > 0) c->ceiling -= r.units;
+  if (p.rate > 0 && inside) Charge(c, r.units, 1);
+  if (p.rate > 0 && inside && !asked && c->entries > 1) {
+    double told = 1 - Dear() * (1 - 1 / c->entries);
+    c->pending += r.units * ((dice_->Unit() < told ? 1 / told : 0) - 1);
+  }
+  if (p.rate > 0 && !inside) c->loan -= std::max(0.0, r.units - std::max(0.0, c->tokens));
+}
+
+Customer* Quotas::Peek(uint64_t id) {
+  auto it = customers_.find(id);
+  return it == customers_.end() ? nullptr : &it->second;
+}
+
+void Quotas::Opened(uint64_t id, Customer* c, double now, Actions* out) {
+  ++c->open;
+  TellOpen(id, c, now, out);
+}
+
+void Quotas::Closed(uint64_t id, Customer* c, double now, Actions* out) {
+  Refill(c, now);
+  c->open = std::max(0, c->open - 1);
+  TellOpen(id, c, now, out);
+}
+
+void Quotas::TrueUnits(Customer* c, double difference) {
+  if (PlanOf(*c).rate > 0) Charge(c, difference, 1);
+}
+
+void Quotas::LearnInside(Customer* c, bool inside) {
+  double in = inside;
+  inside_[c->plan] += kLearnInside * (in - inside_[c->plan]);
+  c->inside += kLearnOwn * (in - c->inside);
+}
+
+}  // namespace micadock
--- /dev/null
+++ b/src/policy/quotas.h
@@ -0,0 +1,126 @@
+// Customers and their quotas over all gateways together: buckets, the share term, ceilings, caps on attempts out, and
+// the talk with the counter. Knows no servers, so that it can be asked alone.
+#ifndef MICADOCK_POLICY_QUOTAS_H_
+#define MICADOCK_POLICY_QUOTAS_H_
+
+#include <unordered_map>
+#include <vector>
+
+#include "policy/common.h"
+
+namespace micadock {
+
+enum class Verdict { kInside, kLent, kOver };
+
+struct Waiting {
+  uint32_t request;
+  double units;
+  bool charged;  // counted with the call; else the call only reads
+};
+
+struct Customer {
+  int plan = 0;
+  double entries = 1, born = 0, seen = 0;  // gateways it may come through; first and last request
+  double at = 0;                           // refilled up to here
+  double tokens = 0;           // the bucket: own sends and what the counter told of others are taken off
+  double loan = 0;             // granted by the share term
+  double others = 0, own = 0;  // units a second that other gateways send on, and this one
+  double ceiling = 0;          // this gateway's part of the ceiling's store
+  int64_t window = 0;
+  double carried = 0;              // burst less S at this window's start, as known here
+  double used = 0;                 // units of this window: burst less S at its start, told and own sends
+  double total = 0, read_at = 0;   // last total told in this window, and when
+  double pending = 0;              // own units not yet told; a call that timed out counts as told
+  double passed = 0;               // before the first read
+  bool known = false, calling = false;  // a first read has come; a call is out
+  int64_t asked_tick = -1;
+  double asked = 0;                                  // V_i: units asked for in asked_tick
+  int open = 0;                                      // own attempts out
+  int64_t epoch = 0;                                 // of the count of attempts out
+  double told = 0;                                   // own attempts out as told in this epoch
+  double out_others = 0, out_at = -1, out_mean = 0;  // others' as last told, when, and their mean
+  bool out_calling = false;
+  double asked_all = 0;  // units
+  double inside = 1;             // share of its tries held for the counter that were inside
+  std::vector<Waiting> waiting;  // held for the counter's answer, first come first
+};
+
+class Quotas {
+ public:
+  Quotas(const Settings& s, Dice* dice, Ticks* ticks, double now);
+
+  const PlanSettings& PlanOf(const Customer& c) const { return s_.plans[c.plan]; }
+  // The request's customer, met for the first time or again.
+  Customer& Find(const Request& r, double now);
+  Customer* Peek(uint64_t id);  // null where it is not known
+  void Expire(double now);
+
+  // Whether a try is let in, and the chance that it is inside, fading from what was told to what came of
+  // questions before. While the counter is silent, this gateway's part, as told or even, is held to.
+  // `work_s`: what such a request takes.
+  Verdict Judge(Customer* c, const Request& r, double work_s, double now, double* chance);
+  // A try is held for the counter's answer, for milliseconds, when that could change the verdict and is worth
+  // more than the call's price and crowding: near the allowance, and where the customer is seen seldom.
+  bool WorthAsking(const Customer& c, const Request& r, double chance, double now);
+  void Charge(Customer* c, double units, double sign);
+  // The try is sent on. `asked`: it was held for the counter, and is charged.
+  void Admit(Customer* c, const Request& r, bool inside, bool asked);
+  // An attempt of the customer went out, or ended.
+  void Opened(uint64_t id, Customer* c, double now, Actions* out);
+  void Closed(uint64_t id, Customer* c, double now, Actions* out);
+  // The answer told the true units of what was guessed: these less the guess.
+  void TrueUnits(Customer* c, double difference);
+  // What came of a try that was held for the counter.
+  void LearnInside(Customer* c, bool inside);
+
+  void MaybeCount(uint64_t id, Customer* c, double now, Actions* out);
+  // Attempts out are counted as changes to one number; each gateway tells its own when it changes.
+  void TellOpen(uint64_t id, Customer* c, double now, Actions* out);
+  // Takes an answer in. The customer whose it is, where it is still known.
+  struct Heard {
+    uint64_t id = 0;
+    Customer* customer = nullptr;
+    bool ok = false;
+  };
+  Heard OnCount(double now, const CountAnswer& answer, Actions* out);
+
+ private:
+  struct Call {
+    uint64_t customer = 0;
+    int64_t window = 0;  // or epoch, where it is a count of attempts out and not of units
+    double amount = 0;
+    bool open = false;
+    double sent = 0;
+  };
+  static double WindowS(const PlanSettings& p) { return p.burst / p.rate; }
+  static bool Soft(const PlanSettings& p) { return p.excess_worth > p.over_cost; }
+  static double Loss(const PlanSettings& p) { return p.over_cost - p.excess_worth; }
+  static int64_t WindowNow(const PlanSettings& p, double now) {
+    return static_cast<int64_t>(std::floor(now / WindowS(p)));
+  }
+  static double Cap(const PlanSettings& p);
+  double IdleS(const PlanSettings& p) const;
+  void Refill(Customer* c, double now);
+  void Lend(Customer* c, double units, double now);
+  double Dear() const;
+  bool Ring(const Call& call, double expiry, Actions* out);
+  bool Quiet() const;
+  double Others(const Customer& c) const;
+  void TakeTotal(uint64_t id, Customer* c, double amount, double total, double now, Actions* out);
+  double OpenRoom(const Customer& c, const PlanSettings& p, double span, double now) const;
+  void TakeOpen(Customer* c, const Call& call, const CountAnswer& answer, double now);
+
+  const Settings& s_;
+  Dice* dice_;
+  Ticks* ticks_;
+  const double start_;
+  std::unordered_map<uint64_t, Customer> customers_;
+  std::unordered_map<uint64_t, Call> calls_;
+  std::vector<double> inside_;  // by plan, share of the tries held for the counter that were inside
+  double counter_after_ = 0, crowd_ = 0, forgot_log_ = -1e9, swept_at_ = 0;
+  int failed_calls_ = 0;
+};
+
+}  // namespace micadock
+
+#endif  // MICADOCK_POLICY_QUOTAS_H_
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -18,7 +18,7 @@
   return {{"name", s.name},       {"from_s", s.from_s},   {"to_s", s.to_s},         {"asked", s.asked},
           {"first_tries", s.chains}, {"served", s.served}, {"refused", s.refused},   {"failed", s.failed},
           {"unanswered", s.unanswered}, {"service", s.Share()}, {"mean_s", s.mean_s}, {"p50_s", s.p50_s},
-          {"p99_s", s.p99_s}};
+          {"p99_s", s.p99_s},             {"most_over_units", s.most_over_units}};
 }
 
 double At(std::vector<double>* list, double share) {
--- a/src/standin/counter_servers.cpp
+++ b/src/standin/counter_servers.cpp
@@ -113,20 +113,59 @@
     if (call.empty()) return now("-ERR empty call\r\n");
     if (call[0] == "PING") return now("+PONG\r\n");
     if (call[0] == "CLIENT" || call[0] == "SELECT") return now("+OK\r\n");
+    if (call[0] == "AUTH") return now(call.back() == "wrong" ? "-WRONGPASS invalid password\r\n" : "+OK\r\n");
+    if (call[0] == "MULTI" || call[0] == "INCRBYFLOAT" || call[0] == "PEXPIRE" || call[0] == "EXEC") {
+      return Transact(call, slot);
+    }
     double amount = 0, life_ms = 0;
     if (call[0] != "TALLY" || call.size() != 4) return now("-ERR no such call\r\n");
     if (call[1].empty() || call[1].size() > 64) return now("-ERR a name has 1 to 64 bytes\r\n");
     if (!ReadDouble(call[2], &amount) || std::fabs(amount) > 1e9) return now("-ERR the amount is no number\r\n");
     if (!ReadDouble(call[3], &life_ms) || life_ms < 1) return now("-ERR the life is no number\r\n");
-    CounterReply reply = owner_->world_->Count(gateway_, call[1], amount, life_ms / 1000);
+    Count(call[1], amount, life_ms / 1000, slot, "-BUSY\r\n", [](const std::string& total) { return total; });
+  }
+
+  // Commands between MULTI and EXEC run together; one that can't be queued makes EXEC discard them all.
+  void Transact(const std::vector<std::string>& call, const std::shared_ptr<Slot>& slot) {
+    auto now = [&](const std::string& text) {
+      slot->ready = true;
+      slot->text = text;
+      Flush();
+    };
+    if (call[0] == "MULTI") {
+      queued_.clear();
+      in_transaction_ = true;
+      spoilt_ = false;
+      return now("+OK\r\n");
+    }
+    if (call[0] != "EXEC") {
+      bool sound = in_transaction_ && call.size() >= 3;
+      if (!sound) spoilt_ = true;
+      if (sound) queued_.push_back(call);
+      return now(sound ? "+QUEUED\r\n" : "-ERR only in a transaction here\r\n");
+    }
+    if (!std::exchange(in_transaction_, false)) return now("-ERR EXEC without MULTI\r\n");
+    double amount = 0, life_ms = 0;
+    bool sound = !spoilt_ && queued_.size() == 2 && queued_[0][0] == "INCRBYFLOAT" && queued_[1][0] == "PEXPIRE" &&
+                 queued_[0][1] == queued_[1][1] && queued_[1].back() == "NX";
+    if (!sound || !ReadDouble(queued_[0][2], &amount) || !ReadDouble(queued_[1][2], &life_ms)) {
+      return now("-EXECABORT Transaction discarded because of previous errors.\r\n");
+    }
+    Count(queued_[0][1], amount, life_ms / 1000, slot, "-EXECABORT out of room\r\n",
+          [](const std::string& total) { return "*2\r\n" + total + ":1\r\n"; });
+  }
+
+  void Count(const std::string& name, double amount, double life_s, const std::shared_ptr<Slot>& slot,
+             const char* busy, std::string (*whole)(const std::string&)) {
+    CounterReply reply = owner_->world_->Count(gateway_, name, amount, life_s);
     switch (reply.result) {
       case CounterResult::kSilent: return;  // this slot and those behind it stay unanswered
       case CounterResult::kRefused: return Close();
-      case CounterResult::kBusy: slot->text = "-BUSY\r\n"; break;
+      case CounterResult::kBusy: slot->text = busy; break;
       case CounterResult::kTotal: {
         char text[40];
         int n = std::snprintf(text, sizeof(text), "%.9g", reply.total);
-        slot->text = "$" + std::to_string(n) + "\r\n" + text + "\r\n";
+        slot->text = whole("$" + std::to_string(n) + "\r\n" + text + "\r\n");
         break;
       }
     }
@@ -161,6 +200,8 @@
   char part_[4096];
   std::string in_, out_, going_;
   std::deque<std::shared_ptr<Slot>> slots_;
+  std::vector<std::vector<std::string>> queued_;  // since MULTI
+  bool in_transaction_ = false, spoilt_ = false;
   bool writing_ = false, closed_ = false;
 };
 
--- a/src/standin/counter_servers.h
+++ b/src/standin/counter_servers.h
@@ -1,4 +1,5 @@
-// The shared counter on sockets (RESP2, TALLY): a listener for each gateway, so that it is known who calls.
+// The shared counter on sockets (RESP2): TALLY, and what Redis has of the like (INCRBYFLOAT, PEXPIRE, MULTI, EXEC,
+// AUTH, SELECT): a listener for each gateway, so that it is known who calls.
 #ifndef IVYGW_STANDIN_COUNTER_SERVERS_H_
 #define IVYGW_STANDIN_COUNTER_SERVERS_H_
 
--- a/tests/checker/checker_test.cpp
+++ b/tests/checker/checker_test.cpp
@@ -283,6 +283,16 @@
   EXPECT_NEAR(Judge(r).whole.Share(), 0.5, 1e-9);
 }
 
+TEST(Checker, MeasuresWhatIsSentOnBeyondAQuota) {
+  Record r = Good();
+  r.facts.plans[0].rate = 1;
+  r.facts.plans[0].burst = 2;
+  // Eight first attempts of 2 units from 0.01 to 7.21 s, less the store of 2 and the 7.2 that it gains meanwhile.
+  EXPECT_NEAR(Judge(r).plans[0].most_over_units, 16 - 2 - 7.2, 1e-9);
+  r.facts.plans[0].burst = 100;
+  EXPECT_EQ(Judge(r).plans[0].most_over_units, 0);
+}
+
 TEST(Checker, ReadsBackWhatWasWritten) {
   Record r = Good();
   std::stringstream first, second;
--- a/tests/gateway/command_line_test.cpp
+++ b/tests/gateway/command_line_test.cpp
@@ -33,6 +33,29 @@
   EXPECT_EQ(std::count(ran.out.begin(), ran.out.end(), '\n'), 7) << ran.out;
 }
 
+TEST(CommandLine, ChecksTheCountersAccess) {
+  auto check = [](const json& access) {
+    json config = Config(1, 1);
+    config["counter_access"] = access;
+    TemporaryFile file(config.dump());
+    return RunProgram(IVYGW, {"--config", file.path(), "--check"});
+  };
+  EXPECT_EQ(check({{"kind", "redis"}, {"username", "gw"}, {"password", "x"}, {"database", 2}, {"prefix", "gw:"}}).status, 0);
+  EXPECT_EQ(check({{"kind", "tally"}}).status, 0);
+  for (const auto& [access, word] : std::vector<std::pair<json, std::string>>{
+           {{{"kind", "etcd"}}, "counter_access.kind=etcd"},
+           {{{"kind", "redis"}, {"database", "two"}}, "counter_access.database"},
+           {{{"kind", "redis"}, {"username", "gw"}}, "counter_access.password"},
+           {{{"kind", "redis"}, {"pasword", "x"}}, "counter_access.pasword"},
+           {{{"password", "x"}}, "counter_access.kind=tally"},
+           {{{"prefix", std::string(49, 'x')}}, "counter_access.prefix"},
+           {"redis", "counter_access"}}) {
+    Ran ran = check(access);
+    EXPECT_EQ(ran.status, 1) << access;
+    EXPECT_NE(ran.out.find(word), std::string::npos) << ran.out;
+  }
+}
+
 TEST(CommandLine, SaysWhatIsMissingOrUnknown) {
   EXPECT_NE(RunProgram(IVYGW, {}).out.find("LB_CONFIG"), std::string::npos);
   EXPECT_EQ(RunProgram(IVYGW, {}).status, 1);
