--- a/src/emulator/installation.cpp
+++ b/src/emulator/installation.cpp
@@ -90,6 +90,9 @@
                    {"request-classes", classes},
                    {"tiers-of-service", plans}}}};
   if (s.counter.present) config["counter"] = addresses.counter;
+  if (s.counter.present && s.counter.redis) {
+    config["counter_access"] = {{"kind", "redis"}, {"password", "rehearsal"}, {"database", 1}, {"prefix", "ivygw:"}};
+  }
   return config;
 }
 
--- a/src/scenario/scenario.cpp
+++ b/src/scenario/scenario.cpp
@@ -357,6 +357,10 @@
   });
   sub("counter", [&](Reader& in) {
     in.Flag("present", &s.counter.present);
+    std::string kind = "tally";
+    in.Text("kind", &kind, false);
+    if (kind != "tally" && kind != "redis") in.Fail(in.Peek("kind"), in.Name("kind") + " is to be tally or redis");
+    s.counter.redis = kind == "redis";
     in.Number("timeout_s", &s.counter.timeout_s, 0.001, 10);
     in.Whole("parts", &s.counter.parts, 1, 64);
     in.Number("calls_per_s", &s.counter.calls_per_s, 1, kMany);
--- a/src/scenario/scenario.h
+++ b/src/scenario/scenario.h
@@ -86,6 +86,7 @@
 
 struct Counter {
   bool present = true;
+  bool redis = false;  // spoken to by Redis's commands; `kind = "tally"` or "redis"
   double timeout_s = 0.03;
   int parts = 2;
   double calls_per_s = 1500;
--- a/tests/rehearsal/socket_run_test.cpp
+++ b/tests/rehearsal/socket_run_test.cpp
@@ -10,6 +10,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -107,6 +108,25 @@
   }
 }
 
+// The same day with the counter spoken to as Redis is: counted there, and quotas hold by it.
+TEST(SocketRun, CountsThroughRedisCommands) {
+  scenario::Scenario s = Short("calm", 0.25, 60);
+  s.counter.redis = true;
+  SocketRun run = Play(s);
+  ExpectKept(run.record, Late(run.record));
+  std::map<std::string, double> sums, totals;
+  size_t answered = 0;
+  for (const Event& e : run.record.events) {
+    if (e.kind != EventKind::kCount || !e.flag) continue;
+    ++answered;
+    EXPECT_EQ(e.text.rfind("ivygw:", 0), 0u) << e.text;
+    sums[e.text] += e.units;
+    totals[e.text] = e.work;
+  }
+  EXPECT_GT(answered, 100u);
+  for (const auto& [name, sum] : sums) EXPECT_NEAR(totals[name], sum, 1e-3) << name;
+}
+
 // A machine that vanishes says nothing: what is out there hangs, and new connections never come up.
 TEST(SocketRun, AVanishedMachineIsSilentNotRefusing) {
   scenario::Scenario s = Short("calm", 0.35, 60);
--- a/tests/scenario/scenario_test.cpp
+++ b/tests/scenario/scenario_test.cpp
@@ -105,6 +105,7 @@
         Fault1{"counter_fault_without_one",
                std::string(kGood) + "[counter]\npresent = false\n[[fault]]\nkind = \"counter_empty\"\nat_s = 1\n",
                "counter_empty in a scenario without a counter"},
+        Fault1{"odd_counter", std::string(kGood) + "[counter]\nkind = \"etcd\"\n", "counter.kind is to be tally or redis"},
         Fault1{"stream_of_no_plan", std::string(kGood) + "[[stream]]\nplan = \"none\"\nclass = \"quote\"\n",
                "stream.plan names no plan: none"}),
     [](const auto& tested) { return std::string(tested.param.name); });
