--- a/apps/ivygw.cpp
+++ b/apps/ivygw.cpp
@@ -8,16 +8,22 @@
 #include <string>
 
 #include "gateway/gateway.h"
+#include "gateway/quota_bound.h"
 #include "version.h"
 
 namespace {
 
-// Exit status: 0 for a sound configuration, 1 with each fault on a line of its own.
+// Exit status: 0 for a sound configuration, with how far each plan's quota may be passed; 1 with each fault on a line of its own.
 int Check(const std::string& path) {
   std::vector<std::string> faults = ivygw::Faults(path);
   for (const std::string& fault : faults) std::fprintf(stderr, "%s: %s\n", path.c_str(), fault.c_str());
-  if (faults.empty()) std::printf("%s: sound\n", path.c_str());
-  return faults.empty() ? 0 : 1;
+  if (!faults.empty()) return 1;
+  ivygw::Config config = ivygw::LoadConfig(path);
+  std::printf("%s: sound\n", path.c_str());
+  for (const std::string& line : ivygw::DescribeBounds(config.settings, config.site.plans)) {
+    std::printf("%s\n", line.c_str());
+  }
+  return 0;
 }
 
 int Run(const std::string& path) {
--- /dev/null
+++ b/src/gateway/quota_bound.cpp
@@ -0,0 +1,60 @@
+#include "gateway/quota_bound.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <limits>
+
+#include "gateway/limits.h"
+#include "policy/quotas.h"
+
+namespace ivygw {
+
+double QuotaBound::Whatever(double seconds) const { return std::min(whatever.Over(seconds), ceiling.Over(seconds)); }
+double QuotaBound::Silent(double seconds) const { return std::min(silent.Over(seconds), Whatever(seconds)); }
+
+QuotaBound BoundOf(const micadock::Settings& settings, const micadock::PlanSettings& plan, int gateways) {
+  double k = std::max(1, gateways), burst = plan.burst, rate = plan.rate;
+  QuotaBound bound;
+  // Each gateway by itself keeps to a store of the burst that gains the rate; a second burst passes where a window
+  // ends, since a window's total is judged as a whole.
+  bound.whatever = {(k - 1) * burst + k * burst, (k - 1) * rate};
+  // In silence nothing is read, so no window is judged anew: a full store each, then the parts. Shares as last told
+  // need not add up while they fade (each passes an even one by 1 - 1/k of the rate at most); even parts of what nobody used add up to kSpare times the rate. Until the
+  // failure shows (kApartRun calls that nobody answers), others may be taken for idle.
+  double notice_s = micadock::kApartRun * kCountPatience * settings.count_timeout_s;
+  if (k > 1) {
+    bound.silent.once = (k - 1) * (1 + micadock::kShareWindows) * burst + (k - 1) * rate * notice_s;
+    bound.silent.a_second = (std::max(micadock::kSpare, 1.0) - 1) * rate;
+  }
+  double endless = std::numeric_limits<double>::infinity();
+  bound.ceiling = {endless, 0};
+  if (plan.ceiling_rate > 0) {
+    bound.ceiling = {plan.ceiling_burst + micadock::kSlackShare * plan.ceiling_slack - burst, plan.ceiling_rate - rate};
+  }
+  return bound;
+}
+
+std::vector<std::string> DescribeBounds(const micadock::Settings& settings, const std::vector<std::string>& names) {
+  std::vector<std::string> lines;
+  for (size_t i = 0; i < settings.plans.size(); ++i) {
+    const micadock::PlanSettings& plan = settings.plans[i];
+    std::string name = i < names.size() ? names[i] : std::to_string(i);
+    char text[400];
+    if (plan.rate <= 0) {
+      std::snprintf(text, sizeof(text), "plan %s: no quota on the rate", name.c_str());
+    } else if (plan.excess_worth > plan.over_cost) {
+      std::snprintf(text, sizeof(text), "plan %s: lent beyond its quota by design", name.c_str());
+    } else {
+      QuotaBound b = BoundOf(settings, plan, settings.gateways);
+      std::snprintf(text, sizeof(text),
+                    "plan %s: over %d gateways at most %.1f units beyond burst and rate in 15 s, %.1f in 60 s with the "
+                    "counter silent; %.1f and %.1f whatever it answers%s",
+                    name.c_str(), settings.gateways, b.Silent(15), b.Silent(60), b.Whatever(15), b.Whatever(60),
+                    plan.ceiling_rate > 0 ? "; its ceiling holds in any case" : "");
+    }
+    lines.push_back(text);
+  }
+  return lines;
+}
+
+}  // namespace ivygw
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -90,7 +90,7 @@
     live.r = r;
     live.deadline = now + r.left_s;
     fleet_.Seen(r);
-    if (quotas_.WorthAsking(c, r, chance, now)) {
+    if (quotas_.WorthAsking(c, r, verdict, chance, now)) {
       if (fleet_.Crowded(r, false)) return Refuse(r.id, 0, out);
       if (chance >= 0.5) quotas_.Charge(&c, r.units, 1);
       Arm(lives_[r.id] = std::move(live), now, out);
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -6,13 +6,14 @@
 // Tuned values; each is ours unless the paper is named.
 constexpr double kBatchShare = 0.25;    // of the tokens left, over the entries: what may be sent untold
 constexpr double kFlushWindows = 0.25;  // windows after which untold units are told anyway
-constexpr double kSlackShare = 0.95;  // of a ceiling's slack that is used: the rest is for rounding
 constexpr double kEpochS = 4;  // s after which attempts out are counted anew: a dead gateway's are gone then
 constexpr double kIdleWindows = 3, kIdleS = 10;  // idle customers are dropped after both
 constexpr double kGapMaxS = 0.3;      // s between a gateway's calls to a counter that fails, but no more
 constexpr double kSilentCalls = 100;  // calls a second than this of all gateways
 constexpr int kSilentRun = 4;         // failed calls in a row after which the counter counts as silent
-constexpr double kLeastPart = 0.5;  // of an even part, that traffic moving here in silence finds
+constexpr double kKeepWindows = 1;  // windows for which what was told of others is taken to go on
+constexpr double kPartWindows = 8;  // windows over which the parts are taken
+constexpr double kShort = 0.25;     // of the burst, by which corrections of others may lower a sound total
 constexpr double kSlowCall = 0.8;   // of the counter's time-out, after which an answer is a sign of crowding
 constexpr double kCrowdGrow = 0.1, kCrowdShrink = 0.1;  // of the price of crowding, on such a sign; on none
 constexpr double kDearCall = 5, kMostUntold = 0.8;  // share of such tries for each price of a call; at most
@@ -20,6 +21,8 @@
 constexpr double kAskPatience = 4;      // of the counter's time-out, that a try must have left to be held
 constexpr double kJustTold = 0.9;       // of attempts told, still out: too few have ended to guess
 constexpr double kOutKeepS = 1;         // s for which a customer's attempts out stay like what was told
+constexpr double kSurelyInside = 0.9;  // share inside, from which a customer not yet told of is trusted
+constexpr double kDearFirst = 0.2;      // where calls are dearer than this, so that first reads seldom come
 constexpr double kInsideAtFirst = 0.7;                   // share of tries inside, until questions tell
 constexpr double kLearnInside = 0.05, kLearnOwn = 0.3;  // weight of one for the plan, and for the customer
 
@@ -41,6 +44,8 @@
     c.at = c.born = now;
     c.tokens = p.burst;
     c.others = p.rate * (c.entries - 1) / c.entries;
+    c.own_mean = 0.5 * p.rate / c.entries;  // half used, evenly, until told
+    c.others_mean = 0.5 * c.others;
     // The ceiling's part is held alone: nothing tells a started gateway what was spent before, so its store
     // fills from nought since the start. Guards against restarts and a counter that forgets.
     c.ceiling = std::min(Cap(p) / c.entries, p.ceiling_rate / c.entries * (now - start_));
@@ -79,10 +84,17 @@
   int64_t window = WindowNow(p, now);
   if (window != c->window) {
     double width = WindowS(p);
-    bool lost = window > c->window + 1 && c->entries > 1 && !Quiet();  // others' use since is not known
+    bool lost = window > c->window + 1 && c->entries > 1 && !Apart(*c);  // others' use since is not known
     double over = c->used - p.rate * width * static_cast<double>(window - c->window);
+    // Where no sound total came, the store as assumed goes on, so that no window begins as if nobody had sent; it
+    // stands for what is untold too, so that a return is no burst of old units on those who stayed within.
+    if (c->known && !c->read && !lost) {
+      over = p.burst - c->tokens;
+      c->pending = 0;
+    }
     c->used = c->carried = lost ? 0 : std::clamp(over, 0.0, p.burst);
-    if (lost) c->known = false;
+    if (lost) c->known = false, c->passed = 0;
+    c->read = false;
     c->window = window;
     c->pending = std::min(c->pending, p.burst);  // a long silence is not paid back for longer than a burst
     c->total = 0;
@@ -159,39 +171,57 @@
     if (call.window == c->window) TakeTotal(call.customer, c, call.amount, answer.total, now, out);
     double debt = std::clamp(answer.total - PlanOf(*c).burst, 0.0, PlanOf(*c).burst);  // rate x window
     if (call.window + 1 == c->window && call.amount == 0) Charge(c, debt, 1);
-  } else if (answer.result != Result::kTimeout) {
-    c->pending += call.amount;
+  } else {
+    ++c->missed;
+    if (answer.result != Result::kTimeout) c->pending += call.amount;
   }
   return {call.customer, c, ok};
 }
 
 bool Quotas::Quiet() const { return failed_calls_ >= kSilentRun; }
 
-// Units a second that others are taken to send. While the counter is silent, this gateway keeps to its part
-// of the use as last told, so that a rise everywhere does not make each pass what the others left before.
+// Whether the customer's totals are no guide now, so that this gateway keeps to its part of the quota.
+bool Quotas::Apart(const Customer& c) const { return c.entries > 1 && (Quiet() || c.missed >= kApartRun); }
+
+// Units a second that others are taken to send: as last told, fading to what leaves this gateway its part. That is
+// what it was seen to send over several windows and an even part of what nobody used, or its share of the quota:
+// the parts of all add up to the quota, but for the least.
 double Quotas::Others(const Customer& c) const {
-  if (!Quiet() || !c.known || c.own + c.others <= 0) return c.others;
-  double part = std::max(c.own / (c.own + c.others), kLeastPart / c.entries);
-  return std::max(c.others, PlanOf(c).rate * (1 - part));
+  if (c.entries < 2) return 0;
+  double rate = PlanOf(c).rate, sum = c.own_mean + c.others_mean, age = (c.at - c.read_at) / WindowS(PlanOf(c));
+  // What was seen of the shares grows old: traffic moves, and old shares of several gateways don't add up.
+  double own = sum / c.entries + std::exp(-age / kShareWindows) * (c.own_mean - sum / c.entries);
+  double part = sum < rate ? own + (rate - sum) * kSpare / c.entries : rate * own / sum;
+  part = std::clamp(part, rate * kLeastPart / c.entries, rate);
+  double keep = Apart(c) || !c.known ? 0 : std::exp(-age / kKeepWindows);
+  return keep * c.others + (1 - keep) * (rate - part);
 }
 
 void Quotas::TakeTotal(uint64_t id, Customer* c, double amount, double total, double now, Actions* out) {
   const PlanSettings& p = PlanOf(*c);
   double width = WindowS(p), in_window = now - static_cast<double>(c->window) * width;
-  double others = total - c->total - amount, span = now - c->read_at;
+  double least = c->total + amount, others = total - least, span = now - c->read_at;
   c->read_at = now;
-  c->total = total;
-  if (others < -s_.max_units) {
-    // Totals hardly fall in a window, so the counter has forgotten: what was assumed stands, the bucket and
-    // the window's own memory go on. Guards against lost, emptied and restarted counters alike.
+  c->total = std::max(total, least);
+  if (others < -kShort * std::min(p.burst, 4 * s_.max_units)) {
+    // No sound counter tells less than what it told before and what was added since, but for corrections by
+    // others: it has forgotten, lost calls or tells old totals. Nothing is learned from it, others are taken to
+    // go on, and what it tells next is compared with this.
     if (now - forgot_log_ > 5) Log(out, "counter has lost counts: keeping what was known");
     forgot_log_ = now;
+    c->total = total;
+    c->used += Others(*c) * std::min(span, in_window);
+    c->missed += kApartRun;
     return;
   }
+  if (others < -1e-6 && c->missed > 0) return;  // in doubt, one that is short by a little is not taken in either
+  if (others > -1e-6 && amount > 0) c->missed = 0;
+  c->read = true;
   // The first told of in a window tells burst less S for all, most of whom see a customer too seldom to
   // know it, or reads the window before. Where both fail a full store is taken.
   bool first = others < 1e-3 && total > 0 && total - amount < 1e-3;
-  if (first && c->known) c->pending += c->carried;
+  // Who carries more than was told adds the rest, so that all come to go by the most that one knows of.
+  if (c->known) c->pending += std::max(0.0, c->carried - std::max(0.0, others));
   if (first && !c->known && (1 - c->inside) * Loss(p) > kCallsPerAsk * s_.count_price + crowd_) {
     c->calling = Ring({id, c->window - 1, 0, false, now}, 2 * width, out);
   }
@@ -203,6 +233,9 @@
   c->others += weight * (std::min(2 * p.rate, others / span) - c->others);
   c->others = std::min(c->others, p.rate);
   c->own += weight * (std::max(0.0, amount) / span - c->own);
+  double slow = 1 - std::exp(-span / (kPartWindows * width));
+  c->others_mean += slow * (std::min(2 * p.rate, others / span) - c->others_mean);
+  c->own_mean += slow * (std::max(0.0, amount) / span - c->own_mean);
   c->tokens = std::min(p.burst, p.burst + p.rate * in_window - c->used);
   c->known = true;
 }
@@ -226,10 +259,12 @@
   }
   bool room = c->tokens >= r.units && told * (1 + loss) >= loss;
   double first_part = (p.burst + p.rate * (now - c->born)) / c->entries;
-  if (!c->known && c->passed > 0 && c->passed + r.units > first_part) room = false;
   if (c->used + r.units > p.burst + p.rate * WindowS(p)) room = false;
   double repeats = (c->asked_all - r.units) * c->entries / (now - c->born + kIdleS);
   double prior = c->inside / (1 + (Quiet() ? 0 : std::max(0.0, repeats / p.rate - 0.5)));
+  // Where first reads seldom come, who is met is taken for what such customers mostly are.
+  bool trusted = crowd_ > kDearFirst && c->inside >= kSurelyInside;
+  if (!c->known && c->passed > 0 && c->passed + r.units > first_part && !trusted) room = false;
   if (!c->known && !alone && prior * (1 + loss) < loss) room = false;
   double age = now - c->read_at, keep = !c->known ? 0 : alone || Quiet() ? 1 : std::exp(-age / WindowS(p));
   double spread = std::sqrt(0.01 + 0.5 * s_.max_units * (alone ? 0 : c->others) * age);
@@ -240,11 +275,11 @@
   return Verdict::kOver;
 }
 
-bool Quotas::WorthAsking(const Customer& c, const Request& r, double chance, double now) {
+bool Quotas::WorthAsking(const Customer& c, const Request& r, Verdict verdict, double chance, double now) {
   const PlanSettings& p = PlanOf(c);
   if (!s_.may_count || Soft(p) || c.entries < 2) return false;
   if (r.left_s < kAskPatience * s_.count_timeout_s) return false;
-  double gain = std::min(chance, (1 - chance) * Loss(p)) * (0.5 + dice_->Unit());
+  double gain = (verdict == Verdict::kOver ? chance : std::min(chance, (1 - chance) * Loss(p))) * (0.5 + dice_->Unit());
   if (gain < kCallsPerAsk * s_.count_price + crowd_) return false;
   return now >= counter_after_ || c.calling || c.out_calling;
 }
--- a/src/policy/quotas.h
+++ b/src/policy/quotas.h
@@ -10,6 +10,13 @@
 
 namespace micadock {
 
+// What the stated bound on a quota's excess is made of; tuned, ours.
+inline constexpr double kSlackShare = 0.95;  // of a ceiling's slack that is used: the rest is for rounding
+inline constexpr double kLeastPart = 0.5;    // of an even part, that traffic moving here in silence finds
+inline constexpr double kSpare = 1.5;        // even parts of what nobody used, that a gateway takes into its own
+inline constexpr double kShareWindows = 4;   // windows in which shares as last told fade to even ones
+inline constexpr int kApartRun = 2;  // failed or unsound answers in a row, from which a customer's part is held to
+
 enum class Verdict { kInside, kLent, kOver };
 
 struct Waiting {
@@ -25,11 +32,14 @@
   double tokens = 0;           // the bucket: own sends and what the counter told of others are taken off
   double loan = 0;             // granted by the share term
   double others = 0, own = 0;  // units a second that other gateways send on, and this one
+  double others_mean = 0, own_mean = 0;  // the same over several windows, from sound totals alone: its parts
+  int missed = 0;              // calls in a row that failed, or told a total that can't be
   double ceiling = 0;          // this gateway's part of the ceiling's store
   int64_t window = 0;
   double carried = 0;              // burst less S at this window's start, as known here
   double used = 0;                 // units of this window: burst less S at its start, told and own sends
-  double total = 0, read_at = 0;   // last total told in this window, and when
+  double total = 0, read_at = 0;   // least that a sound counter tells in this window now; last answer
+  bool read = false;               // a sound total has come in this window
   double pending = 0;              // own units not yet told; a call that timed out counts as told
   double passed = 0;               // before the first read
   bool known = false, calling = false;  // a first read has come; a call is out
@@ -61,7 +71,7 @@
   Verdict Judge(Customer* c, const Request& r, double work_s, double now, double* chance);
   // A try is held for the counter's answer, for milliseconds, when that could change the verdict and is worth
   // more than the call's price and crowding: near the allowance, and where the customer is seen seldom.
-  bool WorthAsking(const Customer& c, const Request& r, double chance, double now);
+  bool WorthAsking(const Customer& c, const Request& r, Verdict verdict, double chance, double now);
   void Charge(Customer* c, double units, double sign);
   // The try is sent on. `asked`: it was held for the counter, and is charged.
   void Admit(Customer* c, const Request& r, bool inside, bool asked);
@@ -105,6 +115,7 @@
   double Dear() const;
   bool Ring(const Call& call, double expiry, Actions* out);
   bool Quiet() const;
+  bool Apart(const Customer& c) const;
   double Others(const Customer& c) const;
   void TakeTotal(uint64_t id, Customer* c, double amount, double total, double now, Actions* out);
   double OpenRoom(const Customer& c, const PlanSettings& p, double span, double now) const;
--- a/tests/gateway/command_line_test.cpp
+++ b/tests/gateway/command_line_test.cpp
@@ -11,6 +11,7 @@
   Ran ran = RunProgram(IVYGW, {"--config", file.path(), "--check"});
   EXPECT_EQ(ran.status, 0) << ran.out;
   EXPECT_NE(ran.out.find("sound"), std::string::npos);
+  EXPECT_NE(ran.out.find("with the counter silent"), std::string::npos) << ran.out;  // the bound on quotas
 }
 
 // Every fault is told at once, one a line, each with the name of its field.
--- /dev/null
+++ b/tests/policy/quotas_test.cpp
@@ -0,0 +1,260 @@
+// Quotas asked alone, without servers, against a counter that is sound, loses answers, or answers anything: what must
+// hold of the books in any order of answers, losses and time-outs.
+#include "policy/quotas.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace micadock {
+namespace {
+
+constexpr uint64_t kCustomer = 7;
+constexpr double kRate = 4, kBurst = 8, kWindow = kBurst / kRate;
+
+Settings Site(int gateways) {
+  Settings s;
+  s.gateways = gateways;
+  s.max_units = 8;
+  s.may_count = true;
+  s.count_timeout_s = 0.03;
+  s.retry_after = true;
+  s.max_retry_after_s = 2;
+  s.try_limit = 4;
+  ClassSettings c;
+  c.aim_s = 1;
+  c.deadline_s = 3;
+  c.worth = 1;
+  s.classes.push_back(c);
+  PlanSettings p;
+  p.rate = kRate;
+  p.burst = kBurst;
+  p.over_cost = 0.8;
+  p.price = 1;
+  s.plans.push_back(p);
+  return s;
+}
+
+// One gateway's quotas, with the calls that are out.
+class Gateway {
+ public:
+  Gateway(const Settings& settings, uint64_t seed, double start)
+      : settings_(settings), dice_(seed), quotas_(settings_, &dice_, &ticks_, start) {}
+
+  // Whether a try is sent on at once; a try that would be held for the counter is refused here.
+  bool Ask(double now, double units) {
+    Request r;
+    r.customer = kCustomer;
+    r.units = units;
+    r.left_s = 1;
+    r.entries = settings_.gateways;
+    Customer& c = quotas_.Find(r, now);
+    double chance = 0;
+    bool in = quotas_.Judge(&c, r, 0.02, now, &chance) == Verdict::kInside;
+    if (in) quotas_.Admit(&c, r, true, false);
+    Count(now);
+    return in;
+  }
+  // Charges without asking, so that what is told is exactly what was charged.
+  void Charge(double now, double units) {
+    Request r;
+    r.customer = kCustomer;
+    r.units = units;
+    r.entries = settings_.gateways;
+    Customer& c = quotas_.Find(r, now);
+    double chance = 0;
+    quotas_.Judge(&c, r, 0.02, now, &chance);  // brings the books to this time
+    quotas_.Charge(&c, units, 1);
+    Count(now);
+  }
+  void Count(double now) {
+    if (Customer* c = quotas_.Peek(kCustomer)) quotas_.MaybeCount(kCustomer, c, now, &actions_);
+    Gather();
+  }
+  void Answer(double now, const Action& call, Result result, double total) {
+    quotas_.OnCount(now, {call.tag, total, result}, &actions_);
+    Gather();
+  }
+  const Customer& customer() { return *quotas_.Peek(kCustomer); }
+  std::vector<Action> calls;  // out, in the order of their making
+  std::vector<std::string> log;
+
+ private:
+  void Gather() {
+    for (Action& a : actions_) {
+      if (a.kind == ActionKind::kCount) calls.push_back(a);
+      if (a.kind == ActionKind::kLog) log.push_back(a.text);
+    }
+    actions_.clear();
+  }
+  const Settings settings_;
+  Dice dice_;
+  Ticks ticks_;
+  Quotas quotas_;
+  Actions actions_;
+};
+
+// The counter as it truly is: names that live for ever, with the sum of what was added to each.
+using Counter = std::map<uint64_t, double>;
+
+// Any order of answers, refusals, cut calls and silence: the least total that a sound counter can tell, as a gateway
+// has it, never exceeds what was truly added; and what was added never exceeds what was sent.
+TEST(Floor, NeverExceedsWhatWasAddedAndNothingIsAddedTwice) {
+  int answers = 0, lost = 0;
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    auto draw = [&] { return std::uniform_real_distribution<>(0, 1)(random); };
+    double now = 100 * kWindow;  // one window, so that one name holds it all
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (uint64_t g = 0; g < 3; ++g) gateways.push_back(std::make_unique<Gateway>(Site(3), seed * 10 + g, now));
+    Counter counter;
+    double sent = 0;
+    uint64_t name = 0;
+    for (int step = 0; step < 200; ++step) {
+      now += 0.9 * kWindow / 200;
+      Gateway& g = *gateways[static_cast<size_t>(draw() * 3)];
+      if (draw() < 0.5 || g.calls.empty()) {
+        double units = 1 + std::floor(3 * draw());
+        sent += units;
+        g.Charge(now, units);
+        continue;
+      }
+      Action call = g.calls.front();
+      g.calls.erase(g.calls.begin());
+      if (call.amount != 0) name = call.tag;  // else it reads the window before
+      double fate = draw();
+      if (fate < 0.15) {
+        g.Answer(now, call, Result::kConnectFailed, 0);  // nothing added
+      } else if (fate < 0.3) {
+        g.Answer(now, call, Result::kTimeout, 0);  // may have been added: here it was not
+        ++lost;
+      } else if (fate < 0.45) {
+        counter[call.tag] += call.amount;  // and here it was
+        g.Answer(now, call, Result::kTimeout, 0);
+        ++lost;
+      } else {
+        counter[call.tag] += call.amount;
+        g.Answer(now, call, Result::kOk, counter[call.tag]);
+        ++answers;
+      }
+      ASSERT_LE(counter[name], sent + 1e-9) << "seed " << seed << ", step " << step;
+      for (const auto& each : gateways) {
+        if (step < 100) continue;  // all have asked by then
+        ASSERT_LE(each->customer().total, counter[name] + 1e-9) << "seed " << seed;
+      }
+    }
+  }
+  EXPECT_GT(answers, 1000);
+  EXPECT_GT(lost, 1000);
+}
+
+// Totals of no sense, silence, late answers: a gateway by itself never passes more than two stores and the rate.
+TEST(Alone, KeepsToTwoStoresAndTheRateWhateverTheCounterAnswers) {
+  double most = 0;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    auto draw = [&] { return std::uniform_real_distribution<>(0, 1)(random); };
+    double now = 50, level = 2 * kBurst;  // a store of two bursts, full at first, never forgiven
+    Gateway g(Site(3), seed, now);
+    double kind = draw();
+    for (int step = 0; step < 3000; ++step) {
+      double wait = draw() < 0.01 ? 3 * kWindow * draw() : 0.01 * draw();
+      now += wait;
+      level = std::min(2 * kBurst, level + kRate * wait);
+      if (!g.calls.empty() && draw() < 0.5) {
+        Action call = g.calls.front();
+        g.calls.erase(g.calls.begin());
+        double total = kind < 0.3 ? 0 : kind < 0.6 ? 20 * draw() - 10 : call.amount * draw();
+        Result result = draw() < 0.8 ? Result::kOk : draw() < 0.5 ? Result::kTimeout : Result::kFull;
+        g.Answer(now, call, result, total);
+      }
+      double units = 1 + std::floor(4 * draw());
+      if (g.Ask(now, units)) level -= units;
+      ASSERT_GE(level, -1e-6) << "seed " << seed << " at " << now;
+      most = std::max(most, 2 * kBurst - level);
+    }
+  }
+  EXPECT_GT(most, kBurst) << "else the second store is an empty promise";
+}
+
+double SentInSilence(int gateways, double seconds, Result result) {
+  Settings s = Site(gateways);
+  double now = 100, sent = 0;
+  Gateway g(s, 3, now);
+  // Idle but for one unit, told of by a sound counter: a full store, half of the quota taken for used.
+  g.Ask(now, 1);
+  while (!g.calls.empty()) {
+    Action call = g.calls.front();
+    g.calls.erase(g.calls.begin());
+    g.Answer(now + 0.002, call, Result::kOk, call.amount);
+  }
+  for (double end = now + seconds; now < end; now += 0.01) {
+    if (g.Ask(now, 1)) sent += 1;
+    for (const Action& call : std::exchange(g.calls, {})) g.Answer(now, call, result, 0);
+  }
+  return sent;
+}
+
+TEST(Silence, HoldsAGatewayToAStoreAndItsPart) {
+  for (Result result : {Result::kTimeout, Result::kConnectFailed, Result::kFull}) {
+    for (int gateways : {2, 3, 10}) {
+      double sent = SentInSilence(gateways, 100, result);
+      EXPECT_LE(sent, kBurst * (1 + kShareWindows) + kSpare * kRate * 100 / gateways + 1) << gateways;
+      EXPECT_GE(sent, kBurst / 2 + 0.9 * kRate * 100 / gateways) << gateways;
+    }
+  }
+}
+
+// Totals that stand still though this gateway added to them: it goes by its part, and says so.
+TEST(Stale, IsNoticedByWhatThisGatewayAdded) {
+  double now = 100, sent = 0;
+  Gateway g(Site(3), 3, now);
+  for (double end = now + 100; now < end; now += 0.01) {
+    if (g.Ask(now, 1)) sent += 1;
+    for (const Action& call : std::exchange(g.calls, {})) g.Answer(now, call, Result::kOk, 0);
+  }
+  EXPECT_LE(sent, 0.6 * kRate * 100) << "a gateway that noticed nothing sends all of it";
+  ASSERT_FALSE(g.log.empty());
+  EXPECT_EQ(g.log[0], "counter has lost counts: keeping what was known");
+}
+
+// What one gateway knows to be lacking in the store at a window's start, all come to know, whoever tells first.
+TEST(Window, AllComeToGoByTheMostThatOneCarries) {
+  double now = 200;  // a window's start
+  Settings s = Site(2);
+  Gateway a(s, 1, now), b(s, 2, now);
+  Counter counter;
+  auto serve = [&](Gateway& g) {
+    now += 0.01;
+    while (!g.calls.empty()) {
+      Action call = g.calls.front();
+      g.calls.erase(g.calls.begin());
+      counter[call.tag] += call.amount;
+      g.Answer(now, call, Result::kOk, counter[call.tag]);
+    }
+  };
+  a.Charge(now + 0.1, 6);
+  now += 0.2;
+  serve(a);
+  b.Charge(now, 8);  // a does not hear of it
+  now += 0.1;
+  serve(b);
+  b.Charge(now, 1);
+  serve(b);
+  now = 200 + kWindow + 0.01;  // 15 of 16 are used: 7 are lacking, of which `a` knows none
+  a.Charge(now, 1);
+  serve(a);
+  b.Charge(now, 1);
+  serve(b);
+  b.Count(now);
+  serve(b);
+  a.Charge(now, 1);
+  serve(a);
+  EXPECT_GE(a.customer().used, 7 + 2 - 1e-9);
+}
+
+}  // namespace
+}  // namespace micadock
