--- a/tests/policy/quotas_test.cpp
+++ b/tests/policy/quotas_test.cpp
@@ -221,6 +221,64 @@
   EXPECT_EQ(g.log[0], "counter has lost counts: keeping what was known");
 }
 
+// A correction of others lowers a total and later units raise it again: these are not counted twice.
+TEST(Floor, IsNotLoweredByACorrection) {
+  double now = 200.1;
+  Gateway g(Site(2), 1, now);
+  auto tell = [&](double total) {
+    now += 0.01;
+    Action call = g.calls.front();
+    g.calls.erase(g.calls.begin());
+    g.Answer(now, call, Result::kOk, total);
+  };
+  g.Charge(now, 2);
+  tell(5);  // others: 3
+  g.Charge(now, 1);
+  tell(5);  // others: one less
+  g.Charge(now, 1);
+  tell(7);  // and one more again
+  EXPECT_DOUBLE_EQ(g.customer().used, 2 + 3 + 1 + 1);
+  EXPECT_TRUE(g.log.empty()) << "a correction is no loss";
+}
+
+// Over ten gateways an even part of the store is less than a unit. It is met anew after an idle window: the first pass
+// of long ago is no reason to refuse it.
+TEST(Idle, IsMetAnew) {
+  double now = 200.1;
+  Gateway g(Site(10), 1, now);
+  EXPECT_TRUE(g.Ask(now, 2));
+  while (!g.calls.empty()) {
+    Action call = g.calls.front();
+    g.calls.erase(g.calls.begin());
+    g.Answer(now + 0.002, call, Result::kOk, call.amount);
+  }
+  now += 3 * kWindow;
+  EXPECT_TRUE(g.Ask(now, 2));
+}
+
+// Emptied twice in the middle of a flood at a window's end, which comes through one gateway after the other: more than
+// half of the bound is used, none is passed.
+TEST(Emptied, UsesHalfOfTheStatedBoundAndNoMore) {
+  const double start = 200 + 0.9 * kWindow, stretch = 0.099 * kWindow;
+  double sent = 0;
+  std::vector<std::unique_ptr<Gateway>> gateways;
+  for (uint64_t g = 0; g < 3; ++g) gateways.push_back(std::make_unique<Gateway>(Site(3), g + 1, start));
+  Counter counter;
+  for (int step = 0; step < 600; ++step) {
+    if (step % 200 == 0) counter.clear();
+    double now = start + stretch * (step + 1) / 600;
+    Gateway& g = *gateways[static_cast<size_t>(step / 200)];
+    if (g.Ask(now, 1)) sent += 1;
+    for (const Action& call : std::exchange(g.calls, {})) {
+      counter[call.tag] += call.amount;
+      g.Answer(now, call, Result::kOk, counter[call.tag]);
+    }
+  }
+  double excess = sent - kBurst - kRate * stretch, bound = 2 * (kBurst + kRate * stretch) + 3 * kBurst;
+  EXPECT_LE(excess, bound);
+  EXPECT_GE(excess, 0.5 * bound);
+}
+
 // What one gateway knows to be lacking in the store at a window's start, all come to know, whoever tells first.
 TEST(Window, AllComeToGoByTheMostThatOneCarries) {
   double now = 200;  // a window's start
--- a/tests/rehearsal/quota_faults_test.cpp
+++ b/tests/rehearsal/quota_faults_test.cpp
@@ -2,12 +2,16 @@
 // seeds, modest partners keep their service, and the bounds are no empty promises.
 #include <gtest/gtest.h>
 
+#include <stdlib.h>
+
 #include <cmath>
+#include <filesystem>
 
 #include "checker/checker.h"
 #include "emulator/installation.h"
 #include "gateway/config.h"
 #include "gateway/quota_bound.h"
+#include "rehearsal/socket_run.h"
 #include "rehearsal/virtual_run.h"
 
 namespace ivygw::rehearsal {
@@ -153,6 +157,28 @@
   EXPECT_GE(most, 0.5 * bound);
 }
 
+// Three real gateways. The bound leaves room enough for a late machine; ceilings are judged where it kept time.
+class OnSocketsWith : public testing::TestWithParam<size_t> {};
+TEST_P(OnSocketsWith, CeilingsAndBoundsHold) {
+  std::string day = Replaced(WithFaults(kDay, {GetParam(), 7}), "duration_s = 24", "duration_s = 20");
+  char folder[] = "/tmp/ivygw-quota-XXXXXX";
+  ASSERT_NE(mkdtemp(folder), nullptr);
+  SocketOptions options;
+  options.program = IVYGW;
+  options.directory = folder;
+  options.lead_s = 4;
+  SocketRun run = PlaySockets(scenario::ParseScenario(day, "day.toml"), 1, options);
+  std::filesystem::remove_all(folder);
+  checker::Verdict v = checker::Judge(run.record);
+  for (size_t plan = 0; plan < 2; ++plan) {
+    EXPECT_LE(v.plans[plan].most_over_units, Bound(day, plan).Whatever(20));
+    EXPECT_GT(v.plans[plan].served, 50u);
+  }
+  if (v.late_max_s > 0.03) return;
+  EXPECT_EQ(v.counts[static_cast<size_t>(checker::Rule::kCeilingsKept)], 0u) << v.breaks[0].what;
+}
+INSTANTIATE_TEST_SUITE_P(Fault, OnSocketsWith, testing::Values(0u, 1u, 4u, 5u, 6u));
+
 TEST(QuotaBound, IsWorkedFromTheSettings) {
   QuotaBound b = Bound(kDay, 0);
   EXPECT_DOUBLE_EQ(b.whatever.once, 2 * 8 + 3 * 8);  // two further stores, and one each at a window's end
