--- /dev/null
+++ b/src/core/limits.h
@@ -0,0 +1,30 @@
+// What the gateway takes off the limits that it is told, and what it grants the counter.
+#ifndef IVYGW_CORE_LIMITS_H_
+#define IVYGW_CORE_LIMITS_H_
+
+#include <algorithm>
+
+namespace ivygw {
+
+// Off a client's time: what the way back and a busy core may take, so that the last byte is out in time.
+inline constexpr double kMarginS = 0.01, kMarginShare = 0.1;
+inline double AnswerMargin(double timeout_s) { return std::min(kMarginS, kMarginShare * timeout_s); }
+
+// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however late,
+// and what a late answer tells is worth more than the wait: given up, its amount would pass for others' use.
+inline constexpr double kCountPatience = 3;
+
+// Kept connections are closed this share of the backend's own idle limit after their last answer. Guards
+// against a request written just as the backend closes, which would end as a reset.
+inline constexpr double kIdleShare = 0.7;
+inline constexpr double kIdleUntoldS = 5;  // where the backend's limit is not told
+// Off the drain's grace: the time a write may take to come out on a busy core.
+inline constexpr double kGraceMarginS = 0.1;
+
+// After SIGTERM clients go on coming for up to 0.4 s. Then kept connections are closed, and what is held is
+// finished within the longest deadline and a margin.
+inline constexpr double kStillComingS = 0.5, kEndMarginS = 0.6;
+
+}  // namespace ivygw
+
+#endif  // IVYGW_CORE_LIMITS_H_
--- a/src/gateway/quota_bound.cpp
+++ b/src/gateway/quota_bound.cpp
@@ -4,14 +4,20 @@
 #include <cstdio>
 #include <limits>
 
-#include "gateway/limits.h"
+#include "core/limits.h"
 #include "policy/quotas.h"
 
 namespace ivygw {
 
-double QuotaBound::Whatever(double seconds) const { return std::min(whatever.Over(seconds), ceiling.Over(seconds)); }
-double QuotaBound::Silent(double seconds) const { return std::min(silent.Over(seconds), Whatever(seconds)); }
-double QuotaBound::Frozen(double seconds) const { return std::min(frozen.Over(seconds), Whatever(seconds)); }
+double QuotaBound::Whatever(double seconds, int restarts) const {
+  return std::min(whatever.Over(seconds) + restarts * restart, ceiling.Over(seconds));
+}
+double QuotaBound::Silent(double seconds, int restarts) const {
+  return std::min(silent.Over(seconds) + restarts * restart_silent, Whatever(seconds, restarts));
+}
+double QuotaBound::Frozen(double seconds, int restarts) const {
+  return std::min(frozen.Over(seconds) + restarts * restart, Whatever(seconds, restarts));
+}
 
 QuotaBound BoundOf(const micadock::Settings& settings, const micadock::PlanSettings& plan, int gateways) {
   double k = std::max(1, gateways), burst = plan.burst, rate = plan.rate;
@@ -19,6 +25,8 @@
   // Each gateway by itself keeps to a store of the burst that gains the rate; a second burst passes where a window
   // ends, since a window's total is judged as a whole.
   bound.whatever = {(k - 1) * burst + k * burst, (k - 1) * rate};
+  bound.restart = 2 * burst;
+  bound.restart_silent = burst;
   // In silence nothing is read, so no window is judged anew: a full store each, then the parts. Shares as last told
   // need not add up while they fade (each passes an even one by 1 - 1/k of the rate at most); even parts of what nobody
   // used add up to kSpare times the rate. Until the failure shows (kApartRun calls that nobody answers), others may be
@@ -44,7 +52,7 @@
   for (size_t i = 0; i < settings.plans.size(); ++i) {
     const micadock::PlanSettings& plan = settings.plans[i];
     std::string name = i < names.size() ? names[i] : std::to_string(i);
-    char text[400];
+    char text[500];
     if (plan.rate <= 0) {
       std::snprintf(text, sizeof(text), "plan %s: no quota on the rate", name.c_str());
     } else if (plan.excess_worth > plan.over_cost) {
@@ -53,9 +61,10 @@
       QuotaBound b = BoundOf(settings, plan, settings.gateways);
       std::snprintf(text, sizeof(text),
                     "plan %s: over %d gateways at most %.1f units beyond burst and rate in 15 s, %.1f in 60 s with the "
-                    "counter silent; %.1f and %.1f with its totals frozen; %.1f and %.1f whatever it answers%s",
+                    "counter silent; %.1f and %.1f with its totals frozen; %.1f and %.1f whatever it answers; "
+                    "%.1f more for each gateway killed and started again%s",
                     name.c_str(), settings.gateways, b.Silent(15), b.Silent(60), b.Frozen(15), b.Frozen(60), b.Whatever(15),
-                    b.Whatever(60), plan.ceiling_rate > 0 ? "; its ceiling holds in any case" : "");
+                    b.Whatever(60), b.restart, plan.ceiling_rate > 0 ? "; its ceiling holds in any case" : "");
     }
     lines.push_back(text);
   }
--- a/src/gateway/quota_bound.h
+++ b/src/gateway/quota_bound.h
@@ -24,11 +24,15 @@
   Line silent;    // no call succeeds from before the stretch to its end
   Line frozen;    // every call is answered with the total as it was when the stretch began, added or not
   Line ceiling;   // what the plan's ceiling lets pass at most; infinite where there is none
-
-  // The least of what holds in any case, and of what holds in silence or with frozen totals.
-  double Whatever(double seconds) const;
-  double Silent(double seconds) const;
-  double Frozen(double seconds) const;
+  // What each gateway that is killed and started again within the stretch adds to the lines above, but for the ceiling:
+  // it knows nothing of what it sent before. In silence it has one store, else a second one where a window ends.
+  double restart_silent = 0, restart = 0;
+
+  // The least of what holds in any case, and of what holds in silence or with frozen totals. `restarts`: of all gateways
+  // together within the stretch.
+  double Whatever(double seconds, int restarts = 0) const;
+  double Silent(double seconds, int restarts = 0) const;
+  double Frozen(double seconds, int restarts = 0) const;
 };
 
 // Of a customer that comes through `gateways` of them, 1 or more. The plan has a rate.
--- a/tests/policy/quotas_test.cpp
+++ b/tests/policy/quotas_test.cpp
@@ -18,7 +18,7 @@
 // Any order of answers, refusals, cut calls and silence: the least total that a sound counter can tell, as a gateway
 // has it, never exceeds what was truly added; and what was added never exceeds what was sent.
 TEST(Floor, NeverExceedsWhatWasAddedAndNothingIsAddedTwice) {
-  int answers = 0, lost = 0;
+  int answers = 0, lost = 0, added_late = 0;
   for (uint64_t seed = 1; seed <= 300; ++seed) {
     std::mt19937_64 random(seed);
     auto draw = [&] { return std::uniform_real_distribution<>(0, 1)(random); };
@@ -28,8 +28,14 @@
     Counter counter;
     double sent = 0;
     uint64_t name = 0;
+    std::vector<Action> late;  // given up, and added by the counter long after
     for (int step = 0; step < 200; ++step) {
       now += 0.9 * kWindow / 200;
+      if (!late.empty() && draw() < 0.2) {
+        counter[late.back().tag] += late.back().amount;
+        late.pop_back();
+        ++added_late;
+      }
       QuotaGateway& g = *gateways[static_cast<size_t>(draw() * 3)];
       if (draw() < 0.5 || g.calls.empty()) {
         double units = 1 + std::floor(3 * draw());
@@ -46,6 +52,9 @@
       } else if (fate < 0.3) {
         g.Answer(now, call, Result::kTimeout, 0);  // may have been added: here it was not
         ++lost;
+      } else if (fate < 0.37) {
+        g.Answer(now, call, Result::kTimeout, 0);  // here it will be
+        late.push_back(call);
       } else if (fate < 0.45) {
         counter[call.tag] += call.amount;  // and here it was
         g.Answer(now, call, Result::kTimeout, 0);
@@ -64,6 +73,7 @@
   }
   EXPECT_GT(answers, 1000);
   EXPECT_GT(lost, 1000);
+  EXPECT_GT(added_late, 500);
 }
 
 // Totals of no sense, silence, late answers: a gateway by itself never passes more than two stores and the rate.
--- a/tests/rig/quota_gateway.h
+++ b/tests/rig/quota_gateway.h
@@ -32,9 +32,9 @@
       : settings_(settings), dice_(seed), quotas_(settings_, &dice_, &ticks_, start) {}
 
   // Whether a try is sent on at once; a try that would be held for the counter is refused here.
-  bool Ask(double now, double units) {
+  bool Ask(double now, double units, uint64_t customer = kCustomer) {
     Request r;
-    r.customer = kCustomer;
+    r.customer = customer;
     r.units = units;
     r.left_s = 1;
     r.entries = settings_.gateways;
@@ -42,9 +42,11 @@
     double chance = 0;
     bool in = quotas_.Judge(&c, r, 0.02, now, &chance) == Verdict::kInside;
     if (in) quotas_.Admit(&c, r, true, false);
-    Count(now);
+    Count(now, customer);
     return in;
   }
+  // A customer of the plan was found to be inside when the counter was asked.
+  void LearnInside(uint64_t customer) { quotas_.LearnInside(quotas_.Peek(customer), true); }
   // Charges without asking, so that what is told is exactly what was charged.
   void Charge(double now, double units) {
     Request r;
@@ -57,8 +59,8 @@
     quotas_.Charge(&c, units, 1);
     Count(now);
   }
-  void Count(double now) {
-    if (Customer* c = quotas_.Peek(kCustomer)) quotas_.MaybeCount(kCustomer, c, now, &actions_);
+  void Count(double now, uint64_t customer = kCustomer) {
+    if (Customer* c = quotas_.Peek(customer)) quotas_.MaybeCount(customer, c, now, &actions_);
     Gather();
   }
   void Answer(double now, const Action& call, Result result, double total) {
