Events of the core as data, one driver for sockets and virtual time

An event was a function that the driver kept for later: it could be neither recorded nor played again. Events are plain structs now, the core takes any of them by On, and core/driver runs them one at a time for both drivers, with a tap that sees each event with its effects. A request's number comes as an effect of its own, Hold.

--- a/src/core/driver.h
+++ b/src/core/driver.h
@@ -18,24 +18,25 @@
 template <typename Port>
 class Driver {
  public:
+  // Sees each event with its effects before they are run. The first, with no event: what the core asked for at its start.
+  using Tap = std::function<void(double now, const Event* event, const Effects& effects)>;
+
   // The core's first effects are run with the first event.
-  Driver(Port* port, const CoreSettings& settings) : port_(port) { core_.emplace(settings, port->Now(), &effects_); }
+  Driver(Port* port, const CoreSettings& settings, Tap tap = nullptr) : port_(port), tap_(std::move(tap)) {
+    double now = port->Now();
+    core_.emplace(settings, now, &effects_);
+    if (tap_) tap_(now, nullptr, effects_);
+  }
 
-  // `event` is called with the core, the time and where its effects go, now or after what is running.
-  template <typename Event>
+  // Now, or after what is running.
   void Tell(Event event) {
-    if (running_) {
-      later_.push_back([event = std::move(event)](GatewayCore& c, double now, Effects* out) mutable { event(c, now, out); });
-      return;
-    }
+    if (running_) return later_.push_back(std::move(event));
     running_ = true;
-    event(*core_, port_->Now(), &effects_);
-    Run();
+    Run(event);
     while (!later_.empty()) {
-      auto next = std::move(later_.front());
+      Event next = std::move(later_.front());
       later_.pop_front();
-      next(*core_, port_->Now(), &effects_);
-      Run();
+      Run(next);
     }
     running_ = false;
     port_->AfterTurn();
@@ -44,7 +45,11 @@
   const GatewayCore& core() const { return *core_; }
 
  private:
-  void Run() {
+  void Run(const Event& event) {
+    double now = port_->Now();
+    size_t before = effects_.size();
+    core_->On(now, event, &effects_);
+    if (tap_) tap_(now, &event, before == 0 ? effects_ : Effects(effects_.begin() + static_cast<long>(before), effects_.end()));
     for (Effect& effect : effects_) {
       std::visit([this](auto& what) { port_->Do(what); }, effect);
     }
@@ -52,8 +57,9 @@
   }
 
   Port* port_;
+  Tap tap_;
   Effects effects_;
-  std::deque<std::function<void(GatewayCore&, double, Effects*)>> later_;
+  std::deque<Event> later_;
   bool running_ = false;
   std::optional<GatewayCore> core_;
 };
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -10,6 +10,11 @@
 
 namespace ivygw::core {
 
+// The request that has just come from `client` is held under this number.
+struct Hold {
+  uint32_t request = 0;
+  uint64_t client = 0;
+};
 // The one final answer to `client`. With status 200 it is what the exchange on `connection`, told of last, brought.
 struct Answer {
   uint64_t client = 0;
@@ -60,7 +65,7 @@
 struct StopIfQuiet {};        // end the program if no client is connected or waits to be
 struct Stop {};               // end the program
 
-using Effect = std::variant<Answer, Forget, Connect, Write, Close, Count, DropCount, Log, Subscribe, AskClientsToClose,
+using Effect = std::variant<Hold, Answer, Forget, Connect, Write, Close, Count, DropCount, Log, Subscribe, AskClientsToClose,
                             CloseIdleClients, StopIfQuiet, Stop>;
 using Effects = std::vector<Effect>;
 
--- /dev/null
+++ b/src/core/events.h
@@ -0,0 +1,70 @@
+// What a driver tells the core: the events of GatewayCore as data, so that they can wait, be recorded and be played
+// again. Each stands for the method of GatewayCore with its fields.
+#ifndef IVYGW_CORE_EVENTS_H_
+#define IVYGW_CORE_EVENTS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/backend_book.h"
+#include "policy/balance.h"
+
+namespace ivygw::core {
+
+// A sound request of a client.
+struct Arrival {
+  uint64_t client = 0;  // the driver's word for whom to answer; one request at a time
+  std::string id;       // the client's; not open (IsOpen)
+  int cls = 0, plan = 0;
+  uint64_t customer = 0;
+  double units = 0, entries = 1;
+  double timeout_s = 0;  // for which the client waits from now on
+};
+struct ClientGone {  // its connection has ended, held or not
+  uint64_t client = 0;
+};
+struct Connected {
+  uint64_t connection = 0;
+};
+struct Written {  // the message's last byte is out
+  uint64_t connection = 0;
+};
+struct Answered {
+  uint64_t connection = 0;
+  micadock::Result result = micadock::Result::kOk;
+  double true_units = 0;
+  bool keep = false;
+};
+struct Lost {  // refused, reset, ended, spoilt
+  uint64_t connection = 0;
+};
+struct Stale {  // a kept one had ended before it was written to
+  uint64_t connection = 0;
+};
+struct ListTold {
+  micadock::ListKind kind = micadock::ListKind::kFull;
+  std::vector<Listed> entries;
+};
+struct ListFailed {};
+struct CountWritten {
+  uint64_t call = 0;
+};
+struct CountAnswered {
+  uint64_t call = 0;
+  micadock::Result result = micadock::Result::kOk;
+  double total = 0;
+};
+struct CountLost {
+  uint64_t call = 0;
+};
+struct TimeCame {};
+struct ShutdownBegun {};
+
+using Event = std::variant<Arrival, ClientGone, Connected, Written, Answered, Lost, Stale, ListTold, ListFailed,
+                           CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun>;
+
+}  // namespace ivygw::core
+
+#endif  // IVYGW_CORE_EVENTS_H_
--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "core/limits.h"
 
@@ -50,11 +51,35 @@
   }
 }
 
+void GatewayCore::On(double now, const Event& event, Effects* out) {
+  struct Visitor {
+    GatewayCore* core;
+    double now;
+    Effects* out;
+    void operator()(const Arrival& e) { core->OnRequest(now, e, out); }
+    void operator()(const ClientGone& e) { core->OnClientGone(now, e.client, out); }
+    void operator()(const Connected& e) { core->OnConnected(now, e.connection, out); }
+    void operator()(const Written& e) { core->OnWritten(now, e.connection, out); }
+    void operator()(const Answered& e) { core->OnAnswer(now, e.connection, e.result, e.true_units, e.keep, out); }
+    void operator()(const Lost& e) { core->OnLost(now, e.connection, out); }
+    void operator()(const Stale& e) { core->OnStale(now, e.connection, out); }
+    void operator()(const ListTold& e) { core->OnList(now, e.kind, e.entries, out); }
+    void operator()(const ListFailed&) { core->OnListFailed(now, out); }
+    void operator()(const CountWritten& e) { core->OnCountWritten(e.call); }
+    void operator()(const CountAnswered& e) { core->OnCountAnswer(now, e.call, e.result, e.total, out); }
+    void operator()(const CountLost& e) { core->OnCountLost(now, e.call, out); }
+    void operator()(const TimeCame&) { core->OnTime(now, out); }
+    void operator()(const ShutdownBegun&) { core->BeginShutdown(now, out); }
+  };
+  std::visit(Visitor{this, now, out}, event);
+}
+
 uint32_t GatewayCore::OnRequest(double now, const Arrival& arrival, Effects* out) {
   double margin = AnswerMargin(arrival.timeout_s), deadline = now + arrival.timeout_s - margin / 2;
   bool free = settings_.module.classes[static_cast<size_t>(arrival.cls)].effect == micadock::Effect::kFree;
   uint32_t id = requests_.Take(arrival.client, arrival.id, deadline, free);
   timers_.Add(deadline, Due::kGuard, id);
+  out->push_back(Hold{id, arrival.client});
   micadock::Request request;
   request.id = id;
   request.cls = arrival.cls;
--- a/src/core/gateway_core.h
+++ b/src/core/gateway_core.h
@@ -18,6 +18,7 @@
 #include "core/backend_book.h"
 #include "core/counter_book.h"
 #include "core/effects.h"
+#include "core/events.h"
 #include "core/request_book.h"
 #include "core/shutdown.h"
 #include "core/timer_queue.h"
@@ -32,22 +33,14 @@
   bool has_counter = false;
 };
 
-// A sound request of a client.
-struct Arrival {
-  uint64_t client = 0;  // the driver's word for whom to answer; one request at a time
-  std::string id;       // the client's; not open (IsOpen)
-  int cls = 0, plan = 0;
-  uint64_t customer = 0;
-  double units = 0, entries = 1;
-  double timeout_s = 0;  // for which the client waits from now on
-};
-
 class GatewayCore {
  public:
   GatewayCore(const CoreSettings& settings, double now, Effects* out);
   ~GatewayCore();
 
-  // Clients. OnRequest returns the request's number, the same as in its effects.
+  void On(double now, const Event& event, Effects* out);  // any of the events below
+
+  // Clients. OnRequest returns the request's number, the same as in Hold, its first effect.
   bool IsOpen(const std::string& id) const { return requests_.IsOpen(id); }
   uint32_t OnRequest(double now, const Arrival& arrival, Effects* out);
   void OnClientGone(double now, uint64_t client, Effects* out);  // its connection has ended, held or not
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,7 +10,6 @@
 
 namespace ivygw {
 
-using core::GatewayCore;
 using micadock::ListKind;
 using micadock::Result;
 
@@ -23,13 +22,11 @@
       server_(
           io, MostClients(config),
           [this](uint64_t client, ClientMessage m) { OnMessage(client, std::move(m)); },
-          [this](uint64_t client, bool) {
-            driver_->Tell([client](GatewayCore& c, double now, core::Effects* out) { c.OnClientGone(now, client, out); });
-          }),
+          [this](uint64_t client, bool) { driver_->Tell(core::ClientGone{client}); }),
       discovery_(
           io, config.discovery, config.site, &ids_,
           [this](BackendList list) { OnList(list, list.full ? ListKind::kFull : ListKind::kDelta); },
-          [this] { driver_->Tell([](GatewayCore& c, double now, core::Effects* out) { c.OnListFailed(now, out); }); }),
+          [this] { driver_->Tell(core::ListFailed{}); }),
       timer_(io) {
   if (config.has_counter) {
     counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
@@ -60,6 +57,7 @@
 // One timer, set anew only when something is due earlier than it was. What has become void meanwhile costs at most an
 // idle turn.
 void Gateway::AfterTurn() {
+  passing_.clear();
   double due = driver_->core().NextDue(Now());
   if (due == core::kNever) return;
   // A clock tick later, so that what is due at this time is due when the timer goes off.
@@ -70,17 +68,22 @@
   timer_.async_wait([this](error_code cancelled) {
     if (cancelled) return;
     armed_.reset();
-    driver_->Tell([](GatewayCore& c, double now, core::Effects* out) { c.OnTime(now, out); });
+    driver_->Tell(core::TimeCame{});
   });
 }
 
+void Gateway::Do(core::Hold& effect) {
+  messages_[effect.request] = std::move(coming_[effect.client]);
+  coming_.erase(effect.client);
+}
 void Gateway::Do(core::Answer& effect) {
   Answer answer;
   answer.status = effect.status;
   answer.retry_after_s = effect.retry_after_s;
-  if (effect.connection != 0 && passing_) {
-    answer.headers = std::move(passing_->headers);
-    answer.body = std::move(passing_->body);
+  auto brought = passing_.find(effect.connection);
+  if (brought != passing_.end()) {
+    answer.headers = std::move(brought->second.headers);
+    answer.body = std::move(brought->second.body);
   }
   server_.Reply(effect.client, std::move(answer));
 }
@@ -134,10 +137,8 @@
   }
   held.body = std::move(message.body());
   core::Arrival arrival = ArrivalOf(call, client);
-  driver_->Tell([this, arrival, held = std::move(held)](GatewayCore& c, double now, core::Effects* out) mutable {
-    uint32_t request = c.OnRequest(now, arrival, out);
-    messages_[request] = std::move(held);
-  });
+  coming_[client] = std::move(held);
+  driver_->Tell(std::move(arrival));
 }
 
 void Gateway::OnList(const BackendList& list, ListKind kind) {
@@ -147,38 +148,23 @@
     if (fresh) addresses_.push_back(listed.address);
     entries.push_back({listed.backend, it->second});
   }
-  driver_->Tell([kind, entries = std::move(entries)](GatewayCore& c, double now, core::Effects* out) {
-    c.OnList(now, kind, entries, out);
-  });
+  driver_->Tell(core::ListTold{kind, std::move(entries)});
 }
 
-void Gateway::OnConnected(uint64_t connection) {
-  driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnConnected(now, connection, out); });
-}
-void Gateway::OnWritten(uint64_t connection) {
-  driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnWritten(now, connection, out); });
-}
+void Gateway::OnConnected(uint64_t connection) { driver_->Tell(core::Connected{connection}); }
+void Gateway::OnWritten(uint64_t connection) { driver_->Tell(core::Written{connection}); }
 void Gateway::OnAnswer(uint64_t connection, BackendAnswer answer) {
-  driver_->Tell([this, connection, answer = std::move(answer)](GatewayCore& c, double now, core::Effects* out) mutable {
-    passing_ = std::move(answer);
-    c.OnAnswer(now, connection, passing_->result, passing_->true_units, passing_->keep, out);
-  });
-}
-void Gateway::OnLost(uint64_t connection) {
-  driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnLost(now, connection, out); });
-}
-void Gateway::OnStale(uint64_t connection) {
-  driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnStale(now, connection, out); });
-}
-void Gateway::OnCountWritten(uint64_t call) {
-  driver_->Tell([call](GatewayCore& c, double, core::Effects*) { c.OnCountWritten(call); });
+  core::Answered event{connection, answer.result, answer.true_units, answer.keep};
+  passing_[connection] = std::move(answer);
+  driver_->Tell(event);
 }
+void Gateway::OnLost(uint64_t connection) { driver_->Tell(core::Lost{connection}); }
+void Gateway::OnStale(uint64_t connection) { driver_->Tell(core::Stale{connection}); }
+void Gateway::OnCountWritten(uint64_t call) { driver_->Tell(core::CountWritten{call}); }
 void Gateway::OnCountAnswer(uint64_t call, Result result, double total) {
-  driver_->Tell([=](GatewayCore& c, double now, core::Effects* out) { c.OnCountAnswer(now, call, result, total, out); });
-}
-void Gateway::OnCountLost(uint64_t call) {
-  driver_->Tell([call](GatewayCore& c, double now, core::Effects* out) { c.OnCountLost(now, call, out); });
+  driver_->Tell(core::CountAnswered{call, result, total});
 }
+void Gateway::OnCountLost(uint64_t call) { driver_->Tell(core::CountLost{call}); }
 
 void Gateway::Reload(const Config& fresh) {
   discovery_.Move(fresh.discovery);
@@ -186,7 +172,7 @@
 }
 
 void Gateway::Close() {
-  driver_->Tell([](GatewayCore& c, double now, core::Effects* out) { c.BeginShutdown(now, out); });
+  driver_->Tell(core::ShutdownBegun{});
 }
 
 }  // namespace ivygw
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,7 @@
   double Now() const;
   void AfterTurn();
 
+  void Do(core::Hold& effect);
   void Do(core::Answer& effect);
   void Do(core::Forget& effect);
   void Do(core::Connect& effect);
@@ -75,10 +76,11 @@
   DiscoveryClient discovery_;
   asio::steady_timer timer_;
   std::optional<Clock::time_point> armed_;
-  std::unordered_map<uint32_t, Message> messages_;
+  std::unordered_map<uint64_t, Message> coming_;    // by client, until the core holds them
+  std::unordered_map<uint32_t, Message> messages_;  // by request
   std::map<tcp::endpoint, uint64_t> address_numbers_;  // the core's words for addresses
   std::vector<tcp::endpoint> addresses_;
-  std::optional<BackendAnswer> passing_;  // what the exchange that is told of brought
+  std::unordered_map<uint64_t, BackendAnswer> passing_;  // by connection, until the turn's end
   std::optional<core::Driver<Gateway>> driver_;
 };
 
--- a/src/rehearsal/virtual_gateway.cpp
+++ b/src/rehearsal/virtual_gateway.cpp
@@ -10,7 +10,6 @@
 
 namespace ivygw::rehearsal {
 
-using core::GatewayCore;
 using emulator::AddressState;
 using emulator::CounterReply;
 using emulator::CounterResult;
@@ -55,6 +54,7 @@
 }
 
 void VirtualGateway::AfterTurn() {
+  tokens_.clear();
   double due = driver_->core().NextDue(Now());
   if (due == core::kNever || due >= armed_) return;
   armed_ = due;
@@ -62,7 +62,7 @@
   After(std::max(0.0, due - Now()) + kTickS, [this, turn] {
     if (turn != armed_turn_) return;
     armed_ = core::kNever;
-    driver_->Tell([](GatewayCore& c, double now, core::Effects* out) { c.OnTime(now, out); });
+    driver_->Tell(core::TimeCame{});
   });
 }
 
@@ -77,20 +77,17 @@
   arrival.units = call.units;
   arrival.entries = call.spread;
   arrival.timeout_s = std::min(std::max(0.001, call.patience_s), config_.settings.classes[static_cast<size_t>(call.cls)].deadline_s);
-  driver_->Tell([this, arrival](GatewayCore& c, double now, core::Effects* out) {
-    uint32_t request = c.OnRequest(now, arrival, out);
-    calls_[request] = arrival.client;
-  });
+  driver_->Tell(std::move(arrival));
 }
 
 void VirtualGateway::OnClientGone(uint64_t call) {
   waiting_.erase(call);
-  driver_->Tell([call](GatewayCore& c, double now, core::Effects* out) { c.OnClientGone(now, call, out); });
+  driver_->Tell(core::ClientGone{call});
 }
 
 void VirtualGateway::Do(const core::Answer& effect) {
   waiting_.erase(effect.client);
-  uint64_t token = effect.connection != 0 ? passing_ : 0;
+  uint64_t token = effect.connection != 0 ? tokens_.at(effect.connection) : 0;
   scheduler_->After(network_.client_s, [clients = clients_, effect, token] {
     clients->OnAnswer(effect.client, effect.status, effect.retry_after_s, token);
   });
@@ -107,7 +104,7 @@
     After(network_.node_s, [this, link, connection] {
       if (link->closed) return;
       if (!link->connected || link->reset) return Lost(connection, link);
-      driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnConnected(now, connection, out); });
+      driver_->Tell(core::Connected{connection});
     });
   });
 }
@@ -117,10 +114,10 @@
   auto link = links_.at(effect.connection);
   uint64_t connection = effect.connection, call = calls_.at(effect.request);
   if (effect.kept && link->reset) {
-    return driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnStale(now, connection, out); });
+    return driver_->Tell(core::Stale{connection});
   }
   link->at_node = 0;
-  driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnWritten(now, connection, out); });
+  driver_->Tell(core::Written{connection});
   auto alive = alive_;
   scheduler_->After(network_.node_s, [this, alive, link, connection, call, patience = effect.patience_s, world = world_,
                                       gateway = number_] {
@@ -151,15 +148,13 @@
   if (result == Result::kReset) return Lost(connection, link);
   const emulator::ClientCall* asked = clients_->Find(call);
   double units = result == Result::kOk && asked != nullptr ? asked->true_units : 0;
-  driver_->Tell([this, connection, result, units, token](GatewayCore& c, double now, core::Effects* out) {
-    passing_ = token;
-    c.OnAnswer(now, connection, result, units, true, out);
-  });
+  tokens_[connection] = token;
+  driver_->Tell(core::Answered{connection, result, units, true});
 }
 
 void VirtualGateway::Lost(uint64_t connection, const std::shared_ptr<Link>& link) {
   if (link->closed) return;
-  driver_->Tell([connection](GatewayCore& c, double now, core::Effects* out) { c.OnLost(now, connection, out); });
+  driver_->Tell(core::Lost{connection});
 }
 
 void VirtualGateway::Do(const core::Close& effect) {
@@ -187,14 +182,14 @@
     uint64_t call = effect.call;
     if (reply.result == CounterResult::kRefused) {
       return After(network_.counter_s, [this, call] {
-        driver_->Tell([call](GatewayCore& c, double now, core::Effects* out) { c.OnCountLost(now, call, out); });
+        driver_->Tell(core::CountLost{call});
       });
     }
-    driver_->Tell([call](GatewayCore& c, double, core::Effects*) { c.OnCountWritten(call); });
+    driver_->Tell(core::CountWritten{call});
     if (reply.result == CounterResult::kSilent) return;
     Result result = reply.result == CounterResult::kTotal ? Result::kOk : Result::kFull;
     After(std::max(0.0, reply.at - scheduler_->Now()) + network_.counter_s, [this, call, result, total = reply.total] {
-      driver_->Tell([=](GatewayCore& c, double now, core::Effects* out) { c.OnCountAnswer(now, call, result, total, out); });
+      driver_->Tell(core::CountAnswered{call, result, total});
     });
   });
 }
@@ -209,7 +204,7 @@
     entries.push_back({parsed.entries[i].backend, static_cast<uint64_t>(world_->AddressOf(news.entries[i].node))});
   }
   ListKind kind = news.snapshot ? ListKind::kFull : ListKind::kDelta;
-  driver_->Tell([kind, entries](GatewayCore& c, double now, core::Effects* out) { c.OnList(now, kind, entries, out); });
+  driver_->Tell(core::ListTold{kind, std::move(entries)});
 }
 
 void VirtualGateway::Watch() {
@@ -218,7 +213,7 @@
   if (discovery.silent()) {
     return After(kWatchFailsS, [this, mine] {
       if (mine != watch_) return;
-      driver_->Tell([](GatewayCore& c, double now, core::Effects* out) { c.OnListFailed(now, out); });
+      driver_->Tell(core::ListFailed{});
       Watch();
     });
   }
--- a/src/rehearsal/virtual_gateway.h
+++ b/src/rehearsal/virtual_gateway.h
@@ -50,6 +50,7 @@
   void AfterTurn();
   void After(double wait, std::function<void()> task);  // unless the gateway has gone by then
 
+  void Do(const core::Hold& effect) { calls_[effect.request] = effect.client; }
   void Do(const core::Answer& effect);
   void Do(const core::Forget& effect) { calls_.erase(effect.request); }
   void Do(const core::Connect& effect);
@@ -80,7 +81,7 @@
   std::set<uint64_t> waiting_;          // calls whose connections to clients are open
   uint64_t index_ = 0, watch_ = 0, armed_turn_ = 0;
   double armed_ = core::kNever;
-  uint64_t passing_ = 0;  // the token of the answer that is told of
+  std::map<uint64_t, uint64_t> tokens_;  // of answers told of in this turn, by connection
   std::optional<core::Driver<VirtualGateway>> driver_;
 };
 
