--- a/apps/ivygw.cpp
+++ b/apps/ivygw.cpp
@@ -5,10 +5,15 @@
 #include <cstdlib>
 #include <exception>
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "gateway/gateway.h"
 #include "gateway/quota_bound.h"
+#ifdef IVYGW_TRACE
+#include "trace/recorder.h"
+#endif
 #include "version.h"
 
 namespace {
@@ -26,12 +31,28 @@
   return 0;
 }
 
-int Run(const std::string& path) {
+int Run(const std::string& path, const std::string& trace) {
   std::signal(SIGPIPE, SIG_IGN);
   ivygw::Config config = ivygw::LoadConfig(path);
   boost::asio::io_context io(1);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT), reload(io, SIGHUP);
-  ivygw::Gateway gateway(io, config);
+  ivygw::Gateway::Tap tap;
+#ifdef IVYGW_TRACE
+  std::optional<ivygw::trace::SegmentWriter> segments;
+  std::optional<ivygw::trace::Recorder> recorder;
+  if (!trace.empty()) {
+    std::string file = trace;
+    if (size_t at = file.find("{name}"); at != std::string::npos) file.replace(at, 6, config.name);
+    segments.emplace(file, ivygw::trace::FingerprintOfFile(path));
+    recorder.emplace(&*segments);
+    tap = [&](double now, const ivygw::core::Event* event, const ivygw::core::Effects& effects) {
+      recorder->Take(now, event, effects);
+    };
+  }
+#else
+  if (!trace.empty()) throw micadock::WireError("--trace: this program was built without it (-DIVYGW_TRACE=ON)");
+#endif
+  ivygw::Gateway gateway(io, config, std::move(tap));
   signals.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
     std::fprintf(stderr, "closing\n");
@@ -66,11 +87,14 @@
   bool check = false;
   app.add_option("-c,--config", path, "the configuration, a JSON file")->envname("LB_CONFIG");
   app.add_flag("--check", check, "only say what is wrong with the configuration: exit status 0, or 1");
+  std::string trace;
+  app.add_option("--trace", trace, "record what the gateway's core is told and asks for, as FILE.000001 and on; {name} in it is the gateway's")
+      ->envname("IVYGW_TRACE");
   app.set_version_flag("--version", std::string("ivygw ") + ivygw::kVersion);
   CLI11_PARSE(app, argc, argv);
   try {
     if (path.empty()) throw micadock::WireError("LB_CONFIG does not name the configuration, and no --config is given");
-    return check ? Check(path) : Run(path);
+    return check ? Check(path) : Run(path, trace);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "ivygw: %s\n", error.what());
     return 1;
--- a/src/core/backend_book.cpp
+++ b/src/core/backend_book.cpp
@@ -75,6 +75,12 @@
   return it != backends_.end() && !(it->second.draining && now >= it->second.no_send_after);
 }
 
+BackendBook::View BackendBook::Look(uint32_t backend) const {
+  auto it = backends_.find(backend);
+  if (it == backends_.end()) return {};
+  return {true, it->second.draining, it->second.kept.size()};
+}
+
 bool BackendBook::MakeRoom(Effects* out) {
   if (connections_.size() < limits_.most) return true;
   if (idle_.empty()) return false;
--- a/src/core/backend_book.h
+++ b/src/core/backend_book.h
@@ -69,6 +69,12 @@
   double NextIdle() const;  // when the next kept connection has been idle for long enough
   void CloseIdle(double now, Effects* out);
 
+  // What is known of a backend, for a person to read.
+  struct View {
+    bool known = false, draining = false;
+    size_t kept = 0;  // idle connections
+  };
+  View Look(uint32_t backend) const;
   size_t connections() const { return connections_.size(); }
   size_t idle() const { return idle_.size(); }
   size_t out() const { return out_.size(); }
--- a/src/core/request_book.cpp
+++ b/src/core/request_book.cpp
@@ -22,6 +22,13 @@
   return it == held_.end() ? nullptr : &it->second;
 }
 
+std::vector<uint32_t> RequestBook::Numbers() const {
+  std::vector<uint32_t> numbers;
+  for (const auto& [number, held] : held_) numbers.push_back(number);
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
 uint32_t RequestBook::OfClient(uint64_t client) const {
   auto it = by_client_.find(client);
   return it == by_client_.end() ? 0 : it->second;
--- a/src/core/request_book.h
+++ b/src/core/request_book.h
@@ -48,6 +48,8 @@
   bool IsOpen(const std::string& id) const { return ids_.count(id) != 0; }
   uint32_t Take(uint64_t client, std::string id, double deadline, bool free);
   Held* Find(uint32_t request);
+  const Held* Find(uint32_t request) const { return const_cast<RequestBook*>(this)->Find(request); }
+  std::vector<uint32_t> Numbers() const;  // of all that is held, in order
   // The request of a client that is not answered; 0 for none.
   uint32_t OfClient(uint64_t client) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,7 +13,7 @@
 using micadock::ListKind;
 using micadock::Result;
 
-Gateway::Gateway(asio::io_context& io, const Config& config)
+Gateway::Gateway(asio::io_context& io, const Config& config, Tap tap)
     : io_(io),
       config_(config),
       epoch_s_(std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
@@ -41,7 +41,7 @@
       throw micadock::WireError(std::string("setting is unreadable: known: ") + error.what());
     }
   }
-  driver_.emplace(this, CoreSettingsOf(config));
+  driver_.emplace(this, CoreSettingsOf(config), std::move(tap));
   OnList(known, ListKind::kCached);
   server_.Listen(config.listen);
   discovery_.Start();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,7 +21,9 @@
 
 class Gateway : private BackendEvents, private CounterEvents {
  public:
-  Gateway(asio::io_context& io, const Config& config);
+  using Tap = core::Driver<Gateway>::Tap;
+  // `tap`, if there is one, sees each event of the core with its effects.
+  Gateway(asio::io_context& io, const Config& config, Tap tap = nullptr);
   ~Gateway() override;
 
   tcp::endpoint local() const { return server_.local(); }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -80,11 +80,6 @@
     return std::string();
   };
 }
-// A port where nothing listens.
-int DeadPort() {
-  return Server([](Wire&) {}).port();
-}
-
 TEST(Gateway, PassesRequestAndAnswerOnUnchangedAndKeepsConnections) {
   Backend backend(
       [](const Message& m, Wire&) { return Ok("echo:" + m.body, "X-Note: kept\r\nX-Cost-Units: 2\r\n"); });
--- a/tests/rig/gateway_rig.h
+++ b/tests/rig/gateway_rig.h
@@ -439,6 +439,11 @@
   std::thread draining_;
 };
 
+// A port where nothing listens.
+inline int DeadPort() {
+  return Server([](Wire&) {}).port();
+}
+
 inline std::string Request(const std::string& cls, int spread = 1, int timeout_ms = 3000,
                            const std::string& more = "", const std::string& body = "") {
   static std::atomic<int> last{0};
