--- a/src/core/backend_book.cpp
+++ b/src/core/backend_book.cpp
@@ -181,6 +181,11 @@
   return it == connections_.end() || it->second.state == State::kIdle ? 0 : it->second.exchange.request;
 }
 
+bool BackendBook::IsConnecting(uint64_t exchange) const {
+  auto it = out_.find(exchange);
+  return it != out_.end() && connections_.at(it->second).state == State::kConnecting;
+}
+
 void BackendBook::OnWritten(uint64_t connection) {
   auto it = connections_.find(connection);
   if (it != connections_.end() && it->second.state == State::kOpen) it->second.written = true;
--- a/src/core/backend_book.h
+++ b/src/core/backend_book.h
@@ -66,6 +66,8 @@
   std::optional<ExchangeEnd> OnDue(double now, Due due, uint64_t exchange, Effects* out);  // kConnect or kPatience
 
   uint32_t RequestOf(uint64_t connection) const;  // whose exchange is on it; 0: none
+  bool IsOut(uint64_t exchange) const { return out_.count(exchange) != 0; }
+  bool IsConnecting(uint64_t exchange) const;
   double NextIdle() const;  // when the next kept connection has been idle for long enough
   void CloseIdle(double now, Effects* out);
 
--- a/src/core/counter_book.h
+++ b/src/core/counter_book.h
@@ -46,6 +46,7 @@
     return OnLost(call);
   }
 
+  bool IsOut(uint64_t call) const { return calls_.count(call) != 0; }
   size_t out() const { return calls_.size(); }
 
  private:
--- a/src/core/driver.h
+++ b/src/core/driver.h
@@ -43,6 +43,7 @@
   }
 
   const GatewayCore& core() const { return *core_; }
+  double NextDue() { return core_->NextDue(port_->Now()); }
 
  private:
   void Run(const Event& event) {
--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -173,9 +173,7 @@
 
 // The client's time is nearly up and the module has said nothing.
 void GatewayCore::Guard(double now, uint32_t request, Effects* out) {
-  Held* held = requests_.Find(request);
-  if (held == nullptr || held->answered || now < held->deadline) return;  // another of this number, later
-  Finish(request, RequestBook::GuardStatus(*held), 0, 0, out);
+  Finish(request, RequestBook::GuardStatus(*requests_.Find(request)), 0, 0, out);
   Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnAbandoned(at, request, actions); });
 }
 
@@ -223,12 +221,28 @@
 }
 void GatewayCore::OnCountLost(double now, uint64_t call, Effects* out) { Counted(now, counts_.OnLost(call), out); }
 
-double GatewayCore::NextDue(double now) const {
+bool GatewayCore::Void(const TimerQueue::Timer& timer) const {
+  switch (timer.due) {
+    case Due::kModule: return false;
+    case Due::kGuard: {
+      const Held* held = requests_.Find(static_cast<uint32_t>(timer.tag));
+      return held == nullptr || held->answered || timer.at < held->deadline;  // or another of this number, later
+    }
+    case Due::kConnect: return !backends_.IsConnecting(timer.tag);
+    case Due::kPatience: return !backends_.IsOut(timer.tag);
+    case Due::kCount: return !counts_.IsOut(timer.tag);
+  }
+  return false;
+}
+
+double GatewayCore::NextDue(double now) {
+  timers_.Prune([this](const TimerQueue::Timer& timer) { return Void(timer); });
   return std::min({timers_.next(), backends_.NextIdle(), shutdown_.next(now)});
 }
 
 void GatewayCore::OnTime(double now, Effects* out) {
   for (const TimerQueue::Timer& timer : timers_.Take(now)) {
+    if (Void(timer)) continue;
     switch (timer.due) {
       case Due::kGuard: Guard(now, static_cast<uint32_t>(timer.tag), out); break;
       case Due::kModule:
--- a/src/core/gateway_core.h
+++ b/src/core/gateway_core.h
@@ -61,8 +61,9 @@
   void OnCountAnswer(double now, uint64_t call, micadock::Result result, double total, Effects* out);
   void OnCountLost(double now, uint64_t call, Effects* out);
 
-  // Time. OnTime is to be called at NextDue or soon after; called early, it does nothing.
-  double NextDue(double now) const;
+  // Time. OnTime is to be called at NextDue or soon after; called early, it does nothing. NextDue changes nothing that
+  // an event could notice: it only forgets what has become void.
+  double NextDue(double now);
   void OnTime(double now, Effects* out);
 
   // The planned end: Stop or StopIfQuiet follow.
@@ -94,7 +95,8 @@
   void Finish(uint32_t request, int status, double retry_after_s, uint64_t connection, Effects* out);
   void ForgetIfOver(uint32_t request, Effects* out);
   void Guard(double now, uint32_t request, Effects* out);
-  void Settle(double now, Effects* out);  // the end of every event
+  bool Void(const TimerQueue::Timer& timer) const;  // what it was for has ended
+  void Settle(double now, Effects* out);            // the end of every event
 
   const CoreSettings settings_;
   RequestBook requests_;
--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -26,6 +26,11 @@
   };
 
   void Add(double at, Due due, uint64_t tag) { waiting_.push({at, ++last_, due, tag}); }
+  // Takes away from the front what `is_void` says can bring nothing about any more, so that nobody wakes for it.
+  template <typename IsVoid>
+  void Prune(IsVoid is_void) {
+    while (!waiting_.empty() && is_void(waiting_.top())) waiting_.pop();
+  }
   double next() const { return waiting_.empty() ? kNever : waiting_.top().at; }
   size_t size() const { return waiting_.size(); }
   // All that is due at `now`; what is added meanwhile waits for the next turn.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,7 +58,7 @@
 // idle turn.
 void Gateway::AfterTurn() {
   passing_.clear();
-  double due = driver_->core().NextDue(Now());
+  double due = driver_->NextDue();
   if (due == core::kNever) return;
   // A clock tick later, so that what is due at this time is due when the timer goes off.
   Clock::time_point at = Clock::time_point(Seconds(due - epoch_s_)) + std::chrono::microseconds(1);
--- a/src/rehearsal/virtual_gateway.cpp
+++ b/src/rehearsal/virtual_gateway.cpp
@@ -55,7 +55,7 @@
 
 void VirtualGateway::AfterTurn() {
   tokens_.clear();
-  double due = driver_->core().NextDue(Now());
+  double due = driver_->NextDue();
   if (due == core::kNever || due >= armed_) return;
   armed_ = due;
   uint64_t turn = ++armed_turn_;
