--- a/src/trace/codec.cpp
+++ b/src/trace/codec.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// A length that is only claimed must not fill the memory: room for an array is made before its parts are there.
+const msgpack::unpack_limit kLimits(1 << 16, 0, 1 << 20, 64 << 20, 0, 8);
+
 // The fields of each, in the order in which they are written. A field added here is a new version of the form.
 auto Tie(core::Arrival& e) {
   return std::tie(e.client, e.id, e.cls, e.plan, e.customer, e.units, e.entries, e.timeout_s);
@@ -225,7 +228,7 @@
   size_t at = 0;
   try {
     while (at < bytes.size()) {
-      msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), at);
+      msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), at, nullptr, nullptr, kLimits);
       const msgpack::object& o = handle.get();
       if (o.type != msgpack::type::ARRAY || o.via.array.size != 3) throw msgpack::type_error();
       Turn turn;
@@ -246,7 +249,7 @@
 core::Effects DecodeEffects(std::string_view bytes) {
   core::Effects effects;
   try {
-    msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, kLimits);
     const msgpack::object& o = handle.get();
     if (o.type != msgpack::type::ARRAY) throw msgpack::type_error();
     for (size_t i = 0; i < o.via.array.size; ++i) effects.push_back(GetVariant<core::Effect>(o.via.array.ptr[i]));
--- a/tests/core/core_watch.h
+++ b/tests/core/core_watch.h
@@ -4,6 +4,7 @@
 #define IVYGW_TESTS_CORE_CORE_WATCH_H_
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -42,11 +43,19 @@
 
   // Plays the bytes, then lets time run until nothing is open. Stops at the first broken rule.
   void Play(const uint8_t* bytes, size_t size) {
+    Begin(bytes, size);
+    Finish();
+  }
+  // The bytes alone.
+  void Begin(const uint8_t* bytes, size_t size, uint32_t backends = kBackends) {
     at_ = bytes;
     end_ = bytes + size;
-    for (uint32_t id = 1; id <= kBackends; ++id) SetBackend(id, micadock::BackendState::kReady, false);
+    for (uint32_t id = 1; id <= backends; ++id) SetBackend(id, micadock::BackendState::kReady, false);
     TellList(true);
     while (at_ < end_ && broken_.empty()) Step();
+  }
+  // Time alone, until nothing is open.
+  void Finish() {
     for (int i = 0; i < 400 && broken_.empty(); ++i) Wait(0.02);
     if (!broken_.empty()) return;
     for (const auto& [id, r] : requests_) {
@@ -60,6 +69,32 @@
     if (!connections_.empty()) Broken("connections left open");
   }
 
+  // All that what comes next can depend on, round a module that remembers nothing: two runs of one digest go on alike.
+  std::string Digest() const {
+    std::ostringstream out;
+    auto ago = [&](double at) { return std::lround((now_ - at) * 1e4); };
+    for (const auto& [id, r] : requests_) {
+      out << id << (r.answered ? 'a' : '-') << (r.gone ? 'g' : '-') << (r.forgotten ? 'f' : '-');
+      if (r.forgotten) continue;
+      out << r.cls << (r.may_have_run ? 'r' : '-') << ago(r.deadline);
+      if (const Held* held = core_->requests().Find(id)) {
+        for (const Attempt& a : held->attempts) out << ',' << a.backend << (a.out ? 'o' : '-') << ago(a.began);
+        out << (held->may_have_run ? 'R' : '-');
+      }
+    }
+    for (const auto& [id, c] : connections_) {
+      out << ';' << id << '@' << c.address << (c.up ? 'u' : '-') << (c.busy ? 'b' : '-') << (c.written ? 'w' : '-')
+          << c.request << ':' << core_->backends().RequestOf(id) << ago(c.since);
+    }
+    for (const auto& [call, added] : counts_) out << '#' << call << added << ago(called_.at(call));
+    for (const auto& [address, place] : places_) {
+      out << '|' << address << place.gone << (place.no_send_after == kNever ? 0 : ago(place.no_send_after));
+    }
+    for (const auto& [id, listed] : listed_) out << '/' << id << static_cast<int>(listed.backend.state) << listed.address;
+    out << '!' << last_client_ << ' ' << last_connection_ << ' ' << last_call_;
+    return out.str();
+  }
+
   const std::string& broken() const { return broken_; }
   uint64_t answers() const { return answers_; }
   uint64_t writes() const { return writes_; }
@@ -78,6 +113,7 @@
     uint64_t address = 0;
     bool up = false, busy = false, written = false;
     uint32_t request = 0;
+    double since = 0;  // it was asked for, or became idle
   };
   struct Place {  // an address: each is one process of one backend
     bool gone = false;
@@ -223,6 +259,7 @@
   void Ended(Connection* c, micadock::Result result) {
     if (c->written && result != micadock::Result::kFull) requests_[c->request].may_have_run = true;
     c->busy = false;
+    c->since = now_;
   }
 
   bool MaySend(uint64_t address) const {
@@ -265,6 +302,7 @@
     if (connections_.count(e.connection) != 0) Broken("a connection's number is given again");
     if (!MaySend(e.address)) Broken("a connection to what has gone or has drained");
     connections_[e.connection].address = e.address;
+    connections_[e.connection].since = now_;
     last_connection_ = e.connection;
   }
   void Check(const Write& e) {
@@ -300,6 +338,7 @@
   void Check(const Count& e) {
     if (!counts_.emplace(e.call, false).second) Broken("a call's number is given again");
     last_call_ = e.call;
+    called_[e.call] = now_;
   }
   void Check(const DropCount& e) {
     auto it = counts_.find(e.call);
@@ -321,6 +360,7 @@
   std::map<uint64_t, Connection> connections_;
   std::map<uint64_t, Place> places_;
   std::map<uint32_t, Listed> listed_;
+  std::map<uint64_t, double> called_;
   std::map<uint64_t, bool> counts_;  // out; whether it may have been added
   uint64_t last_client_ = 0, last_connection_ = 0, last_call_ = 0, passing_ = 0;
   uint64_t answers_ = 0, writes_ = 0, served_ = 0;
--- a/tests/trace/trace_test.cpp
+++ b/tests/trace/trace_test.cpp
@@ -101,6 +101,13 @@
   EXPECT_GT(refused, 1000);
 }
 
+// Found by fuzz_trace: an array that claims four thousand million parts.
+TEST(Codec, AClaimedLengthFillsNoMemory) {
+  EXPECT_THROW(DecodeTurns(std::string("\xdd\xff\xff\xff\xff", 5)), TraceError);
+  EXPECT_THROW(DecodeEffects(std::string("\xdd\xff\xff\xff\xff", 5)), TraceError);
+  EXPECT_THROW(DecodeTurns(std::string("\x96\xde\xfc\x13\xff\x03\xff", 7)), TraceError);
+}
+
 class Segments : public testing::Test {
  protected:
   Segments() {
