--- a/tests/core/gateway_core_test.cpp
+++ b/tests/core/gateway_core_test.cpp
@@ -163,6 +163,20 @@
   EXPECT_EQ(Take<Answer>()->status, 503);
 }
 
+// An attempt that timed out was all written: it may have run, also when nothing of it is out any more.
+TEST_F(Core, ATimeoutMayHaveRun) {
+  hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::Send(r.id, 1, 0.2)); };
+  Ask(1, 2);
+  uint64_t c = Take<Connect>()->connection;
+  core->OnConnected(now, c, &effects);
+  core->OnWritten(now, c, &effects);
+  At(0.3);
+  ASSERT_EQ(outcomes.size(), 1u);
+  EXPECT_EQ(outcomes[0].result, Result::kTimeout);
+  At(0.996);
+  EXPECT_EQ(Take<Answer>()->status, 504);
+}
+
 // A cancel that crosses the answer: the outcome that came first counts, the attempt ends once.
 TEST_F(Core, CancelThatCrossesTheAnswer) {
   uint32_t id = Ask(1);
