--- a/src/rehearsal/virtual_gateway.h
+++ b/src/rehearsal/virtual_gateway.h
@@ -33,8 +33,6 @@
   void DiscoveryChanged();         // its agent may get something at another time than was thought
   void AddressDown(int address);   // connections to it have been reset
 
-  const core::GatewayCore& core() const { return driver_->core(); }
-
  private:
   // A connection to a node, as both ends have it.
   struct Link {
--- a/tests/core/gateway_core_test.cpp
+++ b/tests/core/gateway_core_test.cpp
@@ -71,12 +71,17 @@
     }
     return std::nullopt;
   }
-  // A connection that has been used and is kept.
-  uint64_t Kept() {
-    Ask(900);
+  // The connection that was asked for last comes up, and the whole request goes out on it.
+  uint64_t Sent() {
     uint64_t connection = Take<Connect>()->connection;
     core->OnConnected(now, connection, &effects);
     core->OnWritten(now, connection, &effects);
+    return connection;
+  }
+  // A connection that has been used and is kept.
+  uint64_t Kept() {
+    Ask(900);
+    uint64_t connection = Sent();
     core->OnAnswer(now, connection, Result::kOk, 1, true, &effects);
     effects.clear();
     outcomes.clear();
@@ -125,9 +130,7 @@
 // An answer and the time-out in one turn of the loop: whichever is told first is the end, and the other changes nothing.
 TEST_F(Core, AnswerAndTimeoutInOneTurn) {
   Ask(1);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  uint64_t c = Sent();
   now += 2;
   core->OnAnswer(now, c, Result::kOk, 1, true, &effects);
   core->OnTime(now, &effects);
@@ -150,9 +153,7 @@
 // What may have run is said so: 504 with an attempt out, 503 where nothing was written.
 TEST_F(Core, GuardTellsWhatMayHaveRun) {
   Ask(1, 2);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  Sent();
   At(0.996);
   EXPECT_EQ(Take<Answer>()->status, 504);
   EXPECT_EQ(abandoned.size(), 1u);
@@ -167,9 +168,7 @@
 TEST_F(Core, ATimeoutMayHaveRun) {
   hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::Send(r.id, 1, 0.2)); };
   Ask(1, 2);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  Sent();
   At(0.3);
   ASSERT_EQ(outcomes.size(), 1u);
   EXPECT_EQ(outcomes[0].result, Result::kTimeout);
@@ -180,9 +179,7 @@
 // A cancel that crosses the answer: the outcome that came first counts, the attempt ends once.
 TEST_F(Core, CancelThatCrossesTheAnswer) {
   uint32_t id = Ask(1);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  uint64_t c = Sent();
   hooks.on_timer = [&](uint64_t, Actions* out) { out->push_back(micadock::Of(ActionKind::kCancel, id)); };
   hooks.on_outcome = [&](const Outcome& o, Actions* out) {
     outcomes.push_back(o);
@@ -221,9 +218,7 @@
 // A client that leaves while its outcome is being told: its answer is out, nothing is left in the books.
 TEST_F(Core, ClientLeavesAsItIsAnswered) {
   Ask(1);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  uint64_t c = Sent();
   core->OnAnswer(now, c, Result::kOk, 0, true, &effects);
   core->OnClientGone(now, 1, &effects);
   EXPECT_TRUE(abandoned.empty());
@@ -362,9 +357,7 @@
 // An id is open until its last attempt has ended, also when its client has been answered.
 TEST_F(Core, AnIdIsOpenAsLongAsAnAttemptIsOut) {
   Ask(1);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  uint64_t c = Sent();
   core->OnClientGone(now, 1, &effects);
   EXPECT_TRUE(core->IsOpen("r1"));
   core->OnLost(now, c, &effects);
@@ -411,9 +404,7 @@
   };
   EXPECT_TRUE(core->ready());
   Ask(1);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  uint64_t c = Sent();
   core->BeginShutdown(now, &effects);
   core->BeginShutdown(now, &effects);
   EXPECT_FALSE(core->ready());
@@ -433,9 +424,7 @@
 
 TEST_F(Core, AClockThatGoesBackLosesNothing) {
   Ask(1);
-  uint64_t c = Take<Connect>()->connection;
-  core->OnConnected(now, c, &effects);
-  core->OnWritten(now, c, &effects);
+  Sent();
   double before = now;
   now -= 100;
   core->OnTime(now, &effects);
