Operators' calls, true figures, bans, drain, and upgrades over an inherited socket

Change: package admin (one line a call), figures in the core at the one final answer, a ban book between discovery's list and everybody told of it, a drain beside the planned end, the clients' socket inherited and never shut down, what operators said in a file shared by the gateway's processes (package state). The trace's form is version 2: two events and one effect more.

--- a/apps/ivygw.cpp
+++ b/apps/ivygw.cpp
@@ -34,6 +34,7 @@
 int Run(const std::string& path, const std::string& trace) {
   std::signal(SIGPIPE, SIG_IGN);
   ivygw::Config config = ivygw::LoadConfig(path);
+  ivygw::ReadEnvironment([](const char* name) { return std::getenv(name); }, &config);
   boost::asio::io_context io(1);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT), reload(io, SIGHUP);
   ivygw::Gateway::Tap tap;
@@ -66,6 +67,7 @@
         gateway.Reload(ivygw::LoadConfig(path));
         std::fprintf(stderr, "configuration read again\n");
       } catch (const std::exception& bad) {
+        gateway.ReloadFailed();
         std::fprintf(stderr, "configuration kept as it was: %s\n", bad.what());
       }
       await_reload();
@@ -75,6 +77,9 @@
   auto local = gateway.local();
   std::fprintf(stderr, "%s listens on %s:%d\n", config.name.c_str(), local.address().to_string().c_str(),
                local.port());
+  if (auto admin = gateway.admin()) {
+    std::fprintf(stderr, "operators call at %s:%d\n", admin->address().to_string().c_str(), admin->port());
+  }
   io.run();
   return 0;
 }
--- a/src/core/backend_book.cpp
+++ b/src/core/backend_book.cpp
@@ -70,6 +70,10 @@
   backends_.erase(backend);
 }
 
+void BackendBook::Bar(uint32_t backend, double now) {
+  if (Backend* b = Find(backend); b != nullptr && b->draining) b->no_send_after = std::min(b->no_send_after, now);
+}
+
 bool BackendBook::MaySend(uint32_t backend, double now) const {
   auto it = backends_.find(backend);
   return it != backends_.end() && !(it->second.draining && now >= it->second.no_send_after);
@@ -186,9 +190,10 @@
   return it != out_.end() && connections_.at(it->second).state == State::kConnecting;
 }
 
-void BackendBook::OnWritten(uint64_t connection) {
+bool BackendBook::OnWritten(uint64_t connection) {
   auto it = connections_.find(connection);
-  if (it != connections_.end() && it->second.state == State::kOpen) it->second.written = true;
+  if (it == connections_.end() || it->second.state != State::kOpen || it->second.written) return false;
+  return it->second.written = true;
 }
 
 // Before its last byte was written a request has not begun.
--- a/src/core/backend_book.h
+++ b/src/core/backend_book.h
@@ -47,6 +47,8 @@
 
   // The list as told: the changes, or the whole, from which what is absent has gone.
   void TakeList(double now, bool whole, const std::vector<Listed>& entries, Effects* out);
+  // Nothing new goes to the backend from now on, without the grace that discovery's word has.
+  void Bar(uint32_t backend, double now);
   bool MaySend(uint32_t backend, double now) const;
 
   // Takes a kept connection, or opens one. Returns the exchange's number, or 0: nothing may be sent there, or all
@@ -60,7 +62,8 @@
   std::optional<ExchangeEnd> OnConnected(double now, uint64_t connection, Effects* out);
   std::optional<ExchangeEnd> OnLost(double now, uint64_t connection, Effects* out);  // also: could not connect
   std::optional<ExchangeEnd> OnStale(double now, uint64_t connection, TimerQueue* timers, Effects* out);
-  void OnWritten(uint64_t connection);  // its last byte is out: from here on it may have run
+  // Its last byte is out: from here on it may have run. False where the book knows of no such attempt.
+  bool OnWritten(uint64_t connection);
   // A whole answer. `keep`: the connection is fit for another.
   std::optional<ExchangeEnd> OnAnswer(double now, uint64_t connection, micadock::Result result, bool keep, Effects* out);
   std::optional<ExchangeEnd> OnDue(double now, Due due, uint64_t exchange, Effects* out);  // kConnect or kPatience
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -61,12 +61,13 @@
 };
 struct Subscribe {};          // discovery is to be followed
 struct AskClientsToClose {};  // from now on each answer ends its connection
+struct KeepClients {};        // AskClientsToClose no longer holds
 struct CloseIdleClients {};   // connections on which nothing has begun
 struct StopIfQuiet {};        // end the program if no client is connected or waits to be
 struct Stop {};               // end the program
 
 using Effect = std::variant<Hold, Answer, Forget, Connect, Write, Close, Count, DropCount, Log, Subscribe, AskClientsToClose,
-                            CloseIdleClients, StopIfQuiet, Stop>;
+                            CloseIdleClients, StopIfQuiet, Stop, KeepClients>;
 using Effects = std::vector<Effect>;
 
 }  // namespace ivygw::core
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -61,9 +61,17 @@
 };
 struct TimeCame {};
 struct ShutdownBegun {};
+// Operators' words.
+struct BanTold {  // a backend is to be left out, or put back
+  uint32_t backend = 0;
+  bool out = false;
+};
+struct DrainTold {  // the gateway is to be emptied, or goes back to work
+  bool on = false;
+};
 
 using Event = std::variant<Arrival, ClientGone, Connected, Written, Answered, Lost, Stale, ListTold, ListFailed,
-                           CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun>;
+                           CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun, BanTold, DrainTold>;
 
 }  // namespace ivygw::core
 
--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -19,6 +19,7 @@
     : settings_(settings),
       backends_(settings.connections),
       counts_(kCountPatience * settings.module.count_timeout_s) {
+  figures_.classes.resize(settings.module.classes.size());
   balancer_.emplace(settings_.module, settings_.seed, now, &actions_);
   Tell(now, out, [](Balancer&, double, Actions*) {});  // what it asked for at its start
   Settle(now, out);
@@ -70,6 +71,8 @@
     void operator()(const CountLost& e) { core->OnCountLost(now, e.call, out); }
     void operator()(const TimeCame&) { core->OnTime(now, out); }
     void operator()(const ShutdownBegun&) { core->BeginShutdown(now, out); }
+    void operator()(const BanTold& e) { core->OnBan(now, e.backend, e.out, out); }
+    void operator()(const DrainTold& e) { core->OnDrain(now, e.on, out); }
   };
   std::visit(Visitor{this, now, out}, event);
 }
@@ -77,7 +80,7 @@
 uint32_t GatewayCore::OnRequest(double now, const Arrival& arrival, Effects* out) {
   double margin = AnswerMargin(arrival.timeout_s), deadline = now + arrival.timeout_s - margin / 2;
   bool free = settings_.module.classes[static_cast<size_t>(arrival.cls)].effect == micadock::Effect::kFree;
-  uint32_t id = requests_.Take(arrival.client, arrival.id, deadline, free);
+  uint32_t id = requests_.Take(arrival.client, arrival.id, arrival.cls, deadline, free);
   timers_.Add(deadline, Due::kGuard, id);
   out->push_back(Hold{id, arrival.client});
   micadock::Request request;
@@ -162,7 +165,9 @@
 // The request's only final answer. What is still out is kept in the books until its end is told.
 void GatewayCore::Finish(uint32_t request, int status, double retry_after_s, uint64_t connection, Effects* out) {
   if (!requests_.Answer(request)) return;
-  out->push_back(Answer{requests_.Find(request)->client, request, status, retry_after_s, connection});
+  const Held& held = *requests_.Find(request);
+  figures_.Answered(held.cls, status);
+  out->push_back(Answer{held.client, request, status, retry_after_s, connection});
   ForgetIfOver(request, out);
 }
 
@@ -183,7 +188,9 @@
   if (held != nullptr && held->answered) return OnLost(now, connection, out);
   Ended(now, backends_.OnConnected(now, connection, out), 0, out);
 }
-void GatewayCore::OnWritten(double, uint64_t connection, Effects*) { backends_.OnWritten(connection); }
+void GatewayCore::OnWritten(double, uint64_t connection, Effects*) {
+  if (backends_.OnWritten(connection)) ++figures_.backend_calls;
+}
 void GatewayCore::OnAnswer(double now, uint64_t connection, Result result, double true_units, bool keep, Effects* out) {
   std::optional<ExchangeEnd> end = backends_.OnAnswer(now, connection, result, keep, out);
   Ended(now, end, end && end->result == Result::kOk ? true_units : 0, out);
@@ -198,14 +205,47 @@
 }
 
 void GatewayCore::OnList(double now, ListKind kind, const std::vector<Listed>& entries, Effects* out) {
-  backends_.TakeList(now, kind != ListKind::kDelta, entries, out);
   if (kind != ListKind::kCached) ready_ = true;
+  TellList(now, kind, bans_.Told(kind != ListKind::kDelta, entries), out);
+  Settle(now, out);
+}
+
+void GatewayCore::TellList(double now, ListKind kind, const std::vector<Listed>& entries, Effects* out) {
+  backends_.TakeList(now, kind != ListKind::kDelta, entries, out);
   std::vector<micadock::Backend> told;
-  for (const Listed& listed : entries) told.push_back(listed.backend);
+  for (const Listed& listed : entries) {
+    told.push_back(listed.backend);
+    if (bans_.Banned(listed.backend.id)) backends_.Bar(listed.backend.id, now);
+  }
   Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnList(at, kind, told, actions); });
+}
+
+void GatewayCore::OnBan(double now, uint32_t backend, bool out_of_use, Effects* out) {
+  std::optional<Listed> told = out_of_use ? bans_.Ban(backend, now) : bans_.Lift(backend, now);
+  if (told) {
+    TellList(now, ListKind::kDelta, {*told}, out);
+  } else if (out_of_use) {
+    backends_.Bar(backend, now);  // it drains by discovery's word: the grace of that is over too
+  }
   Settle(now, out);
 }
 
+void GatewayCore::OnDrain(double now, bool on, Effects* out) {
+  bool changed = on ? drain_.Begin(now) : drain_.End();
+  if (changed && !shutdown_.begun()) {
+    if (on) {
+      out->push_back(AskClientsToClose{});
+    } else {
+      out->push_back(KeepClients{});
+    }
+  }
+  Settle(now, out);
+}
+
+size_t GatewayCore::Avoided(double now) const {
+  return bans_.listed_and_banned() + static_cast<size_t>(balancer_->SetAside(now));
+}
+
 void GatewayCore::OnListFailed(double now, Effects* out) {
   ready_ = true;  // by the list as last known
   Tell(now, out, [](Balancer& b, double at, Actions* actions) { b.OnList(at, ListKind::kFailed, {}, actions); });
@@ -237,7 +277,7 @@
 
 double GatewayCore::NextDue(double now) {
   timers_.Prune([this](const TimerQueue::Timer& timer) { return Void(timer); });
-  return std::min({timers_.next(), backends_.NextIdle(), shutdown_.next(now)});
+  return std::min({timers_.next(), backends_.NextIdle(), shutdown_.next(now), drain_.next(now)});
 }
 
 void GatewayCore::OnTime(double now, Effects* out) {
@@ -281,9 +321,8 @@
     }
   }
   if (shutdown_.over(now)) return out->push_back(Stop{});
-  if (!shutdown_.closing(now)) return;
-  out->push_back(CloseIdleClients{});
-  if (requests_.unanswered() == 0) out->push_back(StopIfQuiet{});
+  if (drain_.closing(now) || shutdown_.closing(now)) out->push_back(CloseIdleClients{});
+  if (shutdown_.closing(now) && requests_.unanswered() == 0) out->push_back(StopIfQuiet{});
 }
 
 }  // namespace ivygw::core
--- a/src/core/gateway_core.h
+++ b/src/core/gateway_core.h
@@ -16,9 +16,12 @@
 #include <vector>
 
 #include "core/backend_book.h"
+#include "core/ban_book.h"
 #include "core/counter_book.h"
+#include "core/drain.h"
 #include "core/effects.h"
 #include "core/events.h"
+#include "core/figures.h"
 #include "core/request_book.h"
 #include "core/shutdown.h"
 #include "core/timer_queue.h"
@@ -68,8 +71,20 @@
 
   // The planned end: Stop or StopIfQuiet follow.
   void BeginShutdown(double now, Effects* out);
-  bool ready() const { return ready_ && !shutdown_.begun(); }
-
+  bool ready() const { return open() && !shutdown_.begun(); }
+
+  // Operators. A ban is a drain without grace, of a backend that need not be listed; the end of one is one call,
+  // however often it was called out. A drain of the gateway: it is not ready, and empties itself.
+  void OnBan(double now, uint32_t backend, bool out_of_use, Effects* out);
+  void OnDrain(double now, bool on, Effects* out);
+  bool serving() const { return ready_; }               // can serve, whether or not it is to
+  bool open() const { return ready_ && !drain_.on(); }  // ready but for a planned end
+  bool draining() const { return drain_.on(); }
+  const Figures& figures() const { return figures_; }
+  // Listed backends that are not used now: banned, or set aside by the module.
+  size_t Avoided(double now) const;
+
+  const BanBook& bans() const { return bans_; }
   const RequestBook& requests() const { return requests_; }
   const BackendBook& backends() const { return backends_; }
   const CounterBook& counts() const { return counts_; }
@@ -85,6 +100,7 @@
 
   template <typename Call>
   void Tell(double now, Effects* out, Call call);
+  void TellList(double now, micadock::ListKind kind, const std::vector<Listed>& entries, Effects* out);
   void Act(double now, micadock::Action& action, Effects* out);
   void Send(double now, const micadock::Action& action, Effects* out);
   void Cancel(const micadock::Action& action, Effects* out);
@@ -101,9 +117,12 @@
   const CoreSettings settings_;
   RequestBook requests_;
   BackendBook backends_;
+  BanBook bans_;
+  Figures figures_;
   CounterBook counts_;
   TimerQueue timers_;
   Shutdown shutdown_;
+  Drain drain_;
   std::deque<Told> told_;
   std::deque<uint64_t> uncounted_;  // names of calls made where there is no counter
   uint32_t reporting_ = 0;          // the request of which an outcome is being told
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -24,6 +24,8 @@
 // After SIGTERM clients go on coming for up to 0.4 s. Then kept connections are closed, and what is held is
 // finished within the longest deadline and a margin.
 inline constexpr double kStillComingS = 0.5, kEndMarginS = 0.6;
+// After an operator's drain begins, the front may take this long to notice and to stop bringing new connections.
+inline constexpr double kDrainComingS = 0.7;
 
 }  // namespace ivygw
 
--- a/src/core/request_book.cpp
+++ b/src/core/request_book.cpp
@@ -4,12 +4,13 @@
 
 namespace ivygw::core {
 
-uint32_t RequestBook::Take(uint64_t client, std::string id, double deadline, bool free) {
+uint32_t RequestBook::Take(uint64_t client, std::string id, int cls, double deadline, bool free) {
   do ++last_;
   while (last_ == 0 || held_.count(last_) != 0);
   Held& held = held_[last_];
   held.client = client;
   held.id = std::move(id);
+  held.cls = cls;
   held.deadline = deadline;
   held.free = free;
   ids_.insert(held.id);
--- a/src/core/request_book.h
+++ b/src/core/request_book.h
@@ -30,6 +30,7 @@
 struct Held {
   uint64_t client = 0;
   std::string id;       // the client's
+  int cls = 0;
   double deadline = 0;  // when the guard answers, on the core's clock
   bool free = false;    // of a class whose requests have no effect
   std::vector<Attempt> attempts;
@@ -46,7 +47,7 @@
 
   // Another request of this id is open, or an attempt of it is still out: two of one id would be mixed up.
   bool IsOpen(const std::string& id) const { return ids_.count(id) != 0; }
-  uint32_t Take(uint64_t client, std::string id, double deadline, bool free);
+  uint32_t Take(uint64_t client, std::string id, int cls, double deadline, bool free);
   Held* Find(uint32_t request);
   const Held* Find(uint32_t request) const { return const_cast<RequestBook*>(this)->Find(request); }
   std::vector<uint32_t> Numbers() const;  // of all that is held, in order
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -111,6 +111,9 @@
     config.counter = ParseAddress("counter", Text(all, "counter"));
   });
   part([&] { config.counter_access = ReadAccess(all); });
+  part([&] {
+    if (all.contains("admin") && !all["admin"].is_null()) config.admin = ParseAddress("admin", Text(all, "admin"));
+  });
   part([&] {
     std::string seed = Text(all, "seed");
     auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
@@ -172,6 +175,22 @@
 
 Config LoadConfig(const std::string& path) { return ParseConfig(ReadFile(path)); }
 
+void ReadEnvironment(const std::function<const char*(const char*)>& get, Config* config) {
+  auto value = [&](const char* name) { return std::string_view(get(name) != nullptr ? get(name) : ""); };
+  if (std::string_view admin = value("LB_ADMIN"); !config->admin && !admin.empty()) {
+    config->admin = ParseAddress("LB_ADMIN", std::string(admin));
+  }
+  if (std::string_view fd = value("LB_LISTEN_FD"); !fd.empty()) {
+    int number = -1;
+    auto [end, bad] = std::from_chars(fd.data(), fd.data() + fd.size(), number);
+    if (bad != std::errc() || end != fd.data() + fd.size() || number < 3) {
+      throw WireError("LB_LISTEN_FD is no descriptor: " + std::string(fd));
+    }
+    config->listen_fd = number;
+  }
+  config->shared_directory = value("TMPDIR");
+}
+
 std::vector<std::string> Faults(const std::string& path) {
   std::vector<std::string> faults;
   try {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,7 +27,9 @@
           io, config.discovery, config.site, &ids_,
           [this](BackendList list) { OnList(list, list.full ? ListKind::kFull : ListKind::kDelta); },
           [this] { driver_->Tell(core::ListFailed{}); }),
-      timer_(io) {
+      timer_(io),
+      looking_(io),
+      bad_(config.settings.classes.size()) {
   if (config.has_counter) {
     counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
                      static_cast<CounterEvents*>(this), config.counter_access);
@@ -43,10 +45,27 @@
   }
   driver_.emplace(this, CoreSettingsOf(config), std::move(tap));
   OnList(known, ListKind::kCached);
-  server_.Listen(config.listen);
+  StartOperators();
+  if (config.listen_fd) {
+    server_.Inherit(*config.listen_fd, config.listen);
+  } else {
+    server_.Listen(config.listen);
+  }
   discovery_.Start();
 }
 
+// What was said to this gateway's process before holds here from the first request on.
+void Gateway::StartOperators() {
+  if (!config_.admin && !config_.listen_fd) return;
+  if (!config_.shared_directory.empty()) {
+    operators_.emplace(config_.shared_directory, config_.name);
+    Look();
+  }
+  if (!config_.admin) return;
+  admin_.emplace(io_, [this](const admin::Call& call) { return OnCall(call); });
+  admin_->Listen(*config_.admin);
+}
+
 Gateway::~Gateway() = default;
 
 // Monotonic, and the same at every gateway as far as the machines' clocks agree when they start.
@@ -58,6 +77,7 @@
 // idle turn.
 void Gateway::AfterTurn() {
   passing_.clear();
+  ServeIfReady();
   double due = driver_->NextDue();
   if (due == core::kNever) return;
   // A clock tick later, so that what is due at this time is due when the timer goes off.
@@ -103,7 +123,8 @@
 void Gateway::Do(core::DropCount& effect) { counter_->Drop(effect.call); }
 void Gateway::Do(core::Log& effect) { std::fprintf(stderr, "%s\n", effect.text.c_str()); }
 void Gateway::Do(core::Subscribe&) { discovery_.Start(); }
-void Gateway::Do(core::AskClientsToClose&) { server_.AskToClose(); }
+void Gateway::Do(core::AskClientsToClose&) { server_.AskToClose(true); }
+void Gateway::Do(core::KeepClients&) { server_.AskToClose(false); }
 void Gateway::Do(core::CloseIdleClients&) { server_.CloseIdle(); }
 void Gateway::Do(core::StopIfQuiet&) {
   if (server_.Quiet()) io_.stop();
@@ -114,13 +135,16 @@
   std::string_view target = View(message.target());
   if (target.substr(0, 3) == "/-/") {
     Answer answer;
-    answer.status = target == "/-/ready" ? (driver_->core().ready() ? 200 : 503) : 404;
+    // Where the platform holds the socket, who goes has been replaced: the gateway is as ready as it was.
+    bool ready = config_.listen_fd ? driver_->core().open() : driver_->core().ready();
+    answer.status = target == "/-/ready" ? (ready ? 200 : 503) : 404;
     return server_.Reply(client, std::move(answer));
   }
   ClientCall call = ReadCall(message, config_);
   std::string id(call.id);
   if (call.status == 0 && driver_->core().IsOpen(id)) call.status = 400;
   if (call.status != 0) {
+    if (call.request.cls >= 0) ++bad_.at(static_cast<size_t>(call.request.cls));
     Answer answer;
     answer.status = call.status;
     return server_.Reply(client, std::move(answer));
@@ -166,12 +190,20 @@
 }
 void Gateway::OnCountLost(uint64_t call) { driver_->Tell(core::CountLost{call}); }
 
+// An inherited socket is shared: nobody is taken from it before this process can serve.
+void Gateway::ServeIfReady() {
+  if (config_.listen_fd && !closing_ && !server_.accepting() && driver_->core().serving()) server_.StartAccepting();
+}
+
 void Gateway::Reload(const Config& fresh) {
+  ++reloads_;
   discovery_.Move(fresh.discovery);
   if (counter_ && fresh.has_counter) counter_->Move(fresh.counter);
 }
 
 void Gateway::Close() {
+  closing_ = true;
+  if (config_.listen_fd) server_.StopAccepting();  // what waits there is for who takes over
   driver_->Tell(core::ShutdownBegun{});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,10 +5,12 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "admin/server.h"
 #include "core/driver.h"
 #include "gateway/client_call.h"
 #include "gateway/config.h"
@@ -16,6 +18,7 @@
 #include "net/client_server.h"
 #include "net/counter_client.h"
 #include "net/discovery_client.h"
+#include "state/operators_file.h"
 
 namespace ivygw {
 
@@ -27,10 +30,12 @@
   ~Gateway() override;
 
   tcp::endpoint local() const { return server_.local(); }
+  std::optional<tcp::endpoint> admin() const { return admin_ ? std::optional(admin_->local()) : std::nullopt; }
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
   void Close();
   void Reload(const Config& fresh);  // moves to the discovery and counter that it names
+  void ReloadFailed() { ++failed_reloads_; }
 
  private:
   // Of a message to backends: all but the time-out.
@@ -53,10 +58,23 @@
   void Do(core::Log& effect);
   void Do(core::Subscribe& effect);
   void Do(core::AskClientsToClose& effect);
+  void Do(core::KeepClients& effect);
   void Do(core::CloseIdleClients& effect);
   void Do(core::StopIfQuiet& effect);
   void Do(core::Stop& effect);
 
+  // What operators call. The answer is what they are told.
+  std::string OnCall(const admin::Call& call);
+  std::string OnBan(const std::string& name, bool out);
+  std::string OnDrain(bool on);
+  std::string Figures() const;
+  // Writes what operators say down for this gateway's other process, now or later; and follows what that one wrote.
+  std::string Keep(const std::function<void(state::OperatorsWord*)>& change);
+  void Follow(const state::OperatorsWord& word);
+  void Look();
+  void ServeIfReady();
+  void StartOperators();
+
   void OnMessage(uint64_t client, ClientMessage message);
   void OnList(const BackendList& list, micadock::ListKind kind);
   void OnConnected(uint64_t connection) override;
@@ -82,6 +100,13 @@
   std::unordered_map<uint32_t, Message> messages_;  // by request
   std::map<tcp::endpoint, uint64_t> address_numbers_;  // the core's words for addresses
   std::vector<tcp::endpoint> addresses_;
+  std::optional<admin::Server> admin_;
+  std::optional<state::OperatorsFile> operators_;
+  asio::steady_timer looking_;
+  std::set<std::string> bans_;         // by name, as the core has them
+  std::vector<uint64_t> bad_;          // by class, requests that were answered as bad input and never reached the core
+  uint64_t reloads_ = 0, failed_reloads_ = 0;
+  bool closing_ = false;
   std::unordered_map<uint64_t, BackendAnswer> passing_;  // by connection, until the turn's end
   std::optional<core::Driver<Gateway>> driver_;
 };
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -1,11 +1,15 @@
 #include "net/client_server.h"
 
+#include <fcntl.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <cstdio>
 #include <optional>
 #include <vector>
 
+#include "settings/settings.h"
+
 namespace ivygw {
 namespace {
 
@@ -72,6 +76,7 @@
     if (state_ == State::kClosed) return;
     auto self = shared_from_this();
     bool held = state_ == State::kHeld;
+    Busy(false);
     state_ = State::kClosed;
     NotIdle();
     timer_.cancel();
@@ -79,7 +84,7 @@
     ClientServer* server = server_;
     server->connections_.erase(id_);
     server->on_closed_(id_, held);
-    if (server->paused_ && server->connections_.size() < server->most_) {
+    if (server->paused_ && server->connections_.size() < server->most_ && server->accepting_) {
       server->paused_ = false;
       server->Accept();
     }
@@ -93,6 +98,13 @@
  private:
   enum class State { kReading, kHeld, kWriting, kLingering, kClosed };
 
+  // Whether a whole request is here whose answer is not out.
+  void Busy(bool now) {
+    if (busy_ == now) return;
+    busy_ = now;
+    server_->busy_ += now ? 1 : -1;
+  }
+
   void NotIdle() {
     if (idle_at_.has_value()) server_->idle_.erase(*idle_at_);
     idle_at_.reset();
@@ -170,6 +182,7 @@
     NotIdle();
     keep_ = parser_->keep_alive();
     state_ = State::kHeld;
+    Busy(true);
     server_->on_request_(id_, parser_->release());
   }
 
@@ -199,6 +212,7 @@
     WriteAll(socket_, message_, [self = shared_from_this(), this, keep](error_code error) {
       if (state_ == State::kClosed) return;
       timer_.cancel();
+      Busy(false);
       if (error) return asio::post(server_->io_, [self, this] { Close(); });
       if (message_.capacity() > kMaxHeader) message_ = std::string();
       if (buffer_.size() == 0 && buffer_.capacity() > kReadChunk) buffer_.shrink_to_fit();
@@ -251,7 +265,7 @@
   std::string message_;
   State state_ = State::kReading;
   size_t lingered_ = 0, blank_ = 0;
-  bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
+  bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false, busy_ = false;
 };
 
 ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
@@ -272,12 +286,43 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));  // started again under the same address
   acceptor_.bind(address);
   acceptor_.listen(1024);
+  StartAccepting();
+}
+
+void ClientServer::Inherit(int descriptor, const tcp::endpoint& address) {
+  std::string name = "LB_LISTEN_FD=" + std::to_string(descriptor);
+  int type = 0, listening = 0;
+  socklen_t size = sizeof(int);
+  if (getsockopt(descriptor, SOL_SOCKET, SO_TYPE, &type, &size) != 0 || type != SOCK_STREAM ||
+      getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) != 0 || listening == 0) {
+    throw micadock::WireError(name + " is no listening socket");
+  }
+  error_code error;
+  acceptor_.assign(address.protocol(), descriptor, error);
+  if (error) throw micadock::WireError(name + " cannot be used: " + error.message());
+  fcntl(descriptor, F_SETFD, FD_CLOEXEC);
+  tcp::endpoint bound = acceptor_.local_endpoint(error);
+  if (error || bound != address) {
+    throw micadock::WireError(name + " does not listen on the address in the configuration");
+  }
+}
+
+void ClientServer::StartAccepting() {
+  if (accepting_ || !acceptor_.is_open()) return;
+  accepting_ = true;
   Accept();
 }
 
+void ClientServer::StopAccepting() {
+  accepting_ = false;
+  error_code ignored;
+  acceptor_.close(ignored);
+  retry_.cancel();
+}
+
 void ClientServer::Accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
+    if (error == asio::error::operation_aborted || !accepting_) return;
     if (error) {
       // Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning
       // loop.
@@ -319,8 +364,10 @@
 }
 
 bool ClientServer::Quiet() {
+  if (!connections_.empty()) return false;
+  if (!acceptor_.is_open()) return true;
   pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
-  return connections_.empty() && poll(&waiting, 1, 0) == 0;
+  return poll(&waiting, 1, 0) == 0;
 }
 
 void ClientServer::CloseIdle() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -32,12 +32,20 @@
   ~ClientServer();
 
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
+  // Takes over a listening socket that other processes hold too: it is closed here, never shut down, and clients that
+  // it has not handed out are left to them. Throws micadock::WireError where it is none at that address. Nobody is
+  // taken until StartAccepting.
+  void Inherit(int descriptor, const tcp::endpoint& address);
+  void StartAccepting();
+  bool accepting() const { return accepting_; }
+  void StopAccepting();  // for good; of an inherited socket
   tcp::endpoint local() const { return acceptor_.local_endpoint(); }
   void Reply(uint64_t connection, Answer answer);
 
-  void AskToClose() { asking_to_close_ = true; }  // from now on each answer ends its connection
+  void AskToClose(bool on) { asking_to_close_ = on; }  // while it is so, each answer ends its connection
   void CloseIdle();                               // those on which nothing has begun
-  bool Quiet();                                   // no connection is open, and none waits to be accepted
+  bool Quiet();                                   // no connection is open, and none waits that is this process's to take
+  size_t busy() const { return busy_; }           // connections with a whole request whose answer is not out
 
  private:
   class Connection;
@@ -52,7 +60,8 @@
   OnRequest on_request_;
   OnClosed on_closed_;
   uint64_t last_ = 0;
-  bool asking_to_close_ = false, paused_ = false;
+  size_t busy_ = 0;
+  bool asking_to_close_ = false, paused_ = false, accepting_ = false;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
   std::list<uint64_t> idle_;        // longest idle first
   std::list<uint64_t> unfinished_;  // begun but not whole, or lingering: the first to begin first
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -35,6 +35,7 @@
   using Hash = uint32_t (*)(std::string_view);
   explicit BackendIds(Hash hash = &NameHash) : hash_(hash) {}
   uint32_t Of(const std::string& name);
+  bool Known(const std::string& name) const { return ids_.count(name) != 0; }  // it has been asked for before
   static uint32_t NameHash(std::string_view name);
 
  private:
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -239,6 +239,9 @@
     Arm(l, now, out);
   }
 
+
+  const Fleet& fleet() const { return fleet_; }
+
  private:
   void Refuse(uint32_t id, double stay_away, Actions* out) {
     Emit(out, ActionKind::kRefuse, id).seconds = s_.retry_after ? stay_away : 0;
@@ -264,6 +267,7 @@
 void Balancer::OnOutcome(double t, const Outcome& o, Actions* out) { impl_->OnOutcome(t, o, out); }
 void Balancer::OnAbandoned(double, uint32_t request, Actions* out) { impl_->OnAbandoned(request, out); }
 void Balancer::OnTimer(double t, uint64_t tag, Actions* out) { impl_->OnTimer(t, tag, out); }
+int Balancer::SetAside(double now) const { return impl_->fleet().SetAside(now); }
 void Balancer::OnCount(double t, const CountAnswer& a, Actions* out) { impl_->OnCount(t, a, out); }
 
 }  // namespace micadock
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -130,6 +130,7 @@
   void OnAbandoned(double now, uint32_t request, Actions* out);
   void OnTimer(double now, uint64_t tag, Actions* out);
   void OnCount(double now, const CountAnswer& answer, Actions* out);
+  int SetAside(double now) const;  // ready backends that get nothing now, by the module's own choice
 
  private:
   class Impl;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -125,6 +125,11 @@
   return best;
 }
 
+int Fleet::SetAside(double now) const {
+  auto aside = [&](const Node& n) { return n.info.state == BackendState::kReady && n.aside_until > now; };
+  return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), aside));
+}
+
 double Fleet::Silence(int zone, double now) const {
   auto it = silent_.find(zone);
   return it == silent_.end() ? 0 : it->second.share * std::exp(-(now - it->second.at) / kZoneS);
--- a/src/trace/codec.cpp
+++ b/src/trace/codec.cpp
@@ -34,6 +34,8 @@
 auto Tie(core::CountLost& e) { return std::tie(e.call); }
 auto Tie(core::TimeCame&) { return std::tuple<>(); }
 auto Tie(core::ShutdownBegun&) { return std::tuple<>(); }
+auto Tie(core::BanTold& e) { return std::tie(e.backend, e.out); }
+auto Tie(core::DrainTold& e) { return std::tie(e.on); }
 auto Tie(core::Listed& e) {
   micadock::Backend& b = e.backend;
   return std::tie(b.id, b.state, b.kind, b.zone, b.cell, b.weight, b.started_s, e.address);
@@ -52,13 +54,14 @@
 auto Tie(core::CloseIdleClients&) { return std::tuple<>(); }
 auto Tie(core::StopIfQuiet&) { return std::tuple<>(); }
 auto Tie(core::Stop&) { return std::tuple<>(); }
+auto Tie(core::KeepClients&) { return std::tuple<>(); }
 
 constexpr const char* kEventNames[] = {"arrival", "client_gone", "connected", "written", "answered", "lost", "stale",
                                        "list", "list_failed", "count_written", "count_answered", "count_lost", "time",
-                                       "shutdown"};
+                                       "shutdown", "ban", "drain"};
 constexpr const char* kEffectNames[] = {"hold", "answer", "forget", "connect", "write", "close", "count", "drop_count",
                                         "log", "subscribe", "ask_clients_to_close", "close_idle_clients",
-                                        "stop_if_quiet", "stop"};
+                                        "stop_if_quiet", "stop", "keep_clients"};
 static_assert(std::size(kEventNames) == std::variant_size_v<core::Event>);
 static_assert(std::size(kEffectNames) == std::variant_size_v<core::Effect>);
 
--- a/tests/core/core_watch.h
+++ b/tests/core/core_watch.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 #include <variant>
@@ -90,6 +91,7 @@
     for (const auto& [address, place] : places_) {
       out << '|' << address << place.gone << (place.no_send_after == kNever ? 0 : ago(place.no_send_after));
     }
+    for (uint32_t id : banned_) out << 'B' << id;
     for (const auto& [id, listed] : listed_) out << '/' << id << static_cast<int>(listed.backend.state) << listed.address;
     out << '!' << last_client_ << ' ' << last_connection_ << ' ' << last_call_;
     return out.str();
@@ -164,7 +166,7 @@
 
   void Step() {
     using micadock::Result;
-    switch (Next() % 18) {
+    switch (Next() % 20) {
       case 0: case 1: case 2: {
         Arrival a;
         a.client = ++last_client_;
@@ -252,6 +254,21 @@
         return Look();
       }
       case 16: return Wait(0.0005 * Next());
+      case 17: {
+        uint32_t id = 1 + Next() % kBackends;
+        if (Next() % 2 == 0) {
+          banned_.insert(id);
+          core_->OnBan(now_, id, true, &effects_);
+        } else {
+          banned_.erase(id);
+          core_->OnBan(now_, id, false, &effects_);
+        }
+        return Look();
+      }
+      case 18: {
+        core_->OnDrain(now_, Next() % 2 == 0, &effects_);
+        return Look();
+      }
       default: return Wait(Next() % 16 == 0 ? 1.5 : 0.01);
     }
   }
@@ -264,6 +281,9 @@
 
   bool MaySend(uint64_t address) const {
     const Place& place = places_.at(address);
+    for (const auto& [id, listed] : listed_) {
+      if (listed.address == address && banned_.count(id) != 0) return false;
+    }
     return !place.gone && now_ <= place.no_send_after;
   }
 
@@ -360,6 +380,7 @@
   std::map<uint64_t, Connection> connections_;
   std::map<uint64_t, Place> places_;
   std::map<uint32_t, Listed> listed_;
+  std::set<uint32_t> banned_;
   std::map<uint64_t, double> called_;
   std::map<uint64_t, bool> counts_;  // out; whether it may have been added
   uint64_t last_client_ = 0, last_connection_ = 0, last_call_ = 0, passing_ = 0;
--- a/tests/rig/gateway_rig.h
+++ b/tests/rig/gateway_rig.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -362,9 +363,12 @@
 // A running gateway.
 class Process {
  public:
-  explicit Process(const json& config, const char* program = IVYGW, rlim_t descriptors = 0)
-      : Process(config.dump(), program, descriptors) {}
-  Process(const std::string& config, const char* program, rlim_t descriptors) {
+  // `environment` is added to this process's; `inherited` becomes descriptor 3 (-1: none).
+  explicit Process(const json& config, const char* program = IVYGW, rlim_t descriptors = 0,
+                   const std::map<std::string, std::string>& environment = {}, int inherited = -1)
+      : Process(config.dump(), program, descriptors, environment, inherited) {}
+  Process(const std::string& config, const char* program, rlim_t descriptors,
+          const std::map<std::string, std::string>& environment = {}, int inherited = -1) {
     char path[] = "/tmp/ivygw-test-XXXXXX";
     int file = mkstemp(path);
     EXPECT_GE(file, 0);
@@ -376,7 +380,9 @@
     pid_ = fork();
     if (pid_ == 0) {
       dup2(ends[1], 2);
-      for (int fd = 3; fd < 1024; ++fd) close(fd);
+      if (inherited >= 0) dup2(inherited, 3);
+      for (int fd = inherited >= 0 ? 4 : 3; fd < 1024; ++fd) close(fd);
+      for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
       setenv("LB_CONFIG", path, 1);
       rlimit limit{descriptors, descriptors};
       if (descriptors > 0) setrlimit(RLIMIT_NOFILE, &limit);
@@ -385,10 +391,18 @@
     }
     close(ends[1]);
     err_ = ends[0];
-    char c;
-    while (read(err_, &c, 1) == 1 && c != '\n') line += c;
-    size_t colon = line.rfind(':');
-    if (line.find(" listens on ") != std::string::npos) port = std::atoi(line.c_str() + colon + 1);
+    auto next = [&] {
+      std::string text;
+      char c;
+      while (read(err_, &c, 1) == 1 && c != '\n') text += c;
+      return text;
+    };
+    auto port_of = [](const std::string& text) { return std::atoi(text.c_str() + text.rfind(':') + 1); };
+    line = next();
+    if (line.find(" listens on ") != std::string::npos) {
+      port = port_of(line);
+      if (config.find("\"admin\"") != std::string::npos || environment.count("LB_ADMIN") != 0) admin = port_of(next());
+    }
     draining_ = std::thread([this] {  // its log must not fill the pipe
       char part[4096];
       ssize_t n;
@@ -429,7 +443,7 @@
     return 0;
   }
   std::unique_ptr<Wire> Connect() const { return Wire::To(port); }
-  int port = 0;
+  int port = 0, admin = 0;
   std::string line, rest;  // the log: its first line, and after Exit the others
 
  private:
--- a/tests/trace/trace_test.cpp
+++ b/tests/trace/trace_test.cpp
@@ -28,13 +28,13 @@
           core::Answered{4, micadock::Result::kError, 1.5, true}, core::Lost{5}, core::Stale{6},
           core::ListTold{micadock::ListKind::kDelta, {listed, listed}}, core::ListFailed{}, core::CountWritten{7},
           core::CountAnswered{8, micadock::Result::kFull, 12.25}, core::CountLost{9}, core::TimeCame{},
-          core::ShutdownBegun{}};
+          core::ShutdownBegun{}, core::BanTold{10, true}, core::DrainTold{true}};
 }
 Effects EachEffect() {
   return {core::Hold{1, 2}, core::Answer{1, 2, 429, 0.5, 3}, core::Forget{4}, core::Connect{5, 6},
           core::Write{7, 8, 1, 0.25, true}, core::Close{9}, core::Count{1, 0xdeadbeef, 2, 3}, core::DropCount{4},
           core::Log{"text"}, core::Subscribe{}, core::AskClientsToClose{}, core::CloseIdleClients{},
-          core::StopIfQuiet{}, core::Stop{}};
+          core::StopIfQuiet{}, core::Stop{}, core::KeepClients{}};
 }
 
 TEST(Codec, EachEventAndEffectComesBack) {
@@ -192,7 +192,7 @@
     ReadTrace(file);
     FAIL() << "a trace of another version was read";
   } catch (const TraceError& error) {
-    EXPECT_EQ(std::string(error.what()), name + ": a trace of version 9, and this program reads version 1");
+    EXPECT_EQ(std::string(error.what()), name + ": a trace of version 9, and this program reads version 2");
   }
   Spill(name, "not a trace of any kind, and long enough");
   EXPECT_THROW(ReadTrace(file), TraceError);
