--- a/src/core/backend_book.cpp
+++ b/src/core/backend_book.cpp
@@ -126,7 +126,7 @@
   bool kept = c.state == State::kIdle;
   c.exchange = exchange;
   c.exchange.connection = id;
-  c.written = false;
+  c.written = c.begun = false;
   out_[exchange.number] = id;
   if (kept) {
     c.state = State::kOpen;
@@ -185,6 +185,25 @@
   return it == connections_.end() || it->second.state == State::kIdle ? 0 : it->second.exchange.request;
 }
 
+std::optional<Exchange> BackendBook::Begin(uint64_t connection) {
+  auto it = connections_.find(connection);
+  if (it == connections_.end() || it->second.state != State::kOpen || !it->second.written || it->second.begun) {
+    return std::nullopt;
+  }
+  it->second.begun = true;
+  return it->second.exchange;
+}
+void BackendBook::SetGiveUp(uint64_t exchange, double give_up, TimerQueue* timers) {
+  auto it = out_.find(exchange);
+  if (it == out_.end()) return;
+  connections_.at(it->second).exchange.give_up = give_up;
+  timers->Add(give_up, Due::kPatience, exchange);
+}
+bool BackendBook::HasBegun(uint64_t exchange) const {
+  auto it = out_.find(exchange);
+  return it != out_.end() && connections_.at(it->second).begun;
+}
+
 bool BackendBook::IsConnecting(uint64_t exchange) const {
   auto it = out_.find(exchange);
   return it != out_.end() && connections_.at(it->second).state == State::kConnecting;
@@ -240,6 +259,7 @@
   if (it == out_.end()) return std::nullopt;
   const Connection& c = connections_.at(it->second);
   if (due == Due::kConnect && c.state != State::kConnecting) return std::nullopt;
+  if (c.begun) return std::nullopt;
   return End(it->second, c.written ? Result::kTimeout : Result::kConnectFailed, out);
 }
 
--- a/src/core/backend_book.h
+++ b/src/core/backend_book.h
@@ -69,6 +69,11 @@
   std::optional<ExchangeEnd> OnDue(double now, Due due, uint64_t exchange, Effects* out);  // kConnect or kPatience
 
   uint32_t RequestOf(uint64_t connection) const;  // whose exchange is on it; 0: none
+  // A good answer has begun: patience no longer holds. Its exchange, or none where there is no such attempt.
+  std::optional<Exchange> Begin(uint64_t connection);
+  // The attempt is waited for until `give_up` and no longer: its request's time has begun.
+  void SetGiveUp(uint64_t exchange, double give_up, TimerQueue* timers);
+  bool HasBegun(uint64_t exchange) const;
   bool IsOut(uint64_t exchange) const { return out_.count(exchange) != 0; }
   bool IsConnecting(uint64_t exchange) const;
   double NextIdle() const;  // when the next kept connection has been idle for long enough
@@ -92,6 +97,7 @@
     uint64_t address = 0;
     State state = State::kConnecting;
     bool written = false;
+    bool begun = false;  // the answer has
     Exchange exchange;
     double idle_since = 0;
     std::list<uint64_t>::iterator idle_at;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -23,6 +23,17 @@
   double retry_after_s = 0;  // 0: none
   uint64_t connection = 0;   // 0: none
 };
+// The one final answer to `client` begins: it is what the exchange on `connection` brings, from what it has brought on.
+struct BeginAnswer {
+  uint64_t client = 0;
+  uint32_t request = 0;
+  uint64_t connection = 0;
+};
+// That answer can't be finished: its client must be able to tell that it is not whole.
+struct BreakAnswer {
+  uint64_t client = 0;
+  uint32_t request = 0;
+};
 // Nothing of the request is open any more: what the driver keeps of it (its body) is of no further use.
 struct Forget {
   uint32_t request = 0;
@@ -67,7 +78,7 @@
 struct Stop {};               // end the program
 
 using Effect = std::variant<Hold, Answer, Forget, Connect, Write, Close, Count, DropCount, Log, Subscribe, AskClientsToClose,
-                            CloseIdleClients, StopIfQuiet, Stop, KeepClients>;
+                            CloseIdleClients, StopIfQuiet, Stop, KeepClients, BeginAnswer, BreakAnswer>;
 using Effects = std::vector<Effect>;
 
 }  // namespace ivygw::core
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -20,7 +20,8 @@
   int cls = 0, plan = 0;
   uint64_t customer = 0;
   double units = 0, entries = 1;
-  double timeout_s = 0;  // for which the client waits from now on
+  double timeout_s = 0;  // for which the client waits: from now on, or from its body's end
+  double body_s = 0;     // for which its body may still come; 0: it is whole
 };
 struct ClientGone {  // its connection has ended, held or not
   uint64_t client = 0;
@@ -66,12 +67,23 @@
   uint32_t backend = 0;
   bool out = false;
 };
+// Of requests and answers that are not whole at once.
+struct BodyGone {  // the request's body is no longer held from its beginning: it can't be sent again
+  uint32_t request = 0;
+};
+struct BodyEnded {  // the request's body is whole: its time begins
+  uint32_t request = 0;
+};
+struct AnswerBegun {  // a good answer that goes to its client as it comes; Answered or Lost follows
+  uint64_t connection = 0;
+};
 struct DrainTold {  // the gateway is to be emptied, or goes back to work
   bool on = false;
 };
 
 using Event = std::variant<Arrival, ClientGone, Connected, Written, Answered, Lost, Stale, ListTold, ListFailed,
-                           CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun, BanTold, DrainTold>;
+                           CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun, BanTold, DrainTold,
+                           BodyGone, BodyEnded, AnswerBegun>;
 
 }  // namespace ivygw::core
 
--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -71,6 +71,9 @@
     void operator()(const CountLost& e) { core->OnCountLost(now, e.call, out); }
     void operator()(const TimeCame&) { core->OnTime(now, out); }
     void operator()(const ShutdownBegun&) { core->BeginShutdown(now, out); }
+    void operator()(const BodyGone& e) { core->OnBodyGone(e.request); }
+    void operator()(const BodyEnded& e) { core->OnBodyEnded(now, e.request, out); }
+    void operator()(const AnswerBegun& e) { core->OnAnswerBegun(now, e.connection, out); }
     void operator()(const BanTold& e) { core->OnBan(now, e.backend, e.out, out); }
     void operator()(const DrainTold& e) { core->OnDrain(now, e.on, out); }
   };
@@ -78,9 +81,12 @@
 }
 
 uint32_t GatewayCore::OnRequest(double now, const Arrival& arrival, Effects* out) {
-  double margin = AnswerMargin(arrival.timeout_s), deadline = now + arrival.timeout_s - margin / 2;
+  double margin = AnswerMargin(arrival.timeout_s), deadline = now + arrival.body_s + arrival.timeout_s - margin / 2;
   bool free = settings_.module.classes[static_cast<size_t>(arrival.cls)].effect == micadock::Effect::kFree;
   uint32_t id = requests_.Take(arrival.client, arrival.id, arrival.cls, deadline, free);
+  Held* held = requests_.Find(id);
+  held->timeout_s = arrival.timeout_s;
+  held->whole = arrival.body_s <= 0;
   timers_.Add(deadline, Due::kGuard, id);
   out->push_back(Hold{id, arrival.client});
   micadock::Request request;
@@ -89,6 +95,7 @@
   request.plan = arrival.plan;
   request.customer = arrival.customer;
   request.left_s = arrival.timeout_s - margin;
+  request.body_s = arrival.body_s;
   request.units = arrival.units;
   request.entries = arrival.entries;
   Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnRequest(at, request, actions); });
@@ -101,10 +108,53 @@
     requests_.Answer(id);
     Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnAbandoned(at, id, actions); });
     ForgetIfOver(id, out);
+  } else if (uint32_t begun = requests_.StreamingTo(client); begun != 0) {
+    // Nobody reads the rest: what brings it is given up.
+    requests_.Ended(begun);
+    const std::vector<Attempt>& attempts = requests_.Find(begun)->attempts;
+    for (size_t i = 0; i < attempts.size(); ++i) {
+      if (attempts[i].out && backends_.Cancel(attempts[i].exchange, out)) {
+        told_.push_back({begun, static_cast<int>(i), Result::kCancelled});
+      }
+    }
   }
   Settle(now, out);
 }
 
+void GatewayCore::OnBodyGone(uint32_t request) {
+  if (Held* held = requests_.Find(request)) held->body_gone = true;
+}
+
+void GatewayCore::OnBodyEnded(double now, uint32_t request, Effects* out) {
+  Held* held = requests_.Find(request);
+  if (held != nullptr && !held->whole) {
+    held->whole = true;
+    if (!held->answered) {
+      double margin = AnswerMargin(held->timeout_s);
+      held->deadline = now + held->timeout_s - margin / 2;
+      timers_.Add(held->deadline, Due::kGuard, request);
+      for (const Attempt& a : held->attempts) {
+        if (a.out) backends_.SetGiveUp(a.exchange, now + held->timeout_s - margin, &timers_);
+      }
+      Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnBodyEnded(at, request, actions); });
+    }
+  }
+  Settle(now, out);
+}
+
+void GatewayCore::OnAnswerBegun(double now, uint64_t connection, Effects* out) {
+  uint32_t request = backends_.RequestOf(connection);
+  const Held* held = requests_.Find(request);
+  // To a request that is not all written, or that has been answered, it is no answer.
+  std::optional<Exchange> exchange;
+  if (held != nullptr && !held->answered) exchange = backends_.Begin(connection);
+  if (!exchange) return OnLost(now, connection, out);
+  requests_.Begin(request, exchange->attempt);
+  out->push_back(BeginAnswer{held->client, request, connection});
+  Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnStreamBegun(at, request, actions); });
+  Settle(now, out);
+}
+
 void GatewayCore::Send(double now, const Action& action, Effects* out) {
   Held* held = requests_.Find(action.request);
   if (held == nullptr) return;
@@ -113,7 +163,7 @@
   double left = held->deadline - now, patience = action.seconds == 0 ? left : std::min(action.seconds, left);
   held->attempts.push_back({action.backend, 0, now, true});  // out until its outcome is told
   if (held->answered || patience <= 0 || (two && !settings_.module.parallel_tries) ||
-      attempt >= settings_.module.try_limit) {
+      attempt >= settings_.module.try_limit || held->body_gone) {
     return told_.push_back({action.request, attempt, Result::kNeverSent});
   }
   uint64_t exchange = backends_.Begin(now, action.backend, action.request, attempt, patience, &timers_, out);
@@ -149,6 +199,11 @@
   // The first good answer goes to the client by itself and ends the request. Told to the module first would
   // be as good, but its client is waiting.
   if (result == Result::kOk && !held->answered) Finish(request, 200, 0, connection, out);
+  if (held->streaming && held->stream == number) {
+    figures_.Answered(held->cls, result == Result::kOk ? 200 : 502);
+    if (result != Result::kOk) out->push_back(BreakAnswer{held->client, request});
+    requests_.Ended(request);
+  }
   micadock::Outcome outcome;
   outcome.request = request;
   outcome.attempt = number;
@@ -157,6 +212,7 @@
   outcome.finished = held->answered;
   outcome.backend = attempt.backend;
   outcome.true_units = true_units;
+  outcome.again = !held->body_gone;
   Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnOutcome(at, outcome, actions); });
   reporting_ = 0;
   ForgetIfOver(request, out);
@@ -183,9 +239,10 @@
 }
 
 void GatewayCore::OnConnected(double now, uint64_t connection, Effects* out) {
-  // Answered while it came up, and the module did not take the attempt back: nothing is sent after the answer.
+  // Answered while it came up, and the module did not take the attempt back: nothing is sent after the answer. Nor
+  // without the whole body.
   const Held* held = requests_.Find(backends_.RequestOf(connection));
-  if (held != nullptr && held->answered) return OnLost(now, connection, out);
+  if (held != nullptr && (held->answered || held->body_gone)) return OnLost(now, connection, out);
   Ended(now, backends_.OnConnected(now, connection, out), 0, out);
 }
 void GatewayCore::OnWritten(double, uint64_t connection, Effects*) {
@@ -200,7 +257,7 @@
 }
 void GatewayCore::OnStale(double now, uint64_t connection, Effects* out) {
   const Held* held = requests_.Find(backends_.RequestOf(connection));
-  if (held != nullptr && held->answered) return OnLost(now, connection, out);
+  if (held != nullptr && (held->answered || held->body_gone)) return OnLost(now, connection, out);
   Ended(now, backends_.OnStale(now, connection, &timers_, out), 0, out);
 }
 
@@ -269,7 +326,7 @@
       return held == nullptr || held->answered || timer.at < held->deadline;  // or another of this number, later
     }
     case Due::kConnect: return !backends_.IsConnecting(timer.tag);
-    case Due::kPatience: return !backends_.IsOut(timer.tag);
+    case Due::kPatience: return !backends_.IsOut(timer.tag) || backends_.HasBegun(timer.tag);
     case Due::kCount: return !counts_.IsOut(timer.tag);
   }
   return false;
--- a/src/core/gateway_core.h
+++ b/src/core/gateway_core.h
@@ -55,6 +55,12 @@
   void OnLost(double now, uint64_t connection, Effects* out);   // refused, reset, ended, spoilt
   void OnStale(double now, uint64_t connection, Effects* out);  // a kept one had ended before it was written to
 
+  // Bodies that are not whole at once. A request whose body has gone, in part, is sent no second time; its time begins
+  // when the body is whole. A begun answer is the request's final one: it ends with OnAnswer or OnLost.
+  void OnBodyGone(uint32_t request);
+  void OnBodyEnded(double now, uint32_t request, Effects* out);
+  void OnAnswerBegun(double now, uint64_t connection, Effects* out);
+
   // Discovery.
   void OnList(double now, micadock::ListKind kind, const std::vector<Listed>& entries, Effects* out);
   void OnListFailed(double now, Effects* out);
--- a/src/core/request_book.cpp
+++ b/src/core/request_book.cpp
@@ -43,6 +43,25 @@
   return true;
 }
 
+bool RequestBook::Begin(uint32_t request, int attempt) {
+  if (!Answer(request)) return false;
+  Held* held = Find(request);
+  held->streaming = true;
+  held->stream = attempt;
+  streaming_[held->client] = request;
+  return true;
+}
+void RequestBook::Ended(uint32_t request) {
+  Held* held = Find(request);
+  if (held == nullptr || !held->streaming) return;
+  held->streaming = false;
+  streaming_.erase(held->client);
+}
+uint32_t RequestBook::StreamingTo(uint64_t client) const {
+  auto it = streaming_.find(client);
+  return it == streaming_.end() ? 0 : it->second;
+}
+
 bool RequestBook::ForgetIfOver(uint32_t request) {
   auto it = held_.find(request);
   if (it == held_.end() || !it->second.answered || it->second.Out()) return false;
--- a/src/core/request_book.h
+++ b/src/core/request_book.h
@@ -34,7 +34,12 @@
   double deadline = 0;  // when the guard answers, on the core's clock
   bool free = false;    // of a class whose requests have no effect
   std::vector<Attempt> attempts;
+  double timeout_s = 0;     // for which its client waits once its body is whole
+  bool whole = true;        // its body
+  bool body_gone = false;   // no longer held from its beginning
   bool answered = false, may_have_run = false;
+  bool streaming = false;   // its answer has begun, and is not whole;
+  int stream = 0;           // this attempt brings it
   bool Out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
   }
@@ -56,6 +61,10 @@
 
   // The final answer is out, or its client has gone. False if that was so before.
   bool Answer(uint32_t request);
+  // Its final answer has begun; the client is its until Ended. False if it was answered before.
+  bool Begin(uint32_t request, int attempt);
+  void Ended(uint32_t request);  // a begun answer, in whatever way
+  uint32_t StreamingTo(uint64_t client) const;  // the request whose begun answer goes there; 0 for none
   // What the guard answers: 503 where nothing can have run, 504 where it may have.
   static int GuardStatus(const Held& held) {
     return held.free || (!held.may_have_run && !held.Out()) ? 503 : 504;
@@ -65,11 +74,13 @@
 
   size_t held() const { return held_.size(); }
   size_t unanswered() const { return by_client_.size(); }
+  size_t streaming() const { return streaming_.size(); }
   size_t ids() const { return ids_.size(); }
 
  private:
   std::unordered_map<uint32_t, Held> held_;
   std::unordered_map<uint64_t, uint32_t> by_client_;  // those not answered
+  std::unordered_map<uint64_t, uint32_t> streaming_;  // by client, those whose answer has begun
   std::unordered_set<std::string> ids_;               // the clients' ids of what is held
   uint32_t last_;
 };
--- a/src/gateway/client_call.cpp
+++ b/src/gateway/client_call.cpp
@@ -59,10 +59,16 @@
 
 }  // namespace
 
-ClientCall ReadCall(const ClientMessage& message, const Config& config) {
+std::string_view OriginForm(std::string_view target) {
+  if (target.substr(0, 7) != "http://") return target;
+  size_t path = target.find('/', 7);
+  return path == std::string_view::npos ? "/" : target.substr(path);
+}
+
+ClientCall ReadCall(const http::request_header<>& message, const Config& config) {
   ClientCall call;
   call.status = 400;
-  std::string_view target = View(message.target());
+  std::string_view target = OriginForm(View(message.target()));
   if (target.empty() || target.front() != '/') return call;
   micadock::Request& r = call.request;
   std::string_view path = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
--- a/src/gateway/client_call.h
+++ b/src/gateway/client_call.h
@@ -10,6 +10,9 @@
 
 namespace ivygw {
 
+// The path and query of a target, also where it names the whole address (RFC 9112, 3.2.2).
+std::string_view OriginForm(std::string_view target);
+
 // What a client's message says; `status` is 0 where it is sound, else the answer to give.
 struct ClientCall {
   int status = 0;
@@ -17,7 +20,7 @@
   double timeout_s = 0;
   std::string_view id;  // in the message
 };
-ClientCall ReadCall(const ClientMessage& message, const Config& config);
+ClientCall ReadCall(const http::request_header<>& message, const Config& config);
 
 }  // namespace ivygw
 
--- a/src/gateway/core_settings.cpp
+++ b/src/gateway/core_settings.cpp
@@ -10,15 +10,22 @@
 constexpr int kOwnSockets = 48;
 constexpr double kClientShare = 0.6;  // of the rest
 
-// Bounded by both limits: what a client's exchange may keep in memory at most is its body, the copy that goes
-// to a backend, and the answer.
-constexpr double kOwnMb = 8, kExchangeMb = 3.0 * (kMaxBody + kMaxHeader) / (1 << 20);
+// Bounded by both limits: what a client's exchange takes at most beside the bodies' budget, which shrinks as it is
+// used: a body that is held until it is whole, heads, and the copies that are on their way.
+constexpr double kOwnMb = 8, kExchangeMb = 1.5 * (kMaxBody + kMaxHeader) / (1 << 20);
+constexpr double kBodyShare = 0.5;  // of what the program itself leaves
 
 }  // namespace
 
+size_t BodyBudget(const Config& config) {
+  double mb = std::max(2.0, (config.memory_mb - kOwnMb) * kBodyShare);
+  if (config.listen_fd) mb /= 2;  // two processes may be one gateway
+  return static_cast<size_t>(mb * (1 << 20));
+}
+
 size_t MostClients(const Config& config) {
   double by_sockets = (config.sockets - kOwnSockets) * kClientShare;
-  double by_memory = (config.memory_mb - kOwnMb) / kExchangeMb;
+  double by_memory = (config.memory_mb - kOwnMb) * (1 - kBodyShare) / kExchangeMb;
   return static_cast<size_t>(std::max(1.0, std::min(by_sockets, by_memory)));
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,16 +13,25 @@
 using micadock::ListKind;
 using micadock::Result;
 
+namespace {
+
+// For the rest of a long body: what it takes at the least rate that clients are held to, and some more.
+constexpr double kBodyRate = 24 * 1024, kBodySlackS = 10;
+
+}  // namespace
+
 Gateway::Gateway(asio::io_context& io, const Config& config, Tap tap)
     : io_(io),
       config_(config),
       epoch_s_(std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
                std::chrono::duration<double>(Clock::now().time_since_epoch()).count()),
-      links_(io, this),
-      server_(
-          io, MostClients(config),
-          [this](uint64_t client, ClientMessage m) { OnMessage(client, std::move(m)); },
-          [this](uint64_t client, bool) { driver_->Tell(core::ClientGone{client}); }),
+      memory_(BodyBudget(config)),
+      links_(io, &memory_, this),
+      server_(io, MostClients(config), &memory_,
+              {[this](uint64_t client, ClientMessage m) { OnMessage(client, std::move(m)); },
+               [this](uint64_t client, bool) { OnClosed(client); },
+               [this](uint64_t client, std::string bytes, bool last) { OnBody(client, std::move(bytes), last); },
+               [this](uint64_t client) { OnClientDrained(client); }}),
       discovery_(
           io, config.discovery, config.site, &ids_,
           [this](BackendList list) { OnList(list, list.full ? ListKind::kFull : ListKind::kDelta); },
@@ -93,8 +102,9 @@
 }
 
 void Gateway::Do(core::Hold& effect) {
-  messages_[effect.request] = std::move(coming_[effect.client]);
+  Message& held = messages_[effect.request] = std::move(coming_[effect.client]);
   coming_.erase(effect.client);
+  if (held.more) bringing_[effect.client] = effect.request;
 }
 void Gateway::Do(core::Answer& effect) {
   Answer answer;
@@ -107,18 +117,53 @@
   }
   server_.Reply(effect.client, std::move(answer));
 }
-void Gateway::Do(core::Forget& effect) { messages_.erase(effect.request); }
+// Parts follow as the client takes them.
+void Gateway::Do(core::BeginAnswer& effect) {
+  BackendAnswer& begun = passing_.at(effect.connection);
+  streams_[effect.connection] = {effect.client, begun.true_units};
+  stream_to_[effect.client] = effect.connection;
+  Answer answer;
+  answer.status = 200;
+  answer.headers = std::move(begun.headers);
+  answer.body = std::move(begun.body);
+  server_.ReplyBegin(effect.client, std::move(answer), begun.length);
+}
+void Gateway::Do(core::BreakAnswer& effect) { server_.Abort(effect.client); }
+void Gateway::Do(core::Forget& effect) {
+  auto it = messages_.find(effect.request);
+  if (it == messages_.end()) return;
+  if (auto b = bringing_.find(it->second.client); b != bringing_.end() && b->second == effect.request) bringing_.erase(b);
+  sending_.erase(it->second.connection);
+  messages_.erase(it);
+}
 void Gateway::Do(core::Connect& effect) { links_.Connect(effect.connection, addresses_[effect.address]); }
 void Gateway::Do(core::Write& effect) {
-  const Message& held = messages_.at(effect.request);
+  Message& held = messages_.at(effect.request);
+  // Of a body that is still coming the backend's time begins when it is whole, as the client's does.
+  double patience_s = held.more ? held.timeout_s : effect.patience_s;
   std::string message;
-  message.reserve(held.head.size() + held.body.size() + 48);
+  message.reserve(held.head.size() + held.body.size() + 64);
   message.append(held.head).append("Request-Timeout-Ms: ");
-  message.append(std::to_string(std::max(1L, std::lround(effect.patience_s * 1000)))).append("\r\n\r\n");
-  message.append(held.body);
-  links_.Write(effect.connection, std::move(message), effect.kept);
+  message.append(std::to_string(std::max(1L, std::lround(patience_s * 1000)))).append("\r\n\r\n");
+  AppendPart(held, held.body, !held.more, &message);
+  if (held.more) {
+    sending_.erase(held.connection);
+    held.connection = effect.connection;
+    sending_[effect.connection] = effect.request;
+  }
+  links_.Write(effect.connection, std::move(message), effect.kept, held.more);
+}
+void Gateway::Do(core::Close& effect) {
+  if (auto it = sending_.find(effect.connection); it != sending_.end()) {
+    if (auto m = messages_.find(it->second); m != messages_.end()) m->second.connection = 0;
+    sending_.erase(it);
+  }
+  if (auto it = streams_.find(effect.connection); it != streams_.end()) {
+    stream_to_.erase(it->second.client);
+    streams_.erase(it);
+  }
+  links_.Close(effect.connection);
 }
-void Gateway::Do(core::Close& effect) { links_.Close(effect.connection); }
 void Gateway::Do(core::Count& effect) { counter_->Call(effect.call, effect.name, effect.amount, effect.keep_s); }
 void Gateway::Do(core::DropCount& effect) { counter_->Drop(effect.call); }
 void Gateway::Do(core::Log& effect) { std::fprintf(stderr, "%s\n", effect.text.c_str()); }
@@ -132,7 +177,7 @@
 void Gateway::Do(core::Stop&) { io_.stop(); }
 
 void Gateway::OnMessage(uint64_t client, ClientMessage message) {
-  std::string_view target = View(message.target());
+  std::string_view target = OriginForm(View(message.head.target()));
   if (target.substr(0, 3) == "/-/") {
     Answer answer;
     // Where the platform holds the socket, who goes has been replaced: the gateway is as ready as it was.
@@ -140,7 +185,7 @@
     answer.status = target == "/-/ready" ? (ready ? 200 : 503) : 404;
     return server_.Reply(client, std::move(answer));
   }
-  ClientCall call = ReadCall(message, config_);
+  ClientCall call = ReadCall(message.head, config_);
   std::string id(call.id);
   if (call.status == 0 && driver_->core().IsOpen(id)) call.status = 400;
   if (call.status != 0) {
@@ -151,20 +196,99 @@
   }
   Message held;
   held.head.reserve(512);
-  held.head.append(View(message.method_string())).append(" ").append(target).append(" HTTP/1.1\r\n");
-  AppendEndToEnd(message, &held.head, [](const auto& field) {
+  held.head.append(View(message.head.method_string())).append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendEndToEnd(message.head, &held.head, [](const auto& field) {
     return boost::beast::iequals(field.name_string(), "Request-Timeout-Ms");
   });
-  if (message.find(http::field::host) == message.end()) held.head += "Host: app.svc\r\n";
-  if (!message.body().empty() || message.method() == http::verb::post) {
-    held.head += "Content-Length: " + std::to_string(message.body().size()) + "\r\n";
-  }
-  held.body = std::move(message.body());
+  if (message.head.find(http::field::host) == message.head.end()) held.head += "Host: app.svc\r\n";
   core::Arrival arrival = ArrivalOf(call, client);
+  held.more = message.more;
+  if (held.more) {
+    held.client = client;
+    held.timeout_s = call.timeout_s;
+    held.chunked = !message.length;
+    uint64_t left = message.length.value_or(kLongestBody) - message.body.size();
+    arrival.body_s = kBodySlackS + static_cast<double>(left) / kBodyRate;
+  }
+  if (held.chunked) {
+    held.head += "Transfer-Encoding: chunked\r\n";
+  } else if (held.more || !message.body.empty() || message.head.method() == http::verb::post) {
+    uint64_t length = held.more ? *message.length : message.body.size();
+    held.head += "Content-Length: " + std::to_string(length) + "\r\n";
+  }
+  held.body = std::move(message.body);
   coming_[client] = std::move(held);
   driver_->Tell(std::move(arrival));
 }
 
+// A piece of a body on its way to a backend.
+void Gateway::AppendPart(const Message& to, const std::string& bytes, bool last, std::string* out) {
+  if (!to.chunked) return void(out->append(bytes));
+  char size[24];
+  if (!bytes.empty()) {
+    out->append(size, static_cast<size_t>(std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size())));
+    out->append(bytes).append("\r\n");
+  }
+  if (last) out->append("0\r\n\r\n");
+}
+
+// What has been written so far has gone: from here on the beginning is not kept, and the client may bring more.
+void Gateway::OnDrained(uint64_t connection) {
+  auto it = sending_.find(connection);
+  if (it == sending_.end()) return;
+  uint32_t request = it->second;
+  Message& held = messages_.at(request);
+  if (!held.gone) {
+    held.gone = true;
+    held.body = std::string();
+    driver_->Tell(core::BodyGone{request});
+  }
+  server_.ReadBody(held.client);
+}
+
+void Gateway::OnBody(uint64_t client, std::string bytes, bool last) {
+  auto it = bringing_.find(client);
+  if (it == bringing_.end()) return;
+  uint32_t request = it->second;
+  Message& held = messages_.at(request);
+  uint64_t connection = held.connection;
+  std::string part;
+  AppendPart(held, bytes, last, &part);
+  if (last) {
+    held.more = false;
+    bringing_.erase(it);
+    driver_->Tell(core::BodyEnded{request});
+  }
+  if (connection != 0) links_.WriteMore(connection, std::move(part), last);
+}
+
+void Gateway::OnClosed(uint64_t client) {
+  bringing_.erase(client);
+  driver_->Tell(core::ClientGone{client});
+}
+
+void Gateway::OnAnswerBegun(uint64_t connection, BackendAnswer answer) {
+  passing_[connection] = std::move(answer);
+  driver_->Tell(core::AnswerBegun{connection});
+}
+void Gateway::OnAnswerPart(uint64_t connection, std::string bytes) {
+  auto it = streams_.find(connection);
+  if (it != streams_.end()) server_.ReplyPart(it->second.client, std::move(bytes), false);
+}
+void Gateway::OnAnswerEnded(uint64_t connection, bool keep) {
+  auto it = streams_.find(connection);
+  if (it == streams_.end()) return;
+  Stream stream = it->second;
+  streams_.erase(it);
+  stream_to_.erase(stream.client);
+  driver_->Tell(core::Answered{connection, Result::kOk, stream.true_units, keep});
+  server_.ReplyPart(stream.client, "", true);
+}
+void Gateway::OnClientDrained(uint64_t client) {
+  auto it = stream_to_.find(client);
+  if (it != stream_to_.end()) links_.ReadMore(it->second);
+}
+
 void Gateway::OnList(const BackendList& list, ListKind kind) {
   std::vector<core::Listed> entries;
   for (const Listed& listed : list.entries) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,6 +41,13 @@
   // Of a message to backends: all but the time-out.
   struct Message {
     std::string head, body;
+    // Where the body was not whole when the request came:
+    bool more = false;           // it still is not
+    bool gone = false;           // its beginning has gone on, and is not kept
+    bool chunked = false;        // towards the backend, since its length is not known
+    uint64_t client = 0;
+    uint64_t connection = 0;     // on which it goes on; 0: none
+    double timeout_s = 0;
   };
 
   friend class core::Driver<Gateway>;
@@ -49,6 +56,8 @@
 
   void Do(core::Hold& effect);
   void Do(core::Answer& effect);
+  void Do(core::BeginAnswer& effect);
+  void Do(core::BreakAnswer& effect);
   void Do(core::Forget& effect);
   void Do(core::Connect& effect);
   void Do(core::Write& effect);
@@ -76,6 +85,14 @@
   void StartOperators();
 
   void OnMessage(uint64_t client, ClientMessage message);
+  void OnBody(uint64_t client, std::string bytes, bool last);
+  void OnClientDrained(uint64_t client);
+  static void AppendPart(const Message& to, const std::string& bytes, bool last, std::string* out);
+  void OnClosed(uint64_t client);
+  void OnDrained(uint64_t connection) override;
+  void OnAnswerBegun(uint64_t connection, BackendAnswer answer) override;
+  void OnAnswerPart(uint64_t connection, std::string bytes) override;
+  void OnAnswerEnded(uint64_t connection, bool keep) override;
   void OnList(const BackendList& list, micadock::ListKind kind);
   void OnConnected(uint64_t connection) override;
   void OnWritten(uint64_t connection) override;
@@ -90,6 +107,7 @@
   const Config& config_;
   const double epoch_s_;  // the system's clock at the monotonic clock's zero
   BackendIds ids_;
+  bodies::BodyMemory memory_;
   BackendLinks links_;
   ClientServer server_;
   std::optional<CounterClient> counter_;
@@ -108,6 +126,14 @@
   uint64_t reloads_ = 0, failed_reloads_ = 0;
   bool closing_ = false;
   std::unordered_map<uint64_t, BackendAnswer> passing_;  // by connection, until the turn's end
+  std::unordered_map<uint64_t, uint32_t> sending_;   // requests whose bodies go on, by connection
+  std::unordered_map<uint64_t, uint32_t> bringing_;  // and by client
+  struct Stream {  // a begun answer
+    uint64_t client = 0;
+    double true_units = 0;
+  };
+  std::unordered_map<uint64_t, Stream> streams_;        // by connection
+  std::unordered_map<uint64_t, uint64_t> stream_to_;    // connection by client
   std::optional<core::Driver<Gateway>> driver_;
 };
 
--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -2,24 +2,28 @@
 
 #include <charconv>
 #include <cmath>
-#include <optional>
 #include <utility>
 
+#include "net/message_reader.h"
+
 namespace ivygw {
 
+using bodies::BodyMemory;
 using micadock::Result;
 
 namespace {
 
-constexpr size_t kMaxAnswer = kMaxBody;
 constexpr int kMostInterim = 16;  // 1xx answers ahead of the final one
+constexpr auto kAnswerMoves = std::chrono::seconds(20);  // for the next of a begun answer: its backend has died in silence
 
 }  // namespace
 
-// It always has one read pending, so that an end or unasked bytes are seen while it is idle.
+// A read is pending but for when a begun answer waits for its client, so that an end or unasked bytes are seen while it is
+// idle.
 class BackendLinks::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(BackendLinks* links, uint64_t id) : links_(links), id_(id), socket_(links->io_) {}
+  Connection(BackendLinks* links, uint64_t id)
+      : links_(links), id_(id), socket_(links->io_), timer_(links->io_), share_(links->memory_), reader_(kLongestBody) {}
 
   void Connect(const tcp::endpoint& address) {
     if (Open(socket_, address)) return Lost();
@@ -30,86 +34,162 @@
     });
   }
 
-  void Write(std::string message, bool kept) {
+  void Write(std::string message, bool kept, bool more) {
     if (kept && Stale(socket_)) return links_->events_->OnStale(id_);
-    message_ = std::move(message);
     interim_ = 0;
-    Renew(&parser_, kMaxAnswer);
+    reader_.Next();
+    body_ = std::string();
     busy_ = true;
-    uint64_t mine = ++exchange_;
-    WriteAll(socket_, message_, [self = shared_from_this(), this, mine](error_code error) {
-      if (closed_ || !busy_ || exchange_ != mine) return;
-      if (error) return Lost();
-      message_ = std::string();
-      links_->events_->OnWritten(id_);
-    });
-    if (!closed_ && !reading_) Read();
+    begun_ = wanted_ = false;
+    ++exchange_;
+    Send(std::move(message), !more);
+    Read();
+  }
+  void WriteMore(std::string bytes, bool last) {
+    if (busy_) Send(std::move(bytes), last);
+  }
+
+  void ReadMore() {
+    if (!busy_ || !begun_ || wanted_) return;
+    wanted_ = true;
+    if (!Parse()) Await();
+    Read();
   }
 
   void Close() {
     closed_ = true;
+    timer_.cancel();
     CloseNow(socket_);
   }
 
  private:
   void Lost() { links_->events_->OnLost(id_); }
+  void Account() { share_.Hold(reader_.unread() + body_.size() + message_.size()); }
+
+  void Send(std::string text, bool last) {
+    message_ = std::move(text);
+    Account();
+    uint64_t mine = exchange_;
+    WriteAll(socket_, message_, [self = shared_from_this(), this, mine, last](error_code error) {
+      if (closed_ || !busy_ || exchange_ != mine) return;
+      if (error) return Lost();
+      message_ = std::string();
+      Account();
+      last ? links_->events_->OnWritten(id_) : links_->events_->OnDrained(id_);
+    });
+  }
 
   void Read() {
+    if (reading_ || closed_ || (busy_ && begun_ && !wanted_)) return;
     reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error, size_t n) {
-          reading_ = false;
-          if (closed_) return;
-          buffer_.commit(n);
-          if (!busy_) return Lost();  // ended by the backend while idle, or bytes that nobody asked for
-          if (!error) {
-            Parse();
-            if (!closed_ && !reading_) Read();
-            return;
-          }
-          error_code bad;
-          if (error == asio::error::eof && parser_->got_some()) parser_->put_eof(bad);
-          // A body that only the end of the connection ends may have been cut short.
-          bool whole = !bad && parser_->is_done() && parser_->get().result_int() != 200;
-          if (error == asio::error::eof && whole) return Answered(false);
-          Lost();
-        });
+    size_t most = begun_ ? links_->memory_->Window() : kMostRead;
+    ReadSome(socket_, most, [self = shared_from_this(), this](error_code error, std::string_view bytes) {
+      reading_ = false;
+      if (closed_) return;
+      if (!busy_) return Lost();  // ended by the backend while idle, or bytes that nobody asked for
+      if (error) return error == asio::error::eof ? End() : Lost();
+      reader_.Add(bytes);
+      Parse();
+      Read();
+    });
   }
 
-  void Parse() {
+  // True if something came of what has been read: the answer is whole, begun, further on, or none.
+  bool Parse() {
     for (;;) {
       // Garbage, or an answer past every bound, ends this exchange.
-      if (Feed(*parser_, buffer_) || interim_ > kMostInterim) return Lost();
-      if (!parser_->is_done()) return;
-      if (parser_->get().result_int() / 100 != 1) break;
+      size_t most = begun_ ? links_->memory_->Window() : BodyMemory::kWhole + 1;
+      if (reader_.Parse(&body_, most) || interim_ > kMostInterim) return Lost(), true;
+      Account();
+      if (!reader_.head_done()) return false;
+      if (begun_ || reader_.head().result_int() / 100 != 1) break;
+      if (!reader_.done()) return false;
       ++interim_;  // an interim answer: the final one follows
-      Renew(&parser_, kMaxAnswer);
+      reader_.Next();
+      body_.clear();
+      if (reader_.unread() == 0) return false;
+    }
+    return Further(reader_.keep_alive() && reader_.unread() == 0 && !eof_);
+  }
+
+  void End() {
+    // Only the end of the connection tells where such a body ends; a backend that dies resets it.
+    eof_ = true;
+    if (reader_.End()) return Lost();
+    Further(false);
+  }
+
+  bool Further(bool keep) {
+    if (begun_) return GivePart(keep);
+    if (reader_.done()) return Answered(keep), true;
+    bool is_long = reader_.length().value_or(0) > BodyMemory::kWhole || body_.size() > BodyMemory::kWhole;
+    if (!is_long) return false;
+    if (reader_.head().result_int() != 200) return Answered(false), true;  // nobody reads the rest
+    begun_ = true;
+    BackendAnswer answer = Head();
+    answer.length = reader_.length();
+    answer.body = std::move(body_);
+    body_ = std::string();
+    Account();
+    links_->events_->OnAnswerBegun(id_, std::move(answer));
+    return true;
+  }
+
+  // One part, or the end, for each ReadMore.
+  bool GivePart(bool keep) {
+    if (!wanted_ || (body_.empty() && !reader_.done())) return false;
+    timer_.cancel();
+    wanted_ = false;
+    if (!body_.empty()) {
+      std::string bytes = std::move(body_);
+      body_ = std::string();
+      Account();
+      links_->events_->OnAnswerPart(id_, std::move(bytes));
+    } else {
+      busy_ = false;
+      links_->events_->OnAnswerEnded(id_, keep);
+    }
+    return true;
+  }
+
+  void Await() {
+    timer_.expires_after(kAnswerMoves);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (!cancelled && !closed_ && busy_ && begun_ && wanted_) Lost();
+    });
+  }
+
+  BackendAnswer Head() {
+    BackendAnswer out;
+    auto& head = reader_.head();
+    std::string_view units = View(head["X-Cost-Units"]);
+    double told = 0;
+    auto [at, bad] = std::from_chars(units.data(), units.data() + units.size(), told);
+    if (bad == std::errc() && at == units.data() + units.size() && std::isfinite(told) && told > 0) {
+      out.true_units = std::min(told, 65535.0);
     }
-    Answered(parser_->keep_alive() && buffer_.size() == 0);
+    AppendEndToEnd(head, &out.headers, [](const auto& field) {
+      std::string_view name = View(field.name_string());
+      return name == "X-Cost-Units" || name == "Server-Load";
+    });
+    return out;
   }
 
   void Answered(bool keep) {
     BackendAnswer out;
-    out.keep = keep;
-    auto& answer = parser_->get();
-    unsigned status = answer.result_int();
-    bool not_started = View(answer["Not-Started"]) == "1";
+    auto& head = reader_.head();
+    unsigned status = head.result_int();
     if (status == 200) {
-      out.result = Result::kOk;
-      std::string_view units = View(answer["X-Cost-Units"]);
-      double told = 0;
-      auto [at, bad] = std::from_chars(units.data(), units.data() + units.size(), told);
-      if (bad == std::errc() && at == units.data() + units.size() && std::isfinite(told) && told > 0) {
-        out.true_units = std::min(told, 65535.0);
-      }
-      AppendEndToEnd(answer, &out.headers, [](const auto& field) {
-        std::string_view name = View(field.name_string());
-        return name == "X-Cost-Units" || name == "Server-Load";
-      });
-      out.body = std::move(answer.body());
+      out = Head();
+      out.length = body_.size();
+      out.body = std::move(body_);
     } else {
+      bool not_started = View(head["Not-Started"]) == "1";
       out.result = (status == 503 || status == 504) && not_started ? Result::kFull : Result::kError;
     }
+    out.keep = keep;
+    body_ = std::string();
+    Account();
     busy_ = false;
     links_->events_->OnAnswer(id_, std::move(out));
   }
@@ -117,23 +197,28 @@
   BackendLinks* links_;
   const uint64_t id_;
   tcp::socket socket_;
-  boost::beast::flat_buffer buffer_{kMaxBody + kMaxHeader};
-  std::optional<http::response_parser<http::string_body>> parser_;
-  std::string message_;
+  asio::steady_timer timer_;
+  bodies::BodyShare share_;
+  MessageReader<false> reader_;
+  std::string message_, body_;
   uint64_t exchange_ = 0;
   int interim_ = 0;
   bool closed_ = false, busy_ = false, reading_ = false;
+  bool begun_ = false;   // the answer is long, and told of in parts
+  bool wanted_ = false;  // the next of it has been asked for
+  bool eof_ = false;     // the backend has ended its sending
 };
 
-BackendLinks::BackendLinks(asio::io_context& io, BackendEvents* events) : io_(io), events_(events) {}
+BackendLinks::BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events)
+    : io_(io), memory_(memory), events_(events) {}
 
 BackendLinks::~BackendLinks() {
   for (auto& [id, connection] : connections_) connection->Close();
 }
 
-BackendLinks::Connection* BackendLinks::Find(uint64_t connection) {
+std::shared_ptr<BackendLinks::Connection> BackendLinks::Find(uint64_t connection) const {
   auto it = connections_.find(connection);
-  return it == connections_.end() ? nullptr : it->second.get();
+  return it == connections_.end() ? nullptr : it->second;
 }
 
 void BackendLinks::Connect(uint64_t connection, const tcp::endpoint& address) {
@@ -142,8 +227,14 @@
   fresh->Connect(address);
 }
 
-void BackendLinks::Write(uint64_t connection, std::string message, bool kept) {
-  if (Connection* c = Find(connection)) c->Write(std::move(message), kept);
+void BackendLinks::Write(uint64_t connection, std::string message, bool kept, bool more) {
+  if (auto c = Find(connection)) c->Write(std::move(message), kept, more);
+}
+void BackendLinks::WriteMore(uint64_t connection, std::string bytes, bool last) {
+  if (auto c = Find(connection)) c->WriteMore(std::move(bytes), last);
+}
+void BackendLinks::ReadMore(uint64_t connection) {
+  if (auto c = Find(connection)) c->ReadMore();
 }
 
 void BackendLinks::Close(uint64_t connection) {
--- a/src/net/backend_links.h
+++ b/src/net/backend_links.h
@@ -1,25 +1,28 @@
 // Connections to backends: sockets and HTTP, by the core's numbers. Keeps no book: what happens is told, and what is
-// done with it is the core's word.
+// done with it is the core's word. Answers that are long come in pieces, each when it is asked for; so do messages.
 #ifndef IVYGW_NET_BACKEND_LINKS_H_
 #define IVYGW_NET_BACKEND_LINKS_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
+#include "bodies/body_memory.h"
 #include "net/clock.h"
 #include "net/http.h"
 #include "policy/balance.h"
 
 namespace ivygw {
 
-// A whole answer of a backend.
+// An answer of a backend: whole, or the beginning of a long one.
 struct BackendAnswer {
   micadock::Result result = micadock::Result::kOk;  // kOk, kFull or kError
   double true_units = 0;  // 0: not told
-  bool keep = false;      // the connection is fit for another request
+  bool keep = false;      // the connection is fit for another request; of a whole one
   std::string headers;    // end-to-end header lines of a good answer
-  std::string body;
+  std::string body;       // as far as it has come
+  std::optional<uint64_t> length;  // of the whole body, where the head tells it
 };
 
 // Told of each connection that has not been closed. Any of it may come while a call of BackendLinks is running.
@@ -31,25 +34,36 @@
   virtual void OnAnswer(uint64_t connection, BackendAnswer answer) = 0;
   virtual void OnLost(uint64_t connection) = 0;   // could not connect, or it ended, or what came is no answer
   virtual void OnStale(uint64_t connection) = 0;  // a kept one had ended before anything was written to it
+  // Of messages and answers that are not whole at once.
+  virtual void OnDrained(uint64_t /*connection*/) {}  // what was written so far has gone: there is room for more
+  virtual void OnAnswerBegun(uint64_t /*connection*/, BackendAnswer /*answer*/) {}
+  virtual void OnAnswerPart(uint64_t /*connection*/, std::string /*bytes*/) {}       // after ReadMore
+  virtual void OnAnswerEnded(uint64_t /*connection*/, bool /*keep*/) {}              // after ReadMore
 };
 
 class BackendLinks {
  public:
-  BackendLinks(asio::io_context& io, BackendEvents* events);
+  // `memory` is told of what answers and messages take up, and outlives this. Answers of up to `whole` bytes are told
+  // whole, longer ones begun.
+  BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events);
   ~BackendLinks();
 
   void Connect(uint64_t connection, const tcp::endpoint& address);
-  // `kept`: it is looked at first whether the backend has ended it.
-  void Write(uint64_t connection, std::string message, bool kept);
+  // `kept`: it is looked at first whether the backend has ended it. `more`: the rest follows by WriteMore, one part
+  // after OnDrained.
+  void Write(uint64_t connection, std::string message, bool kept, bool more = false);
+  void WriteMore(uint64_t connection, std::string bytes, bool last);
+  void ReadMore(uint64_t connection);  // of a begun answer: the next part
   void Close(uint64_t connection);
 
   size_t connections() const { return connections_.size(); }
 
  private:
   class Connection;
-  Connection* Find(uint64_t connection);
+  std::shared_ptr<Connection> Find(uint64_t connection) const;
 
   asio::io_context& io_;
+  bodies::BodyMemory* memory_;
   BackendEvents* events_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
 };
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "net/message_reader.h"
 #include "settings/settings.h"
 
 namespace ivygw {
@@ -17,9 +18,12 @@
 // cannot fill the memory.
 constexpr size_t kMostAhead = 2 * kMaxHeader;
 constexpr auto kLinger = std::chrono::seconds(1);    // for a client to read its last answer
-constexpr auto kAnswerRead = std::chrono::seconds(10);  // for an answer to be read
-// For a connection's first request to be whole from when it was taken, and for a later one from its first byte.
-constexpr auto kRequestWhole = std::chrono::milliseconds(2500);
+constexpr auto kAnswerRead = std::chrono::seconds(10);  // for an answer, or a part of a long one, to be read
+// For a connection's first request to be whole from when it was taken, and for a later one from its first byte; and for
+// a long body so much more as it takes at the least rate, in bytes a second.
+constexpr auto kRequestWhole = std::chrono::milliseconds(2900);
+constexpr double kSlowestBody = 48 * 1024;
+constexpr auto kBodyMoves = std::chrono::seconds(5);  // for the next of a body that is passed on in pieces
 constexpr size_t kMostBlank = 64;  // bytes of empty lines ahead of a request
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
@@ -45,7 +49,12 @@
 class ClientServer::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(ClientServer* server, uint64_t id, tcp::socket socket)
-      : server_(server), id_(id), socket_(std::move(socket)), timer_(server->io_) {}
+      : server_(server),
+        id_(id),
+        socket_(std::move(socket)),
+        timer_(server->io_),
+        share_(server->memory_),
+        reader_(kLongestBody) {}
 
   bool idle() const { return state_ == State::kReading && !begun_; }
 
@@ -57,8 +66,44 @@
   }
 
   void Reply(Answer answer) {
+    if (state_ == State::kHeld) Write(std::move(answer), keep_ && !more_ && !server_->asking_to_close_);
+  }
+
+  void ReplyBegin(Answer answer, std::optional<uint64_t> length) {
     if (state_ != State::kHeld) return;
-    Write(std::move(answer), keep_ && !server_->asking_to_close_);
+    state_ = State::kReplying;
+    chunked_ = !length && minor_ > 0;
+    // To a client of HTTP/1.0 only the end of the connection can end a body of unknown length.
+    keep_ = keep_ && !more_ && !server_->asking_to_close_ && (length || chunked_);
+    std::string text = HeadOf(answer, length, keep_);
+    AppendPart(answer.body, &text);
+    Send(std::move(text), [this] { Drained(); });
+    if (more_) Read();
+  }
+  void ReplyPart(std::string bytes, bool last) {
+    if (state_ != State::kReplying) return;
+    std::string text;
+    if (chunked_) {
+      text.reserve(bytes.size() + 24);
+      AppendPart(bytes, &text);
+      if (last) text += "0\r\n\r\n";
+    } else {
+      text = std::move(bytes);
+    }
+    if (last) state_ = State::kWriting;
+    Send(std::move(text), [this, last] { last ? Answered(keep_) : Drained(); });
+  }
+  void Abort() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);  // a reset: no end that could pass for the body's
+    Close();
+  }
+
+  void ReadBody() {
+    if (state_ != State::kHeld || !more_ || wanted_) return;
+    wanted_ = true;
+    GiveBody();
+    Read();
   }
 
   // Between requests only. Bytes that have come meanwhile are a request that is to be served.
@@ -75,7 +120,7 @@
   void Close() {
     if (state_ == State::kClosed) return;
     auto self = shared_from_this();
-    bool held = state_ == State::kHeld;
+    bool held = state_ == State::kHeld || state_ == State::kReplying;
     Busy(false);
     state_ = State::kClosed;
     NotIdle();
@@ -83,7 +128,7 @@
     CloseNow(socket_);
     ClientServer* server = server_;
     server->connections_.erase(id_);
-    server->on_closed_(id_, held);
+    server->events_.on_closed(id_, held);
     if (server->paused_ && server->connections_.size() < server->most_ && server->accepting_) {
       server->paused_ = false;
       server->Accept();
@@ -96,7 +141,8 @@
   }
 
  private:
-  enum class State { kReading, kHeld, kWriting, kLingering, kClosed };
+  // kHeld: given on, not answered. kReplying: the answer is on its way in pieces. kWriting: its last is.
+  enum class State { kReading, kHeld, kReplying, kWriting, kLingering, kClosed };
 
   // Whether a whole request is here whose answer is not out.
   void Busy(bool now) {
@@ -111,171 +157,298 @@
     if (unfinished_at_.has_value()) server_->unfinished_.erase(*unfinished_at_);
     unfinished_at_.reset();
   }
+  void Unfinished() {
+    NotIdle();
+    unfinished_at_ = server_->unfinished_.insert(server_->unfinished_.end(), id_);
+  }
+  void Account() { share_.Hold(reader_.unread() + body_.size() + message_.size()); }
 
   // Ready for the next request, of which bytes may have come already.
   void Next() {
     state_ = State::kReading;
-    begun_ = continued_ = false;
+    begun_ = continued_ = more_ = wanted_ = false;
     blank_ = 0;
-    Renew(&parser_, kMaxBody);
+    reader_.Next();
+    body_ = std::string();
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
   }
 
+  bool WantsBytes() const {
+    switch (state_) {
+      case State::kReading:
+      case State::kLingering: return true;
+      case State::kHeld: return more_ ? wanted_ : reader_.unread() < kMostAhead;
+      case State::kReplying:
+      case State::kWriting: return more_ || reader_.unread() < kMostAhead;
+      case State::kClosed: return false;
+    }
+    return false;
+  }
+
   void Read() {
-    if (reading_ || state_ == State::kClosed || buffer_.size() >= kMostAhead) return;
+    if (reading_ || !WantsBytes()) return;
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk),
-                            [self = shared_from_this(), this](error_code error, size_t n) {
-                              reading_ = false;
-                              if (state_ == State::kClosed) return;
-                              // An end in the middle of an answer's last bytes, or while nothing is held,
-                              // only ends the connection; while a request is held the client has gone away.
-                              if (error) return Close();
-                              buffer_.commit(n);
-                              if (state_ == State::kLingering) {
-                                lingered_ += n;
-                                buffer_.clear();
-                                if (lingered_ > kMostLingerBytes) return Close();
-                              } else if (state_ == State::kReading) {
-                                Parse();
-                              }
-                              Read();
-                            });
+    size_t most = state_ == State::kReading || more_ ? kMostRead : kReadChunk;
+    ReadSome(socket_, most, [self = shared_from_this(), this](error_code error, std::string_view bytes) {
+      reading_ = false;
+      if (state_ == State::kClosed) return;
+      // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection; while a
+      // request is held the client has gone away.
+      if (error) return Close();
+      Took(bytes);
+      Read();
+    });
+  }
+
+  void Took(std::string_view bytes) {
+    if (state_ == State::kLingering) {
+      lingered_ += bytes.size();
+      if (lingered_ > (more_ ? kLongestBody : kMostLingerBytes)) return Close();
+      if (more_) LimitLinger();  // the rest of a body that is not wanted: as long as it moves
+      return;
+    }
+    bool answered = state_ == State::kReplying || state_ == State::kWriting;
+    if (answered && more_) return;  // of a body that is not wanted any more
+    reader_.Add(bytes);
+    Account();
+    if (state_ == State::kReading) return Parse();
+    if (state_ == State::kHeld && more_ && wanted_) GiveBody();
   }
 
   void Parse() {
     // Empty lines before a request are passed over (RFC 9112, 2.2).
-    while (!begun_ && buffer_.size() > 0 && (Front() == '\r' || Front() == '\n')) {
-      buffer_.consume(1);
-      if (++blank_ > kMostBlank) return Refuse(http::error::bad_method);
+    while (!begun_ && reader_.unread() > 0 && (reader_.front() == '\r' || reader_.front() == '\n')) {
+      reader_.Skip();
+      if (++blank_ > kMostBlank) return Refuse(400);
     }
-    if (buffer_.size() == 0) return;
+    if (reader_.unread() == 0 && !begun_) return;
     if (!begun_) {
       begun_ = true;
-      NotIdle();
-      unfinished_at_ = server_->unfinished_.insert(server_->unfinished_.end(), id_);
+      Unfinished();
     }
-    if (error_code error = Feed(*parser_, buffer_)) return Refuse(error);
-    if (parser_->is_done()) return Whole();
-    if (parser_->is_header_done() && !continued_ &&
-        boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-      continued_ = true;
-      static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      error_code ignored;
-      socket_.send(asio::buffer(kContinue), 0, ignored);
+    size_t limit = server_->memory_->HoldLimit();
+    error_code error = reader_.Parse(&body_, limit);
+    Account();
+    if (error) return Refuse(error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400);
+    if (reader_.done()) return Given(false);
+    if (reader_.head_done()) {
+      // Nothing of it has been sent on, so turning it away is harmless.
+      bool is_long = reader_.length().value_or(0) > bodies::BodyMemory::kWhole || body_.size() >= bodies::BodyMemory::kWhole;
+      if (is_long && server_->memory_->Crowded()) return Refuse(503);
+      if (!continued_ && boost::beast::iequals(reader_.head()[http::field::expect], "100-continue")) {
+        continued_ = true;
+        static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+        error_code ignored;
+        socket_.send(asio::buffer(kContinue), 0, ignored);
+      }
+      if (body_.size() >= limit) return Given(true);
     }
     LimitRequest();
   }
+
+  // A body may come as slowly as kSlowestBody once its head is here; what comes more slowly than that never ends.
   void LimitRequest() {
     if (timed_) return;
     timed_ = true;
-    timer_.expires_after(kRequestWhole);
+    first_ = Clock::now();
+    AwaitRequest();
+  }
+  void AwaitRequest() {
+    timer_.expires_at(first_ + kRequestWhole + Seconds(static_cast<double>(body_.size()) / kSlowestBody));
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled && timed_ && state_ == State::kReading) Close();
+      if (cancelled || !timed_ || state_ != State::kReading) return;
+      if (Clock::now() < first_ + kRequestWhole + Seconds(static_cast<double>(body_.size()) / kSlowestBody)) {
+        return AwaitRequest();
+      }
+      Close();
     });
   }
-  char Front() const { return *static_cast<const char*>(buffer_.data().data()); }
 
-  void Whole() {
+  void Given(bool more) {
     if (timed_) timer_.cancel();
     timed_ = false;
     NotIdle();
-    keep_ = parser_->keep_alive();
+    keep_ = reader_.keep_alive();
+    minor_ = reader_.head().version() % 10;
     state_ = State::kHeld;
-    Busy(true);
-    server_->on_request_(id_, parser_->release());
+    more_ = more;
+    ClientMessage message;
+    message.more = more;
+    message.length = reader_.length();
+    if (more) {
+      message.head = reader_.head();  // what is left of the body may have trailers, which go into the reader's own
+    } else {
+      message.head = std::move(reader_.head());
+      Busy(true);
+    }
+    message.body = std::move(body_);
+    body_ = std::string();
+    Account();
+    server_->events_.on_request(id_, std::move(message));
+  }
+
+  void GiveBody() {
+    body_.clear();
+    error_code error = reader_.Parse(&body_, server_->memory_->Window());
+    Account();
+    if (error) return Close();  // it can't be made whole: what has gone on is given up with its client
+    if (body_.empty() && !reader_.done()) return LimitBody();
+    if (timed_) timer_.cancel();
+    timed_ = wanted_ = false;
+    more_ = !reader_.done();
+    if (!more_) Busy(true);
+    std::string bytes = std::move(body_);
+    body_ = std::string();
+    Account();
+    server_->events_.on_body(id_, std::move(bytes), !more_);
+  }
+  // Guards against a body that stops in the middle.
+  void LimitBody() {
+    timed_ = true;
+    timer_.expires_after(kBodyMoves);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (!cancelled && timed_ && state_ == State::kHeld && more_) Close();
+    });
   }
 
-  // The framing is in doubt: the answer ends the connection.
-  void Refuse(error_code error) {
+  // The framing is in doubt, or the rest is not wanted: the answer ends the connection.
+  void Refuse(int status) {
     if (timed_) timer_.cancel();
+    timed_ = false;
+    more_ = status == 503;  // a sound one, of which the rest is read and dropped
     Answer answer;
-    answer.status = error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400;
+    answer.status = status;
     Write(std::move(answer), false);
   }
 
-  void Write(Answer answer, bool keep) {
-    state_ = State::kWriting;
-    message_.clear();
-    message_.reserve(answer.headers.size() + answer.body.size() + 160);
+  std::string HeadOf(const Answer& answer, std::optional<uint64_t> length, bool keep) const {
+    std::string out;
+    out.reserve(answer.headers.size() + answer.body.size() + 160);
     char text[96];
-    int n = std::snprintf(text, sizeof(text), "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", answer.status,
-                          Reason(answer.status), answer.body.size());
-    message_.append(text, static_cast<size_t>(n));
+    int n = std::snprintf(text, sizeof(text), "HTTP/1.1 %d %s\r\n", answer.status, Reason(answer.status));
+    out.append(text, static_cast<size_t>(n));
+    if (length) {
+      n = std::snprintf(text, sizeof(text), "Content-Length: %llu\r\n", static_cast<unsigned long long>(*length));
+      out.append(text, static_cast<size_t>(n));
+    } else if (chunked_) {
+      out += "Transfer-Encoding: chunked\r\n";
+    }
     if (answer.retry_after_s > 0) {
       n = std::snprintf(text, sizeof(text), "Retry-After: %.3f\r\n", answer.retry_after_s);
-      message_.append(text, static_cast<size_t>(n));
+      out.append(text, static_cast<size_t>(n));
+    }
+    out.append(answer.headers);
+    if (!keep) {
+      out += "Connection: close\r\n";
+    } else if (minor_ == 0) {
+      out += "Connection: keep-alive\r\n";
     }
-    message_.append(answer.headers);
-    if (!keep) message_ += "Connection: close\r\n";
-    message_.append("\r\n").append(answer.body);
-    WriteAll(socket_, message_, [self = shared_from_this(), this, keep](error_code error) {
+    return out += "\r\n";
+  }
+  void AppendPart(const std::string& bytes, std::string* out) const {
+    if (bytes.empty()) return;
+    if (chunked_) {
+      char text[24];
+      out->append(text, static_cast<size_t>(std::snprintf(text, sizeof(text), "%zx\r\n", bytes.size())));
+    }
+    out->append(bytes);
+    if (chunked_) out->append("\r\n");
+  }
+
+  void Write(Answer answer, bool keep) {
+    state_ = State::kWriting;
+    std::string text = HeadOf(answer, answer.body.size(), keep);
+    text.append(answer.body);
+    Send(std::move(text), [this, keep] { Answered(keep); });
+    if (more_) Read();
+  }
+
+  // Then `done`, unless the connection has ended by then.
+  template <typename Done>
+  void Send(std::string text, Done done) {
+    message_ = std::move(text);
+    Account();
+    sending_ = true;
+    WriteAll(socket_, message_, [self = shared_from_this(), this, done](error_code error) {
       if (state_ == State::kClosed) return;
       timer_.cancel();
-      Busy(false);
+      sending_ = false;
       if (error) return asio::post(server_->io_, [self, this] { Close(); });
-      if (message_.capacity() > kMaxHeader) message_ = std::string();
-      if (buffer_.size() == 0 && buffer_.capacity() > kReadChunk) buffer_.shrink_to_fit();
-      if (!keep) return Linger();
-      Next();
-      // Bytes that came ahead are the next request. Posted: the caller may be in the middle of its actions.
-      if (buffer_.size() > 0) {
-        asio::post(server_->io_, [self, this] {
-          if (state_ == State::kReading) Parse();
-          Read();
-        });
+      if (message_.capacity() > kMaxHeader) {
+        message_ = std::string();
       } else {
-        Read();
+        message_.clear();
       }
+      Account();
+      done();
     });
     LimitWriting();
   }
+  void Drained() { server_->events_.on_drained(id_); }
+
+  void Answered(bool keep) {
+    Busy(false);
+    if (!keep) return Linger();
+    Next();
+    // Bytes that came ahead are the next request. Posted: the caller may be in the middle of its actions.
+    if (reader_.unread() > 0) {
+      asio::post(server_->io_, [self = shared_from_this(), this] {
+        if (state_ == State::kReading) Parse();
+        Read();
+      });
+    } else {
+      Read();
+    }
+  }
 
   // Guards against a client that never reads its answer.
   void LimitWriting() {
-    if (state_ != State::kWriting) return;
+    if (!sending_) return;
     timer_.expires_after(kAnswerRead);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled && state_ == State::kWriting) Close();
+      if (!cancelled && sending_) Close();
     });
   }
 
   // The last answer must reach a client that is still sending: a close with unread bytes would reset it away.
   void Linger() {
     state_ = State::kLingering;
-    buffer_.clear();
-    NotIdle();
-    unfinished_at_ = server_->unfinished_.insert(server_->unfinished_.end(), id_);
+    reader_.Drop();
+    Account();
+    Unfinished();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    LimitLinger();
+    Read();
+  }
+  void LimitLinger() {
     timer_.expires_after(kLinger);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
       if (!cancelled) Close();
     });
-    Read();
   }
 
   ClientServer* server_;
   const uint64_t id_;
   tcp::socket socket_;
-  asio::steady_timer timer_;  // of a request that is not whole, then of lingering
-  boost::beast::flat_buffer buffer_{kMostAhead + kReadChunk};
-  std::optional<http::request_parser<http::string_body>> parser_;
+  asio::steady_timer timer_;  // of a request that is not whole, of an answer that is not out, of lingering
+  bodies::BodyShare share_;
+  MessageReader<true> reader_;
+  std::string body_, message_;
   std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
-  std::string message_;
+  Clock::time_point first_;  // from which the request that is not whole is timed
   State state_ = State::kReading;
-  size_t lingered_ = 0, blank_ = 0;
+  uint64_t lingered_ = 0;
+  size_t blank_ = 0;
+  unsigned minor_ = 1;
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false, busy_ = false;
+  bool more_ = false;     // the request's body is not all here
+  bool wanted_ = false;   // the next of it has been asked for
+  bool chunked_ = false, sending_ = false;
 };
 
-ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
-                           OnClosed on_closed)
-    : io_(io),
-      acceptor_(io),
-      retry_(io),
-      most_(most_connections),
-      on_request_(std::move(on_request)),
-      on_closed_(std::move(on_closed)) {}
+ClientServer::ClientServer(asio::io_context& io, size_t most_connections, bodies::BodyMemory* memory, Events events)
+    : io_(io), acceptor_(io), retry_(io), most_(most_connections), memory_(memory), events_(std::move(events)) {}
 
 ClientServer::~ClientServer() {
   for (auto& [id, connection] : connections_) connection->Detach();
@@ -356,11 +529,24 @@
   connection->Start();
 }
 
-void ClientServer::Reply(uint64_t connection, Answer answer) {
+std::shared_ptr<ClientServer::Connection> ClientServer::Find(uint64_t connection) const {
   auto it = connections_.find(connection);
-  if (it == connections_.end()) return;
-  auto kept = it->second;
-  kept->Reply(std::move(answer));
+  return it == connections_.end() ? nullptr : it->second;
+}
+void ClientServer::ReadBody(uint64_t connection) {
+  if (auto c = Find(connection)) c->ReadBody();
+}
+void ClientServer::Reply(uint64_t connection, Answer answer) {
+  if (auto c = Find(connection)) c->Reply(std::move(answer));
+}
+void ClientServer::ReplyBegin(uint64_t connection, Answer answer, std::optional<uint64_t> length) {
+  if (auto c = Find(connection)) c->ReplyBegin(std::move(answer), length);
+}
+void ClientServer::ReplyPart(uint64_t connection, std::string bytes, bool last) {
+  if (auto c = Find(connection)) c->ReplyPart(std::move(bytes), last);
+}
+void ClientServer::Abort(uint64_t connection) {
+  if (auto c = Find(connection)) c->Abort();
 }
 
 bool ClientServer::Quiet() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -1,18 +1,26 @@
-// The side towards clients: the listener, their connections, parsing and answers.
+// The side towards clients: the listener, their connections, parsing and answers. Bodies that are not whole when they are
+// given on, and answers that are not, come and go in pieces that the other side asks for.
 #ifndef IVYGW_NET_CLIENT_SERVER_H_
 #define IVYGW_NET_CLIENT_SERVER_H_
 
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
+#include "bodies/body_memory.h"
 #include "net/clock.h"
 #include "net/http.h"
 
 namespace ivygw {
 
-using ClientMessage = http::request<http::string_body>;
+struct ClientMessage {
+  http::request_header<> head;
+  std::string body;                // as far as it has come
+  bool more = false;               // the rest is asked for by ReadBody
+  std::optional<uint64_t> length;  // of the whole body, where that is told
+};
 
 struct Answer {
   int status = 500;
@@ -23,12 +31,20 @@
 
 class ClientServer {
  public:
-  // Takes a whole request that came on `connection`; it is answered by Answer, once, now or later.
-  using OnRequest = std::function<void(uint64_t connection, ClientMessage)>;
-  // The connection has ended; `held`: with a request on it that was not answered, so its client has gone.
-  using OnClosed = std::function<void(uint64_t connection, bool held)>;
+  // Each names the connection. Any but OnRequest's may come while a call of ClientServer is running.
+  struct Events {
+    // A request, to be answered by Reply or ReplyBegin, once, now or later.
+    std::function<void(uint64_t, ClientMessage)> on_request;
+    // The connection has ended; `held`: with a request on it whose answer was not out, so its client has gone.
+    std::function<void(uint64_t, bool held)> on_closed;
+    // The next of a request's body, after ReadBody; `last`: it is whole now.
+    std::function<void(uint64_t, std::string bytes, bool last)> on_body = [](uint64_t, std::string, bool) {};
+    // What was given by ReplyBegin or ReplyPart is out: there is room for more.
+    std::function<void(uint64_t)> on_drained = [](uint64_t) {};
+  };
 
-  ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnClosed on_closed);
+  // `memory` is told of what clients' bodies and answers take up, and outlives this.
+  ClientServer(asio::io_context& io, size_t most_connections, bodies::BodyMemory* memory, Events events);
   ~ClientServer();
 
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
@@ -40,25 +56,35 @@
   bool accepting() const { return accepting_; }
   void StopAccepting();  // for good; of an inherited socket
   tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+
+  void ReadBody(uint64_t connection);
+  // The whole answer. Where the request's body is still coming, the rest of it is dropped and the connection ends.
   void Reply(uint64_t connection, Answer answer);
+  // An answer of which `answer.body` is the beginning; `length` is the whole body's, where it is known. The rest follows by
+  // ReplyPart, one part after on_drained.
+  void ReplyBegin(uint64_t connection, Answer answer, std::optional<uint64_t> length);
+  void ReplyPart(uint64_t connection, std::string bytes, bool last);
+  void Abort(uint64_t connection);  // a begun answer cannot be finished: its client is to see that it is not whole
 
   void AskToClose(bool on) { asking_to_close_ = on; }  // while it is so, each answer ends its connection
   void CloseIdle();                               // those on which nothing has begun
   bool Quiet();                                   // no connection is open, and none waits that is this process's to take
   size_t busy() const { return busy_; }           // connections with a whole request whose answer is not out
+  size_t connections() const { return connections_.size(); }
 
  private:
   class Connection;
 
   void Accept();
   void Taken(tcp::socket socket);
+  std::shared_ptr<Connection> Find(uint64_t connection) const;
 
   asio::io_context& io_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_;
   const size_t most_;
-  OnRequest on_request_;
-  OnClosed on_closed_;
+  bodies::BodyMemory* memory_;
+  Events events_;
   uint64_t last_ = 0;
   size_t busy_ = 0;
   bool asking_to_close_ = false, paused_ = false, accepting_ = false;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -88,7 +88,7 @@
     Verdict verdict = Judge(&c, r, now, &chance);
     Live live;
     live.r = r;
-    live.deadline = now + r.left_s;
+    live.deadline = now + r.body_s + r.left_s;
     fleet_.Seen(r);
     if (quotas_.WorthAsking(c, r, verdict, chance, now)) {
       if (fleet_.Crowded(r, false)) return Refuse(r.id, 0, out);
@@ -131,7 +131,7 @@
   // Whether a further attempt is allowed by the rules of effect.
   bool MayResend(const Live& l, double now) const {
     const ClassSettings& c = s_.classes[l.r.cls];
-    if (static_cast<int>(l.tries.size()) >= s_.try_limit) return false;
+    if (static_cast<int>(l.tries.size()) >= s_.try_limit || !l.again) return false;
     if (!l.may_have_run || c.effect == Effect::kFree) return true;
     if (c.effect == Effect::kSingleShot) return false;
     return now < l.ran_at + c.window_s - 2 * s_.resolution_s;
@@ -175,10 +175,11 @@
     Customer* customer = quotas_.Peek(l.r.customer);
     if (customer != nullptr) quotas_.Closed(l.r.customer, customer, now, out);
     Node* n = fleet_.Find(t.node);
-    if (n != nullptr) {
+    if (n != nullptr && !t.begun) {
       --n->out;
       fleet_.Learn(n, l, t, o, now, out);
     }
+    l.again = l.again && o.again;
     bool ran = o.result == Result::kError || o.result == Result::kTimeout || o.result == Result::kReset ||
                o.result == Result::kCancelled;
     if (ran && !l.may_have_run) {
@@ -207,9 +208,31 @@
     if (it != lives_.end() && !it->second.done) End(&it->second, out);
   }
 
-  void OnStreamBegun(uint32_t request) {
+  void OnBodyEnded(double now, uint32_t request, Actions* out) {
     auto it = lives_.find(request);
-    if (it != lives_.end()) it->second.began = true;
+    if (it == lives_.end() || it->second.done || it->second.began) return;
+    Live& l = it->second;
+    l.deadline = now + l.r.left_s;
+    for (Try& t : l.tries) {
+      if (t.out) t.sent = now;  // the backend's own time begins too
+    }
+    Arm(l, now, out);
+  }
+
+  // How soon the answer began tells of the backend; how long it goes on tells of the client. The attempt stays open to
+  // the quotas, but it is no work that waits at the backend.
+  void OnStreamBegun(double now, uint32_t request, Actions* out) {
+    auto it = lives_.find(request);
+    if (it == lives_.end() || it->second.began) return;
+    Live& l = it->second;
+    l.began = true;
+    for (Try& t : l.tries) {
+      Node* n = t.out ? fleet_.Find(t.node) : nullptr;
+      if (n == nullptr) continue;
+      t.begun = true;
+      --n->out;
+      fleet_.Learn(n, l, t, {request, 0, 0, Result::kOk}, now, out);
+    }
   }
 
   void OnTimer(double now, uint64_t tag, Actions* out) {
@@ -263,7 +286,8 @@
   impl_->OnList(now, kind, entries, out);
 }
 void Balancer::OnRequest(double t, const Request& r, Actions* out) { impl_->OnRequest(t, r, out); }
-void Balancer::OnStreamBegun(double, uint32_t request, Actions*) { impl_->OnStreamBegun(request); }
+void Balancer::OnBodyEnded(double t, uint32_t request, Actions* out) { impl_->OnBodyEnded(t, request, out); }
+void Balancer::OnStreamBegun(double t, uint32_t request, Actions* out) { impl_->OnStreamBegun(t, request, out); }
 void Balancer::OnOutcome(double t, const Outcome& o, Actions* out) { impl_->OnOutcome(t, o, out); }
 void Balancer::OnAbandoned(double, uint32_t request, Actions* out) { impl_->OnAbandoned(request, out); }
 void Balancer::OnTimer(double t, uint64_t tag, Actions* out) { impl_->OnTimer(t, tag, out); }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -79,7 +79,8 @@
   int cls = 0;
   int plan = 0;
   uint64_t customer = 0;
-  double left_s = 0;
+  double left_s = 0;  // from now, or from its body's end where that is still coming
+  double body_s = 0;  // for which its body may still come; 0: it is whole
   double units = 0;
   double entries = 1;  // gateways this customer may arrive through
 };
@@ -94,6 +95,7 @@
   bool finished = false;
   uint32_t backend = 0;
   double true_units = 0;  // 0: not told
+  bool again = true;      // the whole request is still held, so that it can be sent again
 };
 
 struct CountAnswer {
@@ -125,6 +127,9 @@
 
   void OnList(double now, ListKind kind, const std::vector<Backend>& entries, Actions* out);
   void OnRequest(double now, const Request& request, Actions* out);
+  // The request's body is whole: its time begins.
+  void OnBodyEnded(double now, uint32_t request, Actions* out);
+  // A good answer has begun, which the client is given as it comes: no time limit holds any more. Its outcome follows.
   void OnStreamBegun(double now, uint32_t request, Actions* out);
   void OnOutcome(double now, const Outcome& outcome, Actions* out);
   void OnAbandoned(double now, uint32_t request, Actions* out);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -29,6 +29,7 @@
   uint32_t node;
   double sent;
   bool out;
+  bool begun = false;  // its answer has: what it tells of the backend has been learned
 };
 
 struct Live {
@@ -36,6 +37,7 @@
   double deadline = 0;
   std::vector<Try> tries;
   int out = 0;
+  bool again = true;  // it is held whole
   bool done = false, began = false, inside = false, may_have_run = false;
   double ran_at = 0;  // when the first attempt that may have run was sent
   int ran_zone = 0, ran_cell = 0;
--- a/src/trace/codec.cpp
+++ b/src/trace/codec.cpp
@@ -19,7 +19,7 @@
 
 // The fields of each, in the order in which they are written. A field added here is a new version of the form.
 auto Tie(core::Arrival& e) {
-  return std::tie(e.client, e.id, e.cls, e.plan, e.customer, e.units, e.entries, e.timeout_s);
+  return std::tie(e.client, e.id, e.cls, e.plan, e.customer, e.units, e.entries, e.timeout_s, e.body_s);
 }
 auto Tie(core::ClientGone& e) { return std::tie(e.client); }
 auto Tie(core::Connected& e) { return std::tie(e.connection); }
@@ -36,6 +36,9 @@
 auto Tie(core::ShutdownBegun&) { return std::tuple<>(); }
 auto Tie(core::BanTold& e) { return std::tie(e.backend, e.out); }
 auto Tie(core::DrainTold& e) { return std::tie(e.on); }
+auto Tie(core::BodyGone& e) { return std::tie(e.request); }
+auto Tie(core::BodyEnded& e) { return std::tie(e.request); }
+auto Tie(core::AnswerBegun& e) { return std::tie(e.connection); }
 auto Tie(core::Listed& e) {
   micadock::Backend& b = e.backend;
   return std::tie(b.id, b.state, b.kind, b.zone, b.cell, b.weight, b.started_s, e.address);
@@ -55,13 +58,15 @@
 auto Tie(core::StopIfQuiet&) { return std::tuple<>(); }
 auto Tie(core::Stop&) { return std::tuple<>(); }
 auto Tie(core::KeepClients&) { return std::tuple<>(); }
+auto Tie(core::BeginAnswer& e) { return std::tie(e.client, e.request, e.connection); }
+auto Tie(core::BreakAnswer& e) { return std::tie(e.client, e.request); }
 
 constexpr const char* kEventNames[] = {"arrival", "client_gone", "connected", "written", "answered", "lost", "stale",
                                        "list", "list_failed", "count_written", "count_answered", "count_lost", "time",
-                                       "shutdown", "ban", "drain"};
+                                       "shutdown", "ban", "drain", "body_gone", "body_ended", "answer_begun"};
 constexpr const char* kEffectNames[] = {"hold", "answer", "forget", "connect", "write", "close", "count", "drop_count",
                                         "log", "subscribe", "ask_clients_to_close", "close_idle_clients",
-                                        "stop_if_quiet", "stop", "keep_clients"};
+                                        "stop_if_quiet", "stop", "keep_clients", "begin_answer", "break_answer"};
 static_assert(std::size(kEventNames) == std::variant_size_v<core::Event>);
 static_assert(std::size(kEffectNames) == std::variant_size_v<core::Effect>);
 
--- a/tests/core/hooked_balancer.cpp
+++ b/tests/core/hooked_balancer.cpp
@@ -10,6 +10,7 @@
   if (hooks.on_request) hooks.on_request(r, out);
 }
 int Balancer::SetAside(double) const { return 0; }
+void Balancer::OnBodyEnded(double, uint32_t, Actions*) {}
 void Balancer::OnStreamBegun(double, uint32_t, Actions*) {}
 void Balancer::OnOutcome(double, const Outcome& o, Actions* out) {
   if (hooks.on_outcome) hooks.on_outcome(o, out);
--- a/tests/gateway/silent_balancer.cpp
+++ b/tests/gateway/silent_balancer.cpp
@@ -22,6 +22,7 @@
   out->push_back(send);
 }
 int Balancer::SetAside(double) const { return 0; }
+void Balancer::OnBodyEnded(double, uint32_t, Actions*) {}
 void Balancer::OnStreamBegun(double, uint32_t, Actions*) {}
 void Balancer::OnOutcome(double, const Outcome&, Actions*) {}
 void Balancer::OnAbandoned(double, uint32_t, Actions*) {}
