--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -22,6 +22,7 @@
 // For a connection's first request to be whole from when it was taken, and for a later one from its first byte; and for
 // a long body so much more as it takes at the least rate, in bytes a second.
 constexpr auto kRequestWhole = std::chrono::milliseconds(2900);
+constexpr auto kBodyBegins = std::chrono::milliseconds(1900);  // at least, from when its head was whole
 constexpr double kSlowestBody = 48 * 1024;
 constexpr auto kBodyMoves = std::chrono::seconds(5);  // for the next of a body that is passed on in pieces
 constexpr size_t kMostBlank = 64;  // bytes of empty lines ahead of a request
@@ -224,6 +225,7 @@
     if (reader_.unread() == 0 && !begun_) return;
     if (!begun_) {
       begun_ = true;
+      if (timed_) first_ = Clock::now();  // what it was silent before does not count
       Unfinished();
     }
     size_t limit = server_->memory_->HoldLimit();
@@ -232,6 +234,7 @@
     if (error) return Refuse(error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400);
     if (reader_.done()) return Given(false);
     if (reader_.head_done()) {
+      if (!head_) head_ = Clock::now();
       // Nothing of it has been sent on, so turning it away is harmless.
       bool is_long = reader_.length().value_or(0) > bodies::BodyMemory::kWhole || body_.size() >= bodies::BodyMemory::kWhole;
       if (is_long && server_->memory_->Crowded()) return Refuse(503);
@@ -251,18 +254,22 @@
     if (timed_) return;
     timed_ = true;
     first_ = Clock::now();
+    head_.reset();
     AwaitRequest();
   }
   void AwaitRequest() {
-    timer_.expires_at(first_ + kRequestWhole + Seconds(static_cast<double>(body_.size()) / kSlowestBody));
+    timer_.expires_at(WholeBy());
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
       if (cancelled || !timed_ || state_ != State::kReading) return;
-      if (Clock::now() < first_ + kRequestWhole + Seconds(static_cast<double>(body_.size()) / kSlowestBody)) {
-        return AwaitRequest();
-      }
+      if (Clock::now() < WholeBy()) return AwaitRequest();
       Close();
     });
   }
+  Clock::time_point WholeBy() const {
+    Clock::time_point by = first_ + kRequestWhole;
+    if (head_) by = std::max(by, *head_ + kBodyBegins);
+    return by + Seconds(static_cast<double>(body_.size()) / kSlowestBody);
+  }
 
   void Given(bool more) {
     if (timed_) timer_.cancel();
@@ -437,6 +444,7 @@
   std::string body_, message_;
   std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
   Clock::time_point first_;  // from which the request that is not whole is timed
+  std::optional<Clock::time_point> head_;  // when its head was whole
   State state_ = State::kReading;
   uint64_t lingered_ = 0;
   size_t blank_ = 0;
