What the module has learned of the backends passes to the process that takes over

Cause: a new process begins with a limit of 3 at each backend and no notion of what warm ones take, so that after each of six upgrades cold backends got a fifth of their room (ColdRoom's one-core rate, fleet.cpp) and refusals for lack of a backend rose, counted by reason with an instrumented build. Change: Balancer::Remember and Recall, state/learned_file.h, written twice a second and read before the first client is taken; a core event, so that replay sees it.

--- a/src/core/events.h
+++ b/src/core/events.h
@@ -74,6 +74,9 @@
 struct BodyEnded {  // the request's body is whole: its time begins
   uint32_t request = 0;
 };
+struct LearnedTold {  // what the process before had learned of the backends
+  micadock::Learned learned;
+};
 struct AnswerBegun {  // a good answer that goes to its client as it comes; Answered or Lost follows
   uint64_t connection = 0;
 };
@@ -83,7 +86,7 @@
 
 using Event = std::variant<Arrival, ClientGone, Connected, Written, Answered, Lost, Stale, ListTold, ListFailed,
                            CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun, BanTold, DrainTold,
-                           BodyGone, BodyEnded, AnswerBegun>;
+                           BodyGone, BodyEnded, AnswerBegun, LearnedTold>;
 
 }  // namespace ivygw::core
 
--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -74,6 +74,7 @@
     void operator()(const BodyGone& e) { core->OnBodyGone(e.request); }
     void operator()(const BodyEnded& e) { core->OnBodyEnded(now, e.request, out); }
     void operator()(const AnswerBegun& e) { core->OnAnswerBegun(now, e.connection, out); }
+    void operator()(const LearnedTold& e) { core->OnLearned(now, e.learned); }
     void operator()(const BanTold& e) { core->OnBan(now, e.backend, e.out, out); }
     void operator()(const DrainTold& e) { core->OnDrain(now, e.on, out); }
   };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,6 +38,7 @@
           [this] { driver_->Tell(core::ListFailed{}); }),
       timer_(io),
       looking_(io),
+      learning_(io),
       bad_(config.settings.classes.size()) {
   if (config.has_counter) {
     counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
@@ -68,6 +69,7 @@
   if (!config_.admin && !config_.listen_fd) return;
   if (!config_.shared_directory.empty()) {
     operators_.emplace(config_.shared_directory, config_.name);
+    if (config_.listen_fd) learned_.emplace(config_.shared_directory, config_.name);
     Look();
   }
   if (!config_.admin) return;
@@ -316,7 +318,13 @@
 
 // An inherited socket is shared: nobody is taken from it before this process can serve.
 void Gateway::ServeIfReady() {
-  if (config_.listen_fd && !closing_ && !server_.accepting() && driver_->core().serving()) server_.StartAccepting();
+  if (!config_.listen_fd || closing_ || server_.accepting() || !driver_->core().serving()) return;
+  if (learned_ && !recalled_) {
+    recalled_ = true;
+    RecallLearned();
+    WriteLearned();
+  }
+  server_.StartAccepting();
 }
 
 void Gateway::Reload(const Config& fresh) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "net/client_server.h"
 #include "net/counter_client.h"
 #include "net/discovery_client.h"
+#include "state/learned_file.h"
 #include "state/operators_file.h"
 
 namespace ivygw {
@@ -81,6 +82,9 @@
   std::string Keep(const std::function<void(state::OperatorsWord*)>& change);
   void Follow(const state::OperatorsWord& word);
   void Look();
+  // What the module has learned, for the process that takes this one's place, and from the one before.
+  void WriteLearned();
+  void RecallLearned();
   void ServeIfReady();
   void StartOperators();
 
@@ -120,7 +124,9 @@
   std::vector<tcp::endpoint> addresses_;
   std::optional<admin::Server> admin_;
   std::optional<state::OperatorsFile> operators_;
-  asio::steady_timer looking_;
+  std::optional<state::LearnedFile> learned_;
+  asio::steady_timer looking_, learning_;
+  bool recalled_ = false;
   std::set<std::string> bans_;         // by name, as the core has them
   std::vector<uint64_t> bad_;          // by class, requests that were answered as bad input and never reached the core
   uint64_t reloads_ = 0, failed_reloads_ = 0;
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -10,6 +10,8 @@
 
 // How often what the other process of this gateway wrote is looked for: well within the second that a call has.
 constexpr auto kLookEvery = std::chrono::milliseconds(100);
+// How often what the module has learned is written for a process that may take over at any moment.
+constexpr auto kLearnedEvery = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -106,4 +108,26 @@
   });
 }
 
+void Gateway::WriteLearned() {
+  if (closing_) return;  // who took over knows better by now
+  try {
+    learned_->Write(driver_->core().Remember(Now()), Now(), [this](uint32_t id) { return ids_.NameOf(id); });
+  } catch (const state::StateError& error) {
+    std::fprintf(stderr, "what was learned of the backends is not kept: %s\n", error.what());
+  }
+  learning_.expires_after(kLearnedEvery);
+  learning_.async_wait([this](error_code cancelled) {
+    if (!cancelled) WriteLearned();
+  });
+}
+
+void Gateway::RecallLearned() {
+  try {
+    auto learned = learned_->Read(Now(), [this](const std::string& name) { return ids_.Of(name); });
+    if (learned) driver_->Tell(core::LearnedTold{std::move(*learned)});
+  } catch (const state::StateError& error) {
+    std::fprintf(stderr, "what was learned of the backends cannot be read, and is learned anew: %s\n", error.what());
+  }
+}
+
 }  // namespace ivygw
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -35,6 +35,10 @@
   using Hash = uint32_t (*)(std::string_view);
   explicit BackendIds(Hash hash = &NameHash) : hash_(hash) {}
   uint32_t Of(const std::string& name);
+  std::string NameOf(uint32_t id) const {  // empty: of none that was asked for
+    auto it = names_.find(id);
+    return it == names_.end() ? std::string() : it->second;
+  }
   bool Known(const std::string& name) const { return ids_.count(name) != 0; }  // it has been asked for before
   static uint32_t NameHash(std::string_view name);
 
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -263,7 +263,7 @@
   }
 
 
-  const Fleet& fleet() const { return fleet_; }
+  Fleet& fleet() { return fleet_; }
 
  private:
   void Refuse(uint32_t id, double stay_away, Actions* out) {
@@ -291,6 +291,8 @@
 void Balancer::OnOutcome(double t, const Outcome& o, Actions* out) { impl_->OnOutcome(t, o, out); }
 void Balancer::OnAbandoned(double, uint32_t request, Actions* out) { impl_->OnAbandoned(request, out); }
 void Balancer::OnTimer(double t, uint64_t tag, Actions* out) { impl_->OnTimer(t, tag, out); }
+Learned Balancer::Remember(double now) const { return impl_->fleet().Remember(now); }
+void Balancer::Recall(double now, const Learned& learned) { impl_->fleet().Recall(now, learned); }
 int Balancer::SetAside(double now) const { return impl_->fleet().SetAside(now); }
 void Balancer::OnCount(double t, const CountAnswer& a, Actions* out) { impl_->OnCount(t, a, out); }
 
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -117,6 +117,18 @@
 };
 using Actions = std::vector<Action>;
 
+// What a gateway has learned of its servers, for the process that takes its place. Times on the module's clock.
+struct Learned {
+  struct OfBackend {
+    uint32_t id = 0;
+    double speed = 1, pace = 0, limit = 0, fails = 0;
+    double cold_since = 0;  // 0: warm
+  };
+  std::vector<OfBackend> backends;
+  std::vector<double> work, units;  // by class: s of an answer, mean units
+  double let_in = 1, warm_work = 0;
+};
+
 // One gateway's decisions. Every call gets the clock, in seconds, and appends actions in order.
 class Balancer {
  public:
@@ -135,6 +147,9 @@
   void OnAbandoned(double now, uint32_t request, Actions* out);
   void OnTimer(double now, uint64_t tag, Actions* out);
   void OnCount(double now, const CountAnswer& answer, Actions* out);
+  Learned Remember(double now) const;
+  // Takes it over; what is out of range, or of backends that are not listed, is passed over.
+  void Recall(double now, const Learned& learned);
   int SetAside(double now) const;  // ready backends that get nothing now, by the module's own choice
 
  private:
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -49,6 +49,8 @@
 
   void OnList(double now, ListKind kind, const std::vector<Backend>& entries);
   Node* Find(uint32_t id);
+  Learned Remember(double now) const;
+  void Recall(double now, const Learned& learned);
   int SetAside(double now) const;  // of those that the list has ready
   double WorkOf(const Request& r) const;  // s that its answer is to take
   double Work(int cls) const { return work_[cls]; }
--- a/src/state/operators_file.cpp
+++ b/src/state/operators_file.cpp
@@ -8,8 +8,11 @@
 #include <cerrno>
 #include <cstring>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
+#include "state/files.h"
+
 namespace ivygw::state {
 namespace {
 
@@ -17,22 +20,6 @@
 
 constexpr int kVersion = 1;
 
-std::string Why() { return std::strerror(errno); }
-
-class Descriptor {
- public:
-  explicit Descriptor(int fd) : fd_(fd) {}
-  ~Descriptor() {
-    if (fd_ >= 0) close(fd_);
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  int get() const { return fd_; }
-
- private:
-  int fd_;
-};
-
 // Held until destroyed. It is on a file of its own, since the other is replaced each time it is written.
 class Lock {
  public:
@@ -48,25 +35,6 @@
   Descriptor file_;
 };
 
-void WriteWhole(const std::string& path, const std::string& text) {
-  std::string fresh = path + ".new";
-  {
-    Descriptor file(open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-    if (file.get() < 0) throw StateError("cannot write " + fresh + ": " + Why());
-    for (size_t at = 0; at < text.size();) {
-      ssize_t n = write(file.get(), text.data() + at, text.size() - at);
-      if (n < 0 && errno == EINTR) continue;
-      if (n <= 0) {
-        std::string why = Why();
-        unlink(fresh.c_str());
-        throw StateError("cannot write " + fresh + ": " + why);
-      }
-      at += static_cast<size_t>(n);
-    }
-  }
-  if (rename(fresh.c_str(), path.c_str()) != 0) throw StateError("cannot put " + path + " in place: " + Why());
-}
-
 }  // namespace
 
 std::string Format(const OperatorsWord& word, const std::string& gateway) {
@@ -98,28 +66,15 @@
   return word;
 }
 
-OperatorsFile::OperatorsFile(std::string directory, std::string gateway) : gateway_(std::move(gateway)) {
-  std::string name;
-  for (char c : gateway_) name += std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' ? c : '_';
-  path_ = std::move(directory) + "/ivygw-" + name + "-operators.json";
+OperatorsFile::OperatorsFile(const std::string& directory, std::string gateway) : gateway_(std::move(gateway)) {
+  path_ = PathOf(directory, gateway_, "operators.json");
 }
 
 OperatorsWord OperatorsFile::Read() const {
-  Descriptor file(open(path_.c_str(), O_RDONLY | O_CLOEXEC));
-  if (file.get() < 0 && errno == ENOENT) return {};
-  if (file.get() < 0) throw StateError("cannot read " + path_ + ": " + Why());
-  std::string text;
-  char part[4096];
-  for (;;) {
-    ssize_t n = read(file.get(), part, sizeof(part));
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) throw StateError("cannot read " + path_ + ": " + Why());
-    if (n == 0) break;
-    text.append(part, static_cast<size_t>(n));
-    if (text.size() > kMostFile) throw StateError(path_ + ": it is longer than any file of ours");
-  }
+  std::optional<std::string> text = ReadWhole(path_);
+  if (!text) return {};
   try {
-    return Parse(text, gateway_);
+    return Parse(*text, gateway_);
   } catch (const StateError& error) {
     throw StateError(path_ + ": " + error.what());
   }
--- a/src/state/operators_file.h
+++ b/src/state/operators_file.h
@@ -7,16 +7,12 @@
 #include <functional>
 #include <cstdint>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
-namespace ivygw::state {
+#include "state/files.h"
 
-class StateError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+namespace ivygw::state {
 
 struct OperatorsWord {
   std::set<std::string> bans;  // by the backends' names
@@ -25,7 +21,6 @@
 };
 
 inline constexpr size_t kMostBans = 100000;        // in a file; more is no file of ours
-inline constexpr size_t kMostFile = size_t{16} << 20;  // bytes
 
 // The file's text, and back. Parse throws StateError naming the field on what is torn, of another gateway or of a form
 // that is not known.
@@ -35,7 +30,7 @@
 class OperatorsFile {
  public:
   // `directory` is shared by the gateway's processes; `gateway` is its name.
-  OperatorsFile(std::string directory, std::string gateway);
+  OperatorsFile(const std::string& directory, std::string gateway);
 
   // What the file says; nothing said where there is none. Throws StateError where it cannot be read.
   OperatorsWord Read() const;
--- a/src/trace/codec.cpp
+++ b/src/trace/codec.cpp
@@ -39,6 +39,11 @@
 auto Tie(core::BodyGone& e) { return std::tie(e.request); }
 auto Tie(core::BodyEnded& e) { return std::tie(e.request); }
 auto Tie(core::AnswerBegun& e) { return std::tie(e.connection); }
+auto Tie(core::LearnedTold& e) {
+  micadock::Learned& l = e.learned;
+  return std::tie(l.backends, l.work, l.units, l.let_in, l.warm_work);
+}
+auto Tie(micadock::Learned::OfBackend& b) { return std::tie(b.id, b.speed, b.pace, b.limit, b.fails, b.cold_since); }
 auto Tie(core::Listed& e) {
   micadock::Backend& b = e.backend;
   return std::tie(b.id, b.state, b.kind, b.zone, b.cell, b.weight, b.started_s, e.address);
@@ -63,13 +68,18 @@
 
 constexpr const char* kEventNames[] = {"arrival", "client_gone", "connected", "written", "answered", "lost", "stale",
                                        "list", "list_failed", "count_written", "count_answered", "count_lost", "time",
-                                       "shutdown", "ban", "drain", "body_gone", "body_ended", "answer_begun"};
+                                       "shutdown", "ban", "drain", "body_gone", "body_ended", "answer_begun", "learned"};
 constexpr const char* kEffectNames[] = {"hold", "answer", "forget", "connect", "write", "close", "count", "drop_count",
                                         "log", "subscribe", "ask_clients_to_close", "close_idle_clients",
                                         "stop_if_quiet", "stop", "keep_clients", "begin_answer", "break_answer"};
 static_assert(std::size(kEventNames) == std::variant_size_v<core::Event>);
 static_assert(std::size(kEffectNames) == std::variant_size_v<core::Effect>);
 
+// Lists whose parts have fields of their own.
+template <typename Field>
+constexpr bool kListOfStructs = std::is_same_v<Field, std::vector<core::Listed>> ||
+                                std::is_same_v<Field, std::vector<micadock::Learned::OfBackend>>;
+
 // What msgpack's packer writes to.
 struct Sink {
   std::string* out;
@@ -81,9 +91,9 @@
 void Put(Packer* p, Field& field) {
   if constexpr (std::is_enum_v<Field>) {
     p->pack(static_cast<int>(field));
-  } else if constexpr (std::is_same_v<Field, std::vector<core::Listed>>) {
+  } else if constexpr (kListOfStructs<Field>) {
     p->pack_array(static_cast<uint32_t>(field.size()));
-    for (core::Listed& listed : field) {
+    for (auto& listed : field) {
       std::apply([p](auto&... f) {
         p->pack_array(sizeof...(f));
         (Put(p, f), ...);
@@ -110,7 +120,7 @@
 void Get(const msgpack::object& from, Field* field) {
   if constexpr (std::is_enum_v<Field>) {
     *field = static_cast<Field>(from.as<int>());
-  } else if constexpr (std::is_same_v<Field, std::vector<core::Listed>>) {
+  } else if constexpr (kListOfStructs<Field>) {
     if (from.type != msgpack::type::ARRAY) throw msgpack::type_error();
     field->resize(from.via.array.size);
     for (size_t i = 0; i < field->size(); ++i) GetAll(from.via.array.ptr[i], 0, &(*field)[i]);
@@ -157,6 +167,10 @@
       bool ready = l.backend.state == micadock::BackendState::kReady, gone = l.backend.state == micadock::BackendState::kGone;
       out << ' ' << l.backend.id << (ready ? "+" : gone ? "-" : "~");
     }
+  } else if constexpr (std::is_same_v<Field, std::vector<micadock::Learned::OfBackend>>) {
+    for (const auto& b : field) out << ' ' << b.id << (b.cold_since > 0 ? "c" : "") << ':' << b.limit;
+  } else if constexpr (std::is_same_v<Field, std::vector<double>>) {
+    for (double value : field) out << ' ' << value;
   } else {
     out << ' ' << field;
   }
--- a/tests/core/hooked_balancer.cpp
+++ b/tests/core/hooked_balancer.cpp
@@ -9,6 +9,8 @@
 void Balancer::OnRequest(double, const Request& r, Actions* out) {
   if (hooks.on_request) hooks.on_request(r, out);
 }
+Learned Balancer::Remember(double) const { return {}; }
+void Balancer::Recall(double, const Learned&) {}
 int Balancer::SetAside(double) const { return 0; }
 void Balancer::OnBodyEnded(double, uint32_t, Actions*) {}
 void Balancer::OnStreamBegun(double, uint32_t, Actions*) {}
--- a/tests/gateway/silent_balancer.cpp
+++ b/tests/gateway/silent_balancer.cpp
@@ -21,6 +21,8 @@
   send.backend = impl_->backend;
   out->push_back(send);
 }
+Learned Balancer::Remember(double) const { return {}; }
+void Balancer::Recall(double, const Learned&) {}
 int Balancer::SetAside(double) const { return 0; }
 void Balancer::OnBodyEnded(double, uint32_t, Actions*) {}
 void Balancer::OnStreamBegun(double, uint32_t, Actions*) {}
--- a/tests/trace/trace_test.cpp
+++ b/tests/trace/trace_test.cpp
@@ -29,7 +29,8 @@
           core::ListTold{micadock::ListKind::kDelta, {listed, listed}}, core::ListFailed{}, core::CountWritten{7},
           core::CountAnswered{8, micadock::Result::kFull, 12.25}, core::CountLost{9}, core::TimeCame{},
           core::ShutdownBegun{}, core::BanTold{10, true}, core::DrainTold{true}, core::BodyGone{11}, core::BodyEnded{12},
-          core::AnswerBegun{13}};
+          core::AnswerBegun{13},
+          core::LearnedTold{{{{9, 1.5, 0.25, 3, 0.1, 17.5}, {10, 1, 0, 4, 0, 0}}, {0.5, 0.25}, {1, 2}, 0.75, 3.5}}};
 }
 Effects EachEffect() {
   return {core::Hold{1, 2}, core::Answer{1, 2, 429, 0.5, 3}, core::Forget{4}, core::Connect{5, 6},
