A backend back from a drain is asked first, once; killed processes and torn files tested

Seen: in a test of two processes under light load a backend put back by hand went unused for 38 s. Change: Node::back, cheapest for its first attempt, within the room of a cold one as ever.

Tests: either process of an upgrade killed, spoilt files of the shared directory.

--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -9,6 +9,7 @@
 constexpr double kEjectMinS = 0.5, kEjectMaxS = 4.0;  // s set aside
 constexpr double kDeadS = 1.5;  // s without an answer, after which a failed connection means a dead process
 constexpr double kMostEjected = 0.25;  // of the ready backends; beyond that the fault is likely elsewhere
+constexpr double kBackCost = 1e-3;      // times, of one that is back from a drain, for its first attempt
 constexpr double kAsideCost = 10;       // times, of one set aside where so many are
 constexpr double kLimitStart = 3, kLimitMax = 200;  // attempts out at one backend
 constexpr double kCut = 0.7, kCutEveryS = 0.1;      // share that a sign of a queue leaves; s between cuts
@@ -113,6 +114,7 @@
     double fails = std::max(n.fails, Silence(n.info.zone, now));
     double cost = n.speed * (n.out + 1) * (1 + 10 * fails * fails) * (0.95 + 0.1 * dice_->Unit());
     if (n.info.zone != s_.zone) cost *= 1.5;
+    if (n.back) cost *= kBackCost;
     if (n.aside_until > now) cost *= kAsideCost;  // so many are: those not set aside first
     for (const Try& t : l.tries) {
       if (t.node == n.info.id) cost += 100;
@@ -192,6 +194,7 @@
       n->heard = now;
     }
     bool restarted = b.started_s > 0 && b.started_s != n->info.started_s;
+    n->back = b.state == BackendState::kReady && (n->back || n->info.state == BackendState::kDraining);
     n->info = b;
     if (restarted && now - b.started_s < s_.warm_after_s) {
       Chill(n, std::max(n->cold_since, b.started_s), now);
@@ -277,6 +280,7 @@
 }
 
 void Fleet::Sent(Node* n, const Request& r) {
+  n->back = false;
   ++n->out;
   if (n->cold_since > 0) n->budget -= WorkOf(r);
 }
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -17,6 +17,7 @@
   double pace = 0;   // mean of answer time over aim
   double fails = 0;
   double aside_until = 0, aside_wait = 0;
+  bool back = false;   // no longer drains, and has had nothing since: it is asked first, once, to be known
   bool trial = false;  // back from being set aside: one attempt at a time
   double limit = 0;
   double cut_at = 0, paced_at = 0;
--- a/tests/gateway/operators_test.cpp
+++ b/tests/gateway/operators_test.cpp
@@ -280,6 +280,64 @@
   EXPECT_GT(served, 0);
 }
 
+// Either process of an upgrade may die at once: the other serves, and what was said holds.
+TEST(Operators, EitherProcessOfAnUpgradeMayBeKilled) {
+  HeldSocket socket;
+  Directory shared;
+  std::map<std::string, std::string> environment = {{"LB_LISTEN_FD", "3"}, {"TMPDIR", shared.path}};
+  Backend one(Says(Ok("one"))), two(Says(Ok("two")));
+  json config = WithAdmin();
+  config["listen"] = "127.0.0.1:" + std::to_string(socket.port);
+  Site site(json::array({Entry("s1", one.port()), Entry("s2", two.port())}), config, IVYGW, 0, environment, socket.fd);
+  config["discovery"] = "127.0.0.1:" + std::to_string(site.discovery.port());
+  config["counter"] = "127.0.0.1:" + std::to_string(site.counter.port());
+  EXPECT_EQ(Told(site.gateway->admin, "set-down s1"), "+OK\n");
+  auto serves = [&] {
+    for (int i = 0; i < 4; ++i) {
+      Message answer = Ask(*Wire::To(socket.port), Request("quote"));
+      EXPECT_EQ(answer.status(), 200);
+      EXPECT_EQ(answer.body, "two");
+    }
+  };
+  {  // the new one, after its yes
+    Process fresh(config, IVYGW, 0, environment, socket.fd);
+    EXPECT_TRUE(Comes([&] { return Told(fresh.admin, "check") == "+OK\n"; }));
+    fresh.Signal(SIGKILL);
+    EXPECT_EQ(fresh.Exit(), -SIGKILL);
+  }
+  serves();
+  auto fresh = std::make_unique<Process>(config, IVYGW, 0, environment, socket.fd);
+  EXPECT_TRUE(Comes([&] { return Told(fresh->admin, "check") == "+OK\n"; }));
+  site.gateway->Signal(SIGKILL);  // the old one, without a word
+  EXPECT_EQ(site.gateway->Exit(), -SIGKILL);
+  site.gateway = std::move(fresh);
+  serves();
+  EXPECT_EQ(one.requests.count(), 0);
+  EXPECT_EQ(Told(site.gateway->admin, "set-up s1"), "+OK\n");
+  EXPECT_TRUE(Comes([&] { return Ask(*Wire::To(socket.port), Request("quote")).status() == 200 && one.requests.count() > 0; }));
+}
+
+// A file of the directory that is torn or of another form: one line in the log, and the gateway serves.
+TEST(Operators, SpoiltFilesOfTheSharedDirectoryChangeNothing) {
+  HeldSocket socket;
+  Directory shared;
+  std::map<std::string, std::string> environment = {{"LB_LISTEN_FD", "3"}, {"TMPDIR", shared.path}};
+  std::string torn = "{\"version\":1,\"gateway\":\"n0\"";
+  std::ofstream(shared.path + "/ivygw-n0-learned.json") << torn;
+  Backend one(Says(Ok("one")));
+  json config = WithAdmin();
+  config["listen"] = "127.0.0.1:" + std::to_string(socket.port);
+  Site site(json::array({Entry("s1", one.port())}), config, IVYGW, 0, environment, socket.fd);
+  EXPECT_TRUE(Comes([&] { return Told(site.gateway->admin, "check") == "+OK\n"; }));
+  std::ofstream(shared.path + "/ivygw-n0-operators.json") << torn;
+  EXPECT_EQ(Ask(*Wire::To(socket.port), Request("quote")).status(), 200);
+  EXPECT_EQ(Told(site.gateway->admin, "set-down s1"), "+OK\n") << "written anew";
+  EXPECT_TRUE(std::filesystem::exists(shared.path + "/ivygw-n0-operators.json.bad"));
+  site.gateway->Signal(SIGTERM);
+  EXPECT_EQ(site.gateway->Exit(), 0);
+  EXPECT_NE(site.gateway->rest.find("learned anew"), std::string::npos);
+}
+
 // A new process that has no list yet takes nobody from the shared socket, and says so.
 TEST(Operators, AnInheritedSocketIsLeftToOthersUntilThisProcessCanServe) {
   HeldSocket socket;
--- a/tests/policy/upgrade_and_bodies_test.cpp
+++ b/tests/policy/upgrade_and_bodies_test.cpp
@@ -115,6 +115,29 @@
   EXPECT_EQ(told.Room(), plain.Room() + 2) << "the one entry that is sound, but for its start in the future";
 }
 
+// However slow it was before: nothing else would tell whether it is sound now.
+TEST(Upgrade, ABackendThatIsBackFromADrainIsAskedFirstOnce) {
+  Module m(Listing(2));
+  Learned learned;
+  learned.backends = {{50, 5, 0, 5, 0, 0}, {51, 0.2, 0, 5, 0, 0}};
+  m.b.Recall(m.now, learned);
+  auto ask = [&] {
+    uint32_t at = m.Ask();
+    m.now += 0.01;
+    m.End(m.last, at, Result::kOk);
+    return at;
+  };
+  EXPECT_EQ(ask(), 51u);
+  std::vector<Backend> one = {Listing(2)[0]};
+  one[0].state = BackendState::kDraining;
+  m.b.OnList(m.now, ListKind::kDelta, one, &m.out);
+  EXPECT_EQ(ask(), 51u);
+  one[0].state = BackendState::kReady;
+  m.b.OnList(m.now, ListKind::kDelta, one, &m.out);
+  EXPECT_EQ(ask(), 50u);
+  EXPECT_EQ(ask(), 51u) << "from then on by what is known";
+}
+
 TEST(Bodies, ARequestsTimeBeginsWhenItsBodyIsWhole) {
   Module m(Listing(1));
   ASSERT_NE(m.Ask(5), 0u);
