--- a/tests/rig/gateway_rig.h
+++ b/tests/rig/gateway_rig.h
@@ -4,6 +4,7 @@
 #define IVYGW_TESTS_GATEWAY_RIG_H_
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -380,7 +381,7 @@
     pid_ = fork();
     if (pid_ == 0) {
       dup2(ends[1], 2);
-      if (inherited >= 0) dup2(inherited, 3);
+      if (inherited >= 0) dup2(inherited, 3), fcntl(3, F_SETFD, 0);  // where it is 3 already, it would be closed
       for (int fd = inherited >= 0 ? 4 : 3; fd < 1024; ++fd) close(fd);
       for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
       setenv("LB_CONFIG", path, 1);
