--- a/src/admin/server.h
+++ b/src/admin/server.h
@@ -26,7 +26,6 @@
 
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
   tcp::endpoint local() const { return acceptor_.local_endpoint(); }
-  size_t callers() const { return callers_.size(); }
 
  private:
   class Caller;
--- a/src/core/ban_book.h
+++ b/src/core/ban_book.h
@@ -26,11 +26,10 @@
   bool Banned(uint32_t backend) const { return banned_.count(backend) != 0; }
   size_t listed() const { return listed_.size(); }    // backends in discovery's list, draining ones too
   size_t listed_and_banned() const;                   // of those that discovery would have used
-  const std::unordered_map<uint32_t, double>& banned() const { return banned_; }  // with the time each began
 
  private:
   std::unordered_map<uint32_t, Listed> listed_;  // as discovery told last; none of them gone
-  std::unordered_map<uint32_t, double> banned_;
+  std::unordered_map<uint32_t, double> banned_;  // with the time each began
 };
 
 }  // namespace ivygw::core
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,7 @@
   void Follow(const state::OperatorsWord& word);
   void Look();
   // What the module has learned, for the process that takes this one's place, and from the one before.
+  static void Again(asio::steady_timer* timer, Clock::duration every, std::function<void()> task);
   void WriteLearned();
   void RecallLearned();
   void ServeIfReady();
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -96,16 +96,20 @@
   if (word.drained != driver_->core().draining()) driver_->Tell(core::DrainTold{word.drained});
 }
 
+void Gateway::Again(asio::steady_timer* timer, Clock::duration every, std::function<void()> task) {
+  timer->expires_after(every);
+  timer->async_wait([task = std::move(task)](error_code cancelled) {
+    if (!cancelled) task();
+  });
+}
+
 void Gateway::Look() {
   try {
     if (operators_->Changed()) Follow(operators_->Read());
   } catch (const state::StateError& error) {
     std::fprintf(stderr, "what operators said before cannot be read, and nothing is changed by it: %s\n", error.what());
   }
-  looking_.expires_after(kLookEvery);
-  looking_.async_wait([this](error_code cancelled) {
-    if (!cancelled) Look();
-  });
+  Again(&looking_, kLookEvery, [this] { Look(); });
 }
 
 void Gateway::WriteLearned() {
@@ -115,10 +119,7 @@
   } catch (const state::StateError& error) {
     std::fprintf(stderr, "what was learned of the backends is not kept: %s\n", error.what());
   }
-  learning_.expires_after(kLearnedEvery);
-  learning_.async_wait([this](error_code cancelled) {
-    if (!cancelled) WriteLearned();
-  });
+  Again(&learning_, kLearnedEvery, [this] { WriteLearned(); });
 }
 
 void Gateway::RecallLearned() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -70,7 +70,6 @@
   void CloseIdle();                               // those on which nothing has begun
   bool Quiet();                                   // no connection is open, and none waits that is this process's to take
   size_t busy() const { return busy_; }           // connections with a whole request whose answer is not out
-  size_t connections() const { return connections_.size(); }
 
  private:
   class Connection;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -65,6 +65,19 @@
                     [done = std::move(done)](error_code later, size_t) mutable { done(later); });
 }
 
+// What a socket brings next, into memory that all connections share: nothing points into a connection's own while it
+// waits. `take(error, bytes)` is called once; the bytes are gone when it returns.
+template <typename Take>
+void ReadSome(tcp::socket& socket, size_t most, Take take) {
+  socket.async_wait(tcp::socket::wait_read, [&socket, most, take = std::move(take)](error_code error) mutable {
+    static thread_local std::string shared(kMostRead, '\0');
+    if (error) return take(error, std::string_view());
+    size_t n = socket.receive(asio::buffer(shared.data(), std::min(most, shared.size())), 0, error);
+    if (error == asio::error::would_block) return ReadSome(socket, most, std::move(take));
+    take(error, std::string_view(shared).substr(0, error ? 0 : n));
+  });
+}
+
 // Whether the peer has closed a kept connection, or sent bytes that nobody asked for.
 inline bool Stale(tcp::socket& socket) {
   char byte;
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -83,7 +83,6 @@
     return error;
   }
 
-  bool begun() const { return begun_ || unread() > 0; }
   bool head_done() const { return parser_->is_header_done(); }
   bool done() const { return parser_->is_done(); }
   // Of a whole head.
@@ -124,19 +123,6 @@
   bool begun_ = false;  // its head is here
 };
 
-// What a socket brings next, into memory that all connections share: nothing points into a connection's own while it
-// waits. `take(error, bytes)` is called once; the bytes are gone when it returns.
-template <typename Take>
-void ReadSome(tcp::socket& socket, size_t most, Take take) {
-  socket.async_wait(tcp::socket::wait_read, [&socket, most, take = std::move(take)](error_code error) mutable {
-    static thread_local std::string shared(kMostRead, '\0');
-    if (error) return take(error, std::string_view());
-    size_t n = socket.receive(asio::buffer(shared.data(), std::min(most, shared.size())), 0, error);
-    if (error == asio::error::would_block) return ReadSome(socket, most, std::move(take));
-    take(error, std::string_view(shared).substr(0, error ? 0 : n));
-  });
-}
-
 }  // namespace ivygw
 
 #endif  // IVYGW_NET_MESSAGE_READER_H_
--- a/tests/gateway/operators_test.cpp
+++ b/tests/gateway/operators_test.cpp
@@ -225,18 +225,33 @@
   EXPECT_EQ(Ask(*again, Request("quote")).status(), 200) << "kept";
 }
 
-// Two processes on one socket under requests; the old one gets SIGTERM when the new one says yes.
-TEST(Operators, AnUpgradeLosesNoRequestAndKeepsWhatWasSaid) {
+// A gateway on a socket that is held for it, with s1 banned, and further processes of it.
+class Upgrade : public testing::Test {
+ protected:
+  Upgrade() { EXPECT_EQ(Told(site.gateway->admin, "set-down s1"), "+OK\n"); }
+  json Listening() const {
+    json config = WithAdmin();
+    config["listen"] = "127.0.0.1:" + std::to_string(socket.port);
+    return config;
+  }
+  std::unique_ptr<Process> Another() {
+    json config = Listening();
+    config["discovery"] = "127.0.0.1:" + std::to_string(site.discovery.port());
+    config["counter"] = "127.0.0.1:" + std::to_string(site.counter.port());
+    auto fresh = std::make_unique<Process>(config, IVYGW, 0, environment, socket.fd);
+    EXPECT_NE(fresh->admin, 0) << fresh->line;
+    EXPECT_TRUE(Comes([&] { return Told(fresh->admin, "check") == "+OK\n"; }));
+    return fresh;
+  }
   HeldSocket socket;
   Directory shared;
-  std::map<std::string, std::string> environment = {{"LB_LISTEN_FD", "3"}, {"TMPDIR", shared.path}};
-  Backend one(Says(Ok("one"))), two(Says(Ok("two")));
-  json config = WithAdmin();
-  config["listen"] = "127.0.0.1:" + std::to_string(socket.port);
-  Site site(json::array({Entry("s1", one.port()), Entry("s2", two.port())}), config, IVYGW, 0, environment, socket.fd);
-  config["discovery"] = "127.0.0.1:" + std::to_string(site.discovery.port());
-  config["counter"] = "127.0.0.1:" + std::to_string(site.counter.port());
-  EXPECT_EQ(Told(site.gateway->admin, "set-down s1"), "+OK\n");
+  const std::map<std::string, std::string> environment = {{"LB_LISTEN_FD", "3"}, {"TMPDIR", shared.path}};
+  Backend one{Says(Ok("one"))}, two{Says(Ok("two"))};
+  Site site{json::array({Entry("s1", one.port()), Entry("s2", two.port())}), Listening(), IVYGW, 0, environment, socket.fd};
+};
+
+// Two processes on one socket under requests; the old one gets SIGTERM when the new one says yes.
+TEST_F(Upgrade, AnUpgradeLosesNoRequestAndKeepsWhatWasSaid) {
   std::atomic<bool> stop{false};
   std::atomic<int> served{0}, wrong{0}, unanswered{0}, banned{0};
   std::thread clients([&] {
@@ -254,9 +269,7 @@
     }
   });
   for (int upgrade = 0; upgrade < 3; ++upgrade) {
-    auto fresh = std::make_unique<Process>(config, IVYGW, 0, environment, socket.fd);
-    ASSERT_NE(fresh->admin, 0) << fresh->line;
-    EXPECT_TRUE(Comes([&] { return Told(fresh->admin, "check") == "+OK\n"; }));
+    auto fresh = Another();
     EXPECT_EQ(Vars(fresh->admin)["hosts_down"], 1) << "the ban holds over the upgrade";
     if (upgrade == 1) {  // a word to either binds both
       EXPECT_EQ(Told(fresh->admin, "drain-on"), "+OK\n");
@@ -281,17 +294,7 @@
 }
 
 // Either process of an upgrade may die at once: the other serves, and what was said holds.
-TEST(Operators, EitherProcessOfAnUpgradeMayBeKilled) {
-  HeldSocket socket;
-  Directory shared;
-  std::map<std::string, std::string> environment = {{"LB_LISTEN_FD", "3"}, {"TMPDIR", shared.path}};
-  Backend one(Says(Ok("one"))), two(Says(Ok("two")));
-  json config = WithAdmin();
-  config["listen"] = "127.0.0.1:" + std::to_string(socket.port);
-  Site site(json::array({Entry("s1", one.port()), Entry("s2", two.port())}), config, IVYGW, 0, environment, socket.fd);
-  config["discovery"] = "127.0.0.1:" + std::to_string(site.discovery.port());
-  config["counter"] = "127.0.0.1:" + std::to_string(site.counter.port());
-  EXPECT_EQ(Told(site.gateway->admin, "set-down s1"), "+OK\n");
+TEST_F(Upgrade, EitherProcessOfAnUpgradeMayBeKilled) {
   auto serves = [&] {
     for (int i = 0; i < 4; ++i) {
       Message answer = Ask(*Wire::To(socket.port), Request("quote"));
@@ -300,14 +303,12 @@
     }
   };
   {  // the new one, after its yes
-    Process fresh(config, IVYGW, 0, environment, socket.fd);
-    EXPECT_TRUE(Comes([&] { return Told(fresh.admin, "check") == "+OK\n"; }));
-    fresh.Signal(SIGKILL);
-    EXPECT_EQ(fresh.Exit(), -SIGKILL);
+    auto fresh = Another();
+    fresh->Signal(SIGKILL);
+    EXPECT_EQ(fresh->Exit(), -SIGKILL);
   }
   serves();
-  auto fresh = std::make_unique<Process>(config, IVYGW, 0, environment, socket.fd);
-  EXPECT_TRUE(Comes([&] { return Told(fresh->admin, "check") == "+OK\n"; }));
+  auto fresh = Another();
   site.gateway->Signal(SIGKILL);  // the old one, without a word
   EXPECT_EQ(site.gateway->Exit(), -SIGKILL);
   site.gateway = std::move(fresh);
