--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -116,6 +116,7 @@
     // Only the end of the connection tells where such a body ends; a backend that dies resets it.
     eof_ = true;
     if (reader_.End()) return Lost();
+    if (Every() && reader_.done()) return Lost();  // until its connection's end: whole or not, nobody knows
     Further(false);
   }
 
@@ -124,7 +125,7 @@
     if (reader_.done()) return Answered(keep), true;
     bool is_long = reader_.length().value_or(0) > BodyMemory::kWhole || body_.size() > BodyMemory::kWhole;
     if (!is_long) return false;
-    if (reader_.head().result_int() != 200) return Answered(false), true;  // nobody reads the rest
+    if (!Every() && reader_.head().result_int() != 200) return Answered(false), true;  // nobody reads the rest
     begun_ = true;
     BackendAnswer answer = Head();
     answer.length = reader_.length();
@@ -159,7 +160,30 @@
     });
   }
 
+  bool Every() const { return links_->style_ == AnswerStyle::kEvery; }
+
+  BackendAnswer EveryHead() {
+    BackendAnswer out;
+    auto& head = reader_.head();
+    out.status = head.result_int();
+    out.attempt_id = View(head["Attempt-Id"]);
+    out.instance_id = View(head["Instance-Id"]);
+    out.not_executed = head.find("Not-Executed") != head.end();
+    out.sealed = head.find("Server-Seal") != head.end();
+    out.encoded = head.find(http::field::content_encoding) != head.end();
+    for (auto part : http::param_list(std::string(";").append(View(head["Keep-Alive"])))) {
+      if (!boost::beast::iequals(part.first, "timeout")) continue;
+      double told = 0;
+      std::string_view text = View(part.second);
+      std::from_chars(text.data(), text.data() + text.size(), told);
+      if (std::isfinite(told) && told > 0) out.keep_alive_s = told;
+    }
+    AppendEndToEnd(head, &out.headers, [](const auto&) { return false; });
+    return out;
+  }
+
   BackendAnswer Head() {
+    if (Every()) return EveryHead();
     BackendAnswer out;
     auto& head = reader_.head();
     std::string_view units = View(head["X-Cost-Units"]);
@@ -179,7 +203,7 @@
     BackendAnswer out;
     auto& head = reader_.head();
     unsigned status = head.result_int();
-    if (status == 200) {
+    if (status == 200 || Every()) {
       out = Head();
       out.length = body_.size();
       out.body = std::move(body_);
@@ -209,8 +233,8 @@
   bool eof_ = false;     // the backend has ended its sending
 };
 
-BackendLinks::BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events)
-    : io_(io), memory_(memory), events_(events) {}
+BackendLinks::BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events, AnswerStyle style)
+    : io_(io), memory_(memory), events_(events), style_(style) {}
 
 BackendLinks::~BackendLinks() {
   for (auto& [id, connection] : connections_) connection->Close();
--- a/src/net/backend_links.h
+++ b/src/net/backend_links.h
@@ -23,8 +23,19 @@
   std::string headers;    // end-to-end header lines of a good answer
   std::string body;       // as far as it has come
   std::optional<uint64_t> length;  // of the whole body, where the head tells it
+  // Of AnswerStyle::kEvery, for which every whole answer is kOk, whatever its status.
+  unsigned status = 0;
+  std::string attempt_id, instance_id;  // as the backend tells them
+  bool not_executed = false;            // the backend says that it has not run the request
+  bool sealed = false, encoded = false; // has a Server-Seal; has a Content-Encoding
+  double keep_alive_s = 0;              // for which it keeps an idle connection; 0: not told
 };
 
+// kPlatform: the platform's backends, whose answers other than 200 tell no more than kFull or kError. kEvery: the whole
+// system's backends: each answer is passed on with its status, headers and body, and one whose end only the connection's end
+// would tell is lost, as nobody can tell whether it is whole.
+enum class AnswerStyle { kPlatform, kEvery };
+
 // Told of each connection that has not been closed. Any of it may come while a call of BackendLinks is running.
 class BackendEvents {
  public:
@@ -45,7 +56,8 @@
  public:
   // `memory` is told of what answers and messages take up, and outlives this. Answers of up to `whole` bytes are told
   // whole, longer ones begun.
-  BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events);
+  BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events,
+               AnswerStyle style = AnswerStyle::kPlatform);
   ~BackendLinks();
 
   void Connect(uint64_t connection, const tcp::endpoint& address);
@@ -65,6 +77,7 @@
   asio::io_context& io_;
   bodies::BodyMemory* memory_;
   BackendEvents* events_;
+  const AnswerStyle style_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
 };
 
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -33,6 +33,7 @@
   switch (status) {
     case 200: return "OK";
     case 400: return "Bad Request";
+    case 401: return "Unauthorized";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
     case 413: return "Payload Too Large";
--- /dev/null
+++ b/system/angelus/registry.cpp
@@ -0,0 +1,234 @@
+#include "angelus/registry.h"
+
+#include "net/address.h"
+#include "rakiura/log.h"
+
+namespace ivygw::angelus {
+
+using cascade::Backend;
+using luxmore::Item;
+using luxmore::Replica;
+using rakiura::Log;
+
+namespace {
+
+constexpr double kLease = 3;       // s, for which a gateway counts as a member after its connection has ended
+constexpr double kKeepGone = 60;   // s, for which it is known that a backend has gone
+constexpr double kPassed = 1.5;    // s, for the store to answer
+constexpr char kPrefix[] = "backend/";
+
+// The parts of a target: its path's segments and its query.
+struct Target {
+  std::vector<std::string> segments;
+  std::map<std::string, std::string> query;
+};
+Target Split(std::string_view text) {
+  Target out;
+  size_t mark = text.find('?');
+  std::string_view path = text.substr(0, mark);
+  while (!path.empty()) {
+    size_t slash = path.find('/');
+    if (slash != 0 && !path.substr(0, slash).empty()) out.segments.emplace_back(path.substr(0, slash));
+    if (slash == std::string_view::npos) break;
+    path.remove_prefix(slash + 1);
+  }
+  std::string_view query = mark == std::string_view::npos ? std::string_view() : text.substr(mark + 1);
+  while (!query.empty()) {
+    size_t end = std::min(query.find('&'), query.size());
+    std::string_view part = query.substr(0, end);
+    size_t is = std::min(part.find('='), part.size());
+    out.query[std::string(part.substr(0, is))] = std::string(part.substr(std::min(is + 1, part.size())));
+    query.remove_prefix(std::min(end + 1, query.size()));
+  }
+  return out;
+}
+
+}  // namespace
+
+Registry::Registry(asio::io_context& io, const rakiura::Settings& settings)
+    : io_(io),
+      node_(io, settings, {"angelus", settings.first_port, false}, [this] {
+        rees::CoreNode::Events events;
+        events.follower_up = [this](uint64_t, const rees::CoreNode::Follower& follower) { members_[follower.node] = 1e300; };
+        events.follower_down = [this](uint64_t, const rees::CoreNode::Follower& gone) {
+          for (const auto& [peer, follower] : node_.followers()) {
+            if (follower.node == gone.node) return;
+          }
+          members_[gone.node] = node_.Now() + kLease;
+        };
+        events.message = [this](uint64_t peer, heaphy::Message message) {
+          const auto* report = std::get_if<heaphy::Report>(&message);
+          auto it = node_.followers().find(peer);
+          if (!report || it == node_.followers().end()) return;
+          node_.Send(peer, lender_.OnReport(node_.Now(), it->second.node, it->second.boot, *report, node_.replica().cores().size()));
+        };
+        events.tick = [this] { Tick(); };
+        return events;
+      }()),
+      memory_(size_t{32} << 20),
+      lender_(node_.Now(), settings.initial_boot),
+      server_(io, 1024, &memory_,
+              {[this](uint64_t connection, ClientMessage message) { OnCall(connection, std::move(message)); },
+               [this](uint64_t connection, bool) { reading_.erase(connection); },
+               [this](uint64_t connection, std::string bytes, bool last) {
+                 auto it = reading_.find(connection);
+                 if (it == reading_.end()) return;
+                 it->second.body += bytes;
+                 if (!last) return server_.ReadBody(connection);
+                 ClientMessage message = std::move(it->second);
+                 reading_.erase(it);
+                 Dispatch(connection, message);
+               }}) {
+  heaphy::Dialer::Events events;
+  events.up = [this, settings] {
+    heaphy::Hello hello;
+    hello.node = settings.ip;
+    hello.role = "angelus";
+    store_->Send(hello);
+  };
+  events.down = [this] {
+    // What was passed on may have been taken.
+    auto passed = std::move(passed_);
+    passed_.clear();
+    for (auto& [number, call] : passed) Reply(call.connection, 503, "{\"error\":\"may have been taken: the store has gone\"}");
+  };
+  events.message = [this](heaphy::Message message) {
+    const auto* done = std::get_if<heaphy::CallDone>(&message);
+    if (!done) return;
+    auto it = passed_.find(done->number);
+    if (it == passed_.end()) return;
+    uint64_t connection = it->second.connection;
+    passed_.erase(it);
+    Reply(connection, static_cast<int>(done->status), done->body);
+  };
+  tcp::endpoint store(asio::ip::make_address(settings.ip), static_cast<uint16_t>(settings.first_port + 1));
+  store_ = std::make_unique<heaphy::Dialer>(io, store, std::move(events));
+  if (!settings.control_plane.empty()) server_.Listen(ParseAddress("listen_addresses.control_plane", settings.control_plane));
+}
+
+void Registry::Stop() {
+  server_.StopAccepting();
+  server_.AskToClose(true);
+  server_.CloseIdle();
+}
+
+void Registry::OnCall(uint64_t connection, ClientMessage message) {
+  if (!message.more) return Dispatch(connection, message);
+  reading_[connection] = std::move(message);
+  server_.ReadBody(connection);
+}
+
+void Registry::Reply(uint64_t connection, int status, std::string body) {
+  Answer answer;
+  answer.status = status;
+  answer.headers = "Content-Type: application/json\r\n";
+  answer.body = std::move(body);
+  server_.Reply(connection, std::move(answer));
+}
+
+void Registry::Dispatch(uint64_t connection, const ClientMessage& message) {
+  Target target = Split(View(message.head.target()));
+  if (target.segments != std::vector<std::string>{"ivygw", "rpc"}) return Reply(connection, 404, "{\"error\":\"path: is not known\"}");
+  if (message.head.method() != http::verb::post) return Reply(connection, 405, "{\"error\":\"method: POST is wanted\"}");
+  const std::string& call = target.query["call"];
+  const std::string& id = target.query["of"];
+  bool of_backend = call == "backends.heartbeat" || call == "backends.deregister";
+  if (of_backend && id.empty()) return Reply(connection, 400, "{\"error\":\"of: missing\"}");
+  if (call == "backends.heartbeat") return Beat(connection, id, message.body);
+  if (call == "backends.deregister") return Deregister(connection, id, message.body);
+  if (call == "configuration.modify" || call == "configuration.show") return Pass(connection, call, message.body);
+  Reply(connection, 404, "{\"error\":\"call: is not known\"}");
+}
+
+void Registry::Beat(uint64_t connection, const std::string& id, const std::string& body) {
+  Backend told;
+  told.id = id;
+  if (std::string fault = cascade::ReadBeat(body, &told); !fault.empty()) {
+    Log("beat_refused").Add("backend", id).Add("fault", fault);
+    return Reply(connection, 400, "{\"error\":\"" + fault + "\"}");
+  }
+  Item item;
+  item.key = kPrefix + id;
+  item.version = told.sequence;
+  auto it = node_.replica().entries().find(item.key);
+  if (it != node_.replica().entries().end()) {
+    const Item& known = it->second.item;
+    Backend before;
+    cascade::ReadBackend(known.body, &before);
+    // Late, or of one that has said that it goes. What a late one says stands already, or is out of date.
+    bool late = known.dropped || known.version >= told.sequence || (before.draining && !told.draining);
+    bool same = before.service == told.service && before.address == told.address && before.slots == told.slots &&
+                before.draining == told.draining && (before.warm_ms > 0) == (told.warm_ms > 0);
+    if (late || same) return Settle(connection, known, told.draining);
+  }
+  item.body = cascade::WriteBackend(told);
+  Log("backend").Add("id", id).Add("service", told.service).Add("address", told.address).Add("draining", told.draining).Add("warm_ms", told.warm_ms);
+  Settle(connection, item, told.draining);
+}
+
+void Registry::Deregister(uint64_t connection, const std::string& id, const std::string& body) {
+  Item item;
+  item.key = kPrefix + id;
+  auto it = node_.replica().entries().find(item.key);
+  // Its number may be left out; it is the last word of this start either way.
+  item.version = it == node_.replica().entries().end() ? 1 : it->second.item.version + 1;
+  Backend told;
+  if (cascade::ReadBeat(body, &told).empty()) item.version = std::max(item.version, told.sequence);
+  if (it != node_.replica().entries().end() && it->second.item.dropped) item = it->second.item;
+  item.dropped = true;
+  Log("backend_gone").Add("id", id);
+  Settle(connection, item, true);
+}
+
+// A word on which others rely is acknowledged once a majority holds it; any other at once.
+void Registry::Settle(uint64_t connection, const Item& item, bool wait) {
+  auto it = node_.replica().entries().find(item.key);
+  bool known = it != node_.replica().entries().end() && it->second.item == item;
+  if (known && (it->second.safe || !wait)) return Reply(connection, 200, "{}");
+  if (!wait) Reply(connection, 200, "{}");
+  node_.Write({item}, [this, connection, wait](Replica::Outcome outcome) {
+    if (!wait) return;
+    if (outcome == Replica::Outcome::kDone) return Reply(connection, 200, "{}");
+    Reply(connection, 503, "{\"error\":\"not yet on a majority of the core\"}");
+  });
+}
+
+void Registry::Pass(uint64_t connection, const std::string& name, const std::string& body) {
+  if (!store_->up()) return Reply(connection, 503, "{\"error\":\"the store is not there\"}");
+  uint64_t number = ++last_;
+  passed_[number] = {connection, node_.Now() + kPassed};
+  store_->Send(heaphy::Call{number, name, body});
+}
+
+void Registry::Tick() {
+  double now = node_.Now();
+  lender_.OnTime(now);
+  for (auto it = passed_.begin(); it != passed_.end();) {
+    if (now < it->second.until) {
+      ++it;
+      continue;
+    }
+    uint64_t connection = it->second.connection;
+    it = passed_.erase(it);
+    Reply(connection, 503, "{\"error\":\"may have been taken: the store is silent\"}");
+  }
+  for (auto it = members_.begin(); it != members_.end();) {
+    it = now >= it->second ? members_.erase(it) : std::next(it);
+  }
+  std::vector<std::string> members;
+  for (const auto& [member, until] : members_) members.push_back(member);
+  node_.Tell(std::move(members));
+  for (const auto& [key, entry] : node_.replica().entries()) {
+    if (entry.item.dropped) gone_.try_emplace(key, now);
+  }
+  for (auto it = gone_.begin(); it != gone_.end();) {
+    if (now < it->second + kKeepGone) {
+      ++it;
+      continue;
+    }
+    node_.Forget(it->first);
+    it = gone_.erase(it);
+  }
+}
+
+}  // namespace ivygw::angelus
--- /dev/null
+++ b/system/angelus/registry.h
@@ -0,0 +1,52 @@
+// Angelus (the registry): which backends there are, from their beats, over a replicated table; and the one door of a core
+// machine for outside calls, of which those on the configuration go on to the store beside it.
+#ifndef IVYGW_SYSTEM_ANGELUS_REGISTRY_H_
+#define IVYGW_SYSTEM_ANGELUS_REGISTRY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "bodies/body_memory.h"
+#include "cascade/backend.h"
+#include "hollyford/lender.h"
+#include "net/client_server.h"
+#include "rees/core_node.h"
+
+namespace ivygw::angelus {
+
+class Registry {
+ public:
+  Registry(asio::io_context& io, const rakiura::Settings& settings);
+  void Stop();  // takes no more calls
+
+ private:
+  void OnCall(uint64_t connection, ClientMessage message);
+  void Dispatch(uint64_t connection, const ClientMessage& message);
+  void Reply(uint64_t connection, int status, std::string body);
+  void Beat(uint64_t connection, const std::string& id, const std::string& body);
+  void Deregister(uint64_t connection, const std::string& id, const std::string& body);
+  void Settle(uint64_t connection, const luxmore::Item& item, bool wait);
+  void Pass(uint64_t connection, const std::string& name, const std::string& body);
+  void Tick();
+
+  asio::io_context& io_;
+  rees::CoreNode node_;
+  bodies::BodyMemory memory_;
+  hollyford::Lender lender_;
+  ClientServer server_;
+  std::unique_ptr<heaphy::Dialer> store_;
+  struct Passed {
+    uint64_t connection = 0;
+    double until = 0;
+  };
+  std::map<uint64_t, Passed> passed_;
+  std::map<uint64_t, ClientMessage> reading_;  // calls whose body is still coming
+  std::map<std::string, double> members_;      // gateways, until when they count as such
+  std::map<std::string, double> gone_;         // tombstones, since when
+  uint64_t last_ = 0;
+};
+
+}  // namespace ivygw::angelus
+
+#endif  // IVYGW_SYSTEM_ANGELUS_REGISTRY_H_
--- /dev/null
+++ b/system/cascade/backend.cpp
@@ -0,0 +1,59 @@
+#include "cascade/backend.h"
+
+#include "kepler/json.h"
+
+namespace ivygw::cascade {
+namespace {
+
+std::string Quoted(const std::string& text) {
+  std::string out = "\"";
+  for (char c : text) {
+    if (c == '"' || c == '\\') out += '\\';
+    if (static_cast<unsigned char>(c) >= 0x20) out += c;
+  }
+  return out + "\"";
+}
+
+std::string Read(const kepler::Object& root, Backend* out) {
+  std::string state, fault;
+  if (!(fault = root.Get("target_service", &out->service)).empty()) return fault;
+  if (!(fault = root.Get("address", &out->address)).empty()) return fault;
+  if (!(fault = root.Get("zone", &out->zone, false)).empty()) return fault;
+  if (!(fault = root.Get("slot_count", &out->slots, false)).empty()) return fault;
+  if (!(fault = root.Get("oper_state", &state)).empty()) return fault;
+  if (!(fault = root.Get("warmup_left_ms", &out->warm_ms, false)).empty()) return fault;
+  if (state != "ready" && state != "draining") return "oper_state: ready or draining is wanted";
+  out->draining = state == "draining";
+  if (out->slots < 1) return "slot_count: must be 1 or more";
+  if (out->address.find(':') == std::string::npos) return "address: IP:port is wanted";
+  return {};
+}
+
+}  // namespace
+
+std::string ReadBeat(const std::string& json, Backend* out) {
+  kepler::Document document;
+  kepler::Object root;
+  std::string fault = document.Read(json, &root);
+  if (fault.empty()) fault = Read(root, out);
+  double sequence = 0;
+  if (fault.empty()) fault = root.Get("call_sequence", &sequence);
+  if (fault.empty() && !(sequence >= 0)) fault = "call_sequence: must not be below 0";
+  if (fault.empty()) out->sequence = static_cast<uint64_t>(sequence);
+  return fault;
+}
+
+std::string WriteBackend(const Backend& b) {
+  return "{\"target_service\":" + Quoted(b.service) + ",\"address\":" + Quoted(b.address) + ",\"zone\":" + Quoted(b.zone) +
+         ",\"slot_count\":" + std::to_string(b.slots) + ",\"oper_state\":\"" + (b.draining ? "draining" : "ready") +
+         "\",\"warmup_left_ms\":" + std::to_string(b.warm_ms) + "}";
+}
+
+std::string ReadBackend(const std::string& json, Backend* out) {
+  kepler::Document document;
+  kepler::Object root;
+  if (std::string fault = document.Read(json, &root); !fault.empty()) return fault;
+  return Read(root, out);
+}
+
+}  // namespace ivygw::cascade
--- /dev/null
+++ b/system/cascade/backend.h
@@ -0,0 +1,26 @@
+// Cascade (what is known of backends): one start of a backend as the registry keeps it, and as gateways are told.
+#ifndef IVYGW_SYSTEM_CASCADE_BACKEND_H_
+#define IVYGW_SYSTEM_CASCADE_BACKEND_H_
+
+#include <cstdint>
+#include <string>
+
+namespace ivygw::cascade {
+
+struct Backend {
+  std::string id, service, address, zone;
+  int slots = 1;
+  bool draining = false;
+  int warm_ms = 0;  // how much longer it stays slow, when this was told
+  uint64_t sequence = 0;  // of the beat that told it
+};
+
+// A beat's body; `id` is the call's. Empty, or the fault with its field.
+std::string ReadBeat(const std::string& json, Backend* out);
+// As an item's content: JSON; without id and sequence, which are the item's key and version.
+std::string WriteBackend(const Backend& backend);
+std::string ReadBackend(const std::string& json, Backend* out);
+
+}  // namespace ivygw::cascade
+
+#endif  // IVYGW_SYSTEM_CASCADE_BACKEND_H_
--- /dev/null
+++ b/system/heaphy/codec.cpp
@@ -0,0 +1,86 @@
+#include "heaphy/codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdlib>
+#include <istream>
+#include <sstream>
+#include <streambuf>
+
+namespace ivygw::heaphy {
+namespace {
+
+// A stream over bytes that are there already.
+class ViewBuffer : public std::streambuf {
+ public:
+  explicit ViewBuffer(std::string_view text) {
+    char* begin = const_cast<char*>(text.data());
+    setg(begin, begin, begin + text.size());
+  }
+};
+class StringBuffer : public std::streambuf {
+ public:
+  explicit StringBuffer(std::string* out) : out_(out) {}
+
+ protected:
+  std::streamsize xsputn(const char* bytes, std::streamsize n) override {
+    out_->append(bytes, static_cast<size_t>(n));
+    return n;
+  }
+  int_type overflow(int_type c) override {
+    out_->push_back(static_cast<char>(c));
+    return c;
+  }
+
+ private:
+  std::string* out_;
+};
+
+}  // namespace
+
+std::string Encode(const Message& message) {
+  std::string out(4, '\0');
+  StringBuffer buffer(&out);
+  std::ostream stream(&buffer);
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+  }
+  size_t n = out.size() - 4;
+  if (n > kMostFrame) std::abort();
+  for (int i = 0; i < 4; ++i) out[static_cast<size_t>(i)] = static_cast<char>(n >> (8 * (3 - i)));
+  return out;
+}
+
+std::optional<Message> Decode(std::string_view content) {
+  ViewBuffer buffer(content);
+  std::istream stream(&buffer);
+  try {  // the library's edge: lengths past the end, a kind that isn't there
+    cereal::PortableBinaryInputArchive archive(stream);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+FrameReader::Got FrameReader::Next(std::string_view* content) {
+  if (at_ > 0 && (at_ == in_.size() || at_ > 64 * 1024)) {
+    in_.erase(0, at_);
+    at_ = 0;
+    if (in_.empty() && in_.capacity() > 256 * 1024) in_.shrink_to_fit();
+  }
+  if (in_.size() - at_ < 4) return Got::kMore;
+  size_t n = 0;
+  for (size_t i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(in_[at_ + i]);
+  if (n > kMostFrame) return Got::kBad;
+  if (in_.size() - at_ - 4 < n) return Got::kMore;
+  *content = std::string_view(in_).substr(at_ + 4, n);
+  at_ += 4 + n;
+  return Got::kFrame;
+}
+
+}  // namespace ivygw::heaphy
--- /dev/null
+++ b/system/heaphy/codec.h
@@ -0,0 +1,35 @@
+// Messages as bytes (cereal, portable binary) in frames: a length of four bytes, then so many. Pure.
+#ifndef IVYGW_SYSTEM_HEAPHY_CODEC_H_
+#define IVYGW_SYSTEM_HEAPHY_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "heaphy/messages.h"
+
+namespace ivygw::heaphy {
+
+inline constexpr size_t kMostFrame = size_t{8} << 20;  // bytes; a longer frame ends its connection
+
+// The frame, header included. A message over kMostFrame is a broken invariant of its sender.
+std::string Encode(const Message& message);
+// A frame's content; none where it is no message of this form.
+std::optional<Message> Decode(std::string_view content);
+
+// Frames out of a stream of bytes.
+class FrameReader {
+ public:
+  void Add(std::string_view bytes) { in_.append(bytes); }
+  enum class Got { kFrame, kMore, kBad };
+  // kFrame: `content` is the next one's, valid until the next call.
+  Got Next(std::string_view* content);
+
+ private:
+  std::string in_;
+  size_t at_ = 0;
+};
+
+}  // namespace ivygw::heaphy
+
+#endif  // IVYGW_SYSTEM_HEAPHY_CODEC_H_
--- /dev/null
+++ b/system/heaphy/links.cpp
@@ -0,0 +1,214 @@
+#include "heaphy/links.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace ivygw::heaphy {
+namespace {
+
+constexpr double kFirstPause = 0.05, kLongestPause = 0.6;  // s
+constexpr auto kComesUp = std::chrono::milliseconds(400);  // for a connection to come up
+
+void Guard(tcp::socket& socket) {
+  unsigned ms = static_cast<unsigned>(kSilence * 1000);
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+}  // namespace
+
+void Link::Start(OnMessage message, OnClosed closed) {
+  message_ = std::move(message);
+  closed_ = std::move(closed);
+  heard_ = Clock::now();
+  Guard(socket_);
+  Read();
+  Watch();
+}
+
+void Link::Close() {
+  if (!open_) return;
+  open_ = false;
+  timer_.cancel();
+  CloseNow(socket_);
+  message_ = nullptr;
+  closed_ = nullptr;
+}
+
+void Link::Lost() {
+  if (!open_) return;
+  auto self = shared_from_this();
+  OnClosed closed = std::move(closed_);
+  Close();
+  if (closed) closed();
+}
+
+void Link::Read() {
+  ReadSome(socket_, kMostRead, [self = shared_from_this(), this](error_code error, std::string_view bytes) {
+    if (!open_) return;
+    if (error || bytes.empty()) return Lost();
+    heard_ = Clock::now();
+    reader_.Add(bytes);
+    for (;;) {
+      std::string_view content;
+      FrameReader::Got got = reader_.Next(&content);
+      if (got == FrameReader::Got::kMore) break;
+      std::optional<Message> message = got == FrameReader::Got::kFrame ? Decode(content) : std::nullopt;
+      if (!message) return Lost();
+      if (std::holds_alternative<Ping>(*message)) {
+        Send(Pong{std::get<Ping>(*message).number});
+      } else if (!std::holds_alternative<Pong>(*message)) {
+        OnMessage handler = message_;
+        handler(std::move(*message));
+      }
+      if (!open_) return;
+    }
+    Read();
+  });
+}
+
+void Link::Send(const Message& message) {
+  if (!open_) return;
+  out_ += Encode(message);
+  if (out_.size() > kMostUnsent) return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Lost(); });
+  if (sending_ || flushing_) return;
+  // What one turn of the loop sends goes out in one write.
+  flushing_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this(), this] {
+    flushing_ = false;
+    if (open_ && !sending_) Write();
+  });
+}
+
+void Link::Write() {
+  if (out_.empty()) return;
+  sending_ = true;
+  writing_ = std::move(out_);
+  out_.clear();
+  WriteAll(socket_, writing_, [self = shared_from_this(), this](error_code error) {
+    sending_ = false;
+    if (!open_) return;
+    if (error) return asio::post(socket_.get_executor(), [self] { self->Lost(); });
+    writing_.clear();
+    if (!out_.empty()) Write();
+  });
+}
+
+void Link::Watch() {
+  timer_.expires_after(Seconds(kSilence / 3));
+  timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+    if (cancelled || !open_) return;
+    auto silent = Clock::now() - heard_;
+    if (silent > Seconds(kSilence)) return Lost();
+    if (silent > Seconds(kSilence / 4)) Send(Ping{});
+    Watch();
+  });
+}
+
+Dialer::Dialer(asio::io_context& io, tcp::endpoint address, Events events)
+    : io_(io), address_(std::move(address)), events_(std::move(events)), timer_(io), dice_(std::random_device{}()) {
+  asio::post(io_, [this, alive = alive_] {
+    if (*alive) Dial();
+  });
+}
+
+Dialer::~Dialer() {
+  *alive_ = false;
+  timer_.cancel();
+  if (dialing_) CloseNow(*dialing_);
+  if (link_) link_->Close();
+}
+
+void Dialer::Dial() {
+  auto socket = std::make_shared<tcp::socket>(io_);
+  dialing_ = socket;
+  if (Open(*socket, address_)) return Again();
+  Guard(*socket);
+  timer_.expires_after(kComesUp);
+  timer_.async_wait([alive = alive_, socket](error_code cancelled) {
+    if (!cancelled && *alive) CloseNow(*socket);
+  });
+  socket->async_connect(address_, [this, alive = alive_, socket](error_code error) {
+    if (!*alive || dialing_ != socket) return;
+    timer_.cancel();
+    dialing_.reset();
+    if (error || !socket->is_open()) return Again();
+    pause_ = 0;
+    link_ = std::make_shared<Link>(io_, std::move(*socket));
+    link_->Start([this](Message message) { events_.message(std::move(message)); },
+                 [this] {
+                   link_.reset();
+                   events_.down();
+                   Again();
+                 });
+    events_.up();
+  });
+}
+
+void Dialer::Again() {
+  dialing_.reset();
+  pause_ = std::clamp(pause_ * 1.7, kFirstPause, kLongestPause);
+  std::uniform_real_distribution<double> part(0.5, 1.0);
+  timer_.expires_after(Seconds(pause_ * part(dice_)));
+  timer_.async_wait([this, alive = alive_](error_code cancelled) {
+    if (!cancelled && *alive) Dial();
+  });
+}
+
+Host::~Host() {
+  for (auto& [id, peer] : links_) peer.link->Close();
+}
+
+void Host::Listen(const tcp::endpoint& address) {
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen(1024);
+  Accept();
+}
+
+void Host::Accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error && !Prepare(socket)) {
+      uint64_t id = ++last_;
+      auto link = std::make_shared<Link>(io_, std::move(socket));
+      links_[id].link = link;
+      link->Start(
+          [this, id](Message message) {
+            auto it = links_.find(id);
+            if (it == links_.end()) return;
+            if (it->second.greeted) return events_.message(id, std::move(message));
+            const Hello* hello = std::get_if<Hello>(&message);
+            if (!hello || hello->form != kForm) return Close(id);
+            it->second.greeted = true;
+            events_.up(id, *hello);
+          },
+          [this, id] {
+            auto it = links_.find(id);
+            if (it == links_.end()) return;
+            bool greeted = it->second.greeted;
+            links_.erase(it);
+            if (greeted) events_.down(id);
+          });
+    }
+    Accept();
+  });
+}
+
+void Host::Send(uint64_t peer, const Message& message) {
+  auto it = links_.find(peer);
+  if (it != links_.end()) it->second.link->Send(message);
+}
+
+void Host::Close(uint64_t peer) {
+  auto it = links_.find(peer);
+  if (it == links_.end()) return;
+  it->second.link->Close();
+  bool greeted = it->second.greeted;
+  links_.erase(it);
+  if (greeted) events_.down(peer);
+}
+
+}  // namespace ivygw::heaphy
--- /dev/null
+++ b/system/heaphy/links.h
@@ -0,0 +1,109 @@
+// Heaphy (held connections between the system's processes): frames of messages over TCP, dialled again with a pause that
+// grows and is drawn by chance, watched by pings so that silence ends them. One thread, that of the event loop.
+#ifndef IVYGW_SYSTEM_HEAPHY_LINKS_H_
+#define IVYGW_SYSTEM_HEAPHY_LINKS_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "heaphy/codec.h"
+#include "net/clock.h"
+#include "net/http.h"
+
+namespace ivygw::heaphy {
+
+// For which a peer may say nothing before the connection counts as dead; each side pings three times in it.
+inline constexpr double kSilence = 1.5;          // s
+inline constexpr size_t kMostUnsent = size_t{16} << 20;  // bytes; a peer that reads no more loses its connection
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using OnMessage = std::function<void(Message)>;
+  using OnClosed = std::function<void()>;
+  Link(asio::io_context& io, tcp::socket socket) : socket_(std::move(socket)), timer_(io) {}
+
+  // Neither is called any more after Close or after `closed`.
+  void Start(OnMessage message, OnClosed closed);
+  void Send(const Message& message);
+  void Close();
+  bool open() const { return open_; }
+
+ private:
+  void Read();
+  void Write();
+  void Watch();
+  void Lost();
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  OnMessage message_;
+  OnClosed closed_;
+  FrameReader reader_;
+  std::string out_, writing_;
+  Clock::time_point heard_{};
+  bool open_ = true, sending_ = false, flushing_ = false;
+};
+
+// One connection held to one address, for as long as this lives.
+class Dialer {
+ public:
+  struct Events {
+    std::function<void()> up;
+    std::function<void(Message)> message;
+    std::function<void()> down;
+  };
+  Dialer(asio::io_context& io, tcp::endpoint address, Events events);
+  ~Dialer();
+  Dialer(const Dialer&) = delete;
+  Dialer& operator=(const Dialer&) = delete;
+  // Lost without a word where the connection isn't up.
+  void Send(const Message& message) { if (link_) link_->Send(message); }
+  bool up() const { return link_ != nullptr; }
+  const tcp::endpoint& address() const { return address_; }
+
+ private:
+  void Dial();
+  void Again();
+  asio::io_context& io_;
+  const tcp::endpoint address_;
+  Events events_;
+  asio::steady_timer timer_;
+  std::shared_ptr<tcp::socket> dialing_;
+  std::shared_ptr<Link> link_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::mt19937_64 dice_;
+  double pause_ = 0;
+};
+
+// Connections that others dial. Each is named by a number; it counts once its Hello of this form has come.
+class Host {
+ public:
+  struct Events {
+    std::function<void(uint64_t, const Hello&)> up;
+    std::function<void(uint64_t, Message)> message;
+    std::function<void(uint64_t)> down;
+  };
+  Host(asio::io_context& io, Events events) : io_(io), acceptor_(io), events_(std::move(events)) {}
+  ~Host();
+  void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
+  void Send(uint64_t peer, const Message& message);
+  void Close(uint64_t peer);
+  size_t peers() const { return links_.size(); }
+
+ private:
+  void Accept();
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  Events events_;
+  uint64_t last_ = 0;
+  struct Peer { std::shared_ptr<Link> link; bool greeted = false; };
+  std::unordered_map<uint64_t, Peer> links_;
+};
+
+}  // namespace ivygw::heaphy
+
+#endif  // IVYGW_SYSTEM_HEAPHY_LINKS_H_
--- /dev/null
+++ b/system/heaphy/messages.h
@@ -0,0 +1,93 @@
+// Heaphy (the messages between the system's processes): what they tell each other, as values. Serialised by cereal; the
+// form number goes up with every change that an older program can't read. No I/O.
+#ifndef IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
+#define IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ivygw::heaphy {
+
+inline constexpr uint16_t kForm = 1;
+
+// A versioned item of any replicated table; `key` is table/name.
+struct Item {
+  std::string key;
+  uint64_t version = 0;
+  bool dropped = false;
+  std::string body;
+  bool operator==(const Item&) const = default;
+};
+// An item by what tells it from every other: enough to compare copies.
+struct Mark {
+  std::string key;
+  uint64_t version = 0, digest = 0;
+  bool synced = false;  // on the disk of the one that tells it
+};
+
+// The first message of each side of a connection. `boot` is drawn anew at each start.
+struct Hello {
+  uint16_t form = kForm;
+  std::string node, role, zone;
+  uint64_t boot = 0;
+  std::vector<std::string> cores;  // IP addresses of the core machines that the sender knows of
+  bool blank = false;              // a core that came back without its disk and has not yet read it all anew
+};
+
+// Core to core, replicated items (luxmore).
+struct Put { uint64_t number = 0; std::vector<Item> items; };  // number 0: mending, no word wanted
+struct PutDone { uint64_t number = 0; bool counts = false; };  // synced here; `counts`: this copy counts toward a majority
+struct Safe { std::vector<Mark> marks; };                      // a majority holds these on disk
+struct Digests { uint64_t round = 0; bool answer = false, blank = false; std::vector<uint64_t> ranges; };
+struct RangeMarks { std::vector<uint32_t> ranges; std::vector<Mark> marks; };
+struct Pull { std::vector<std::string> keys; };
+struct Heard { std::vector<std::string> ids; };  // registry: backends whose beats came here since the last of these
+
+// Core to gateway.
+struct Push { uint64_t number = 0; bool full = false; std::vector<Item> items; };
+struct PushAck { uint64_t number = 0; };
+// `members`: the gateways that hold a lease, where they are few enough to be named.
+struct State { uint32_t gateways = 0; bool complete = false; std::vector<std::string> cores, members; };
+// What a gateway wants of a tenant's limit, and what it has sent: fractions of the limit; requests.
+// `held`: what it still holds of this lender, by its own clock.
+struct Use { std::string tenant; float wanted = 0, held = 0; uint64_t sent = 0; };
+struct Report { uint64_t number = 0; uint32_t lenders = 0; std::vector<Use> uses; };
+struct Loan { std::string tenant; float fraction = 0; uint64_t total = 0; };
+struct Loans { uint64_t number = 0; uint32_t gateways = 0; std::vector<Loan> loans; };
+struct Ping { uint64_t number = 0; };
+struct Pong { uint64_t number = 0; };
+
+// Between the processes of one core machine: an outside call passed on, and its answer.
+struct Call { uint64_t number = 0; std::string name, body; };
+struct CallDone { uint64_t number = 0; uint32_t status = 0; std::string body; };
+
+using Message = std::variant<Hello, Put, PutDone, Safe, Digests, RangeMarks, Pull, Heard, Push, PushAck, State, Report, Loans,
+                             Ping, Pong, Call, CallDone>;
+
+template <class A> void serialize(A& a, Item& m) { a(m.key, m.version, m.dropped, m.body); }
+template <class A> void serialize(A& a, Mark& m) { a(m.key, m.version, m.digest, m.synced); }
+template <class A> void serialize(A& a, Hello& m) { a(m.form, m.node, m.role, m.zone, m.boot, m.cores, m.blank); }
+template <class A> void serialize(A& a, Put& m) { a(m.number, m.items); }
+template <class A> void serialize(A& a, PutDone& m) { a(m.number, m.counts); }
+template <class A> void serialize(A& a, Safe& m) { a(m.marks); }
+template <class A> void serialize(A& a, Digests& m) { a(m.round, m.answer, m.blank, m.ranges); }
+template <class A> void serialize(A& a, RangeMarks& m) { a(m.ranges, m.marks); }
+template <class A> void serialize(A& a, Pull& m) { a(m.keys); }
+template <class A> void serialize(A& a, Heard& m) { a(m.ids); }
+template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.items); }
+template <class A> void serialize(A& a, PushAck& m) { a(m.number); }
+template <class A> void serialize(A& a, State& m) { a(m.gateways, m.complete, m.cores, m.members); }
+template <class A> void serialize(A& a, Use& m) { a(m.tenant, m.wanted, m.held, m.sent); }
+template <class A> void serialize(A& a, Report& m) { a(m.number, m.lenders, m.uses); }
+template <class A> void serialize(A& a, Loan& m) { a(m.tenant, m.fraction, m.total); }
+template <class A> void serialize(A& a, Loans& m) { a(m.number, m.gateways, m.loans); }
+template <class A> void serialize(A& a, Ping& m) { a(m.number); }
+template <class A> void serialize(A& a, Pong& m) { a(m.number); }
+template <class A> void serialize(A& a, Call& m) { a(m.number, m.name, m.body); }
+template <class A> void serialize(A& a, CallDone& m) { a(m.number, m.status, m.body); }
+
+}  // namespace ivygw::heaphy
+
+#endif  // IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
--- /dev/null
+++ b/system/hollyford/admission.cpp
@@ -0,0 +1,189 @@
+#include "hollyford/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivygw::hollyford {
+namespace {
+
+constexpr double kLift = 0.03;       // of the guarantee, by the share term
+constexpr double kStored = 0.8;      // of a part of the burst, as a bucket holds it
+constexpr double kSpread = 1.5;      // s over which demand is taken
+constexpr double kHeadroom = 1.4;    // of the demand, as it is asked for
+constexpr double kComeBack = 0.05;   // s, at the least
+
+}  // namespace
+
+double Admission::Fraction(double now, const Bucket& bucket) const {
+  double sum = 0;
+  for (const auto& [core, lent] : bucket.lent) {
+    if (now < lent.until) sum += lent.fraction;
+  }
+  return sum;
+}
+
+double Admission::Lent(double now, const std::string& tenant) const {
+  auto it = buckets_.find(tenant);
+  return it == buckets_.end() ? 0 : Fraction(now, it->second);
+}
+
+// W, and the ends of ticks that all tenants share.
+double Admission::Free(double now) {
+  if (now >= tick_ + options_.tick_s) {
+    bool next = now < tick_ + 2 * options_.tick_s;
+    served_before_ = next ? served_ : 0;
+    crowded_before_ = next && crowded_;
+    asks_sum_before_ = next ? asks_sum_ : 0;
+    served_ = asks_sum_ = 0;
+    crowded_ = false;
+    for (auto& [name, bucket] : buckets_) {
+      bucket.asks_before = next ? bucket.asks_now : 0;
+      bucket.asks_now = 0;
+    }
+    tick_ = now - std::fmod(now, options_.tick_s);
+  }
+  return crowded_before_ ? 0 : static_cast<double>(served_before_);
+}
+
+void Admission::Refill(double now, Bucket* bucket) {
+  double free = Free(now);
+  double ticks = std::floor((now - bucket->refilled) / options_.tick_s);
+  if (ticks < 1) return;
+  bucket->refilled += ticks * options_.tick_s;
+  double fraction = Fraction(now, *bucket);
+  double guarantee = fraction * bucket->rate * options_.tick_s;
+  double share = 0;
+  if (bucket->asks_before > 0 && asks_sum_before_ > 0) {
+    share = static_cast<double>(bucket->asks_before) / static_cast<double>(asks_sum_before_) * (free - bucket->tokens);
+  }
+  share = std::clamp(share, 0.0, kLift * guarantee);
+  double most = std::max(1.0, kStored * fraction * bucket->burst);
+  if (bucket->tokens > most) {
+    bucket->tokens = most;  // a smaller part has a smaller store
+  } else {
+    bucket->tokens = std::min(most, bucket->tokens + ticks * guarantee + share);
+  }
+}
+
+// Ends of the counter's windows.
+void Admission::Window(double now, Bucket* bucket) {
+  double length = std::max(bucket->burst, 1.0) / bucket->rate;
+  if (now < bucket->window_from + length) return;
+  double windows = std::floor((now - bucket->window_from) / length);
+  bucket->store = std::clamp(bucket->store + bucket->rate * length - bucket->window_total, 0.0, bucket->burst);
+  if (windows > 1) bucket->store = std::min(bucket->burst, bucket->store + (windows - 1) * bucket->rate * length);
+  bucket->window_total = 0;
+  bucket->window_from += windows * length;
+}
+
+Verdict Admission::Ask(double now, const kepler::Tenant& tenant) {
+  if (tenant.rate_per_s <= 0) return {};
+  auto [it, fresh] = buckets_.try_emplace(tenant.name);
+  Bucket& bucket = it->second;
+  if (fresh) {
+    bucket.refilled = now;
+    bucket.window_from = now;
+    bucket.store = tenant.burst;
+    bucket.demand_at = now;
+    // Before the first loan: an even part of the slack, which all gateways together never pass.
+    bucket.tokens = std::min(1.0, std::floor(options_.slack * 0.9 / static_cast<double>(gateways_ + 3)));
+    urgent_ = true;
+  }
+  bucket.rate = tenant.rate_per_s;
+  bucket.burst = tenant.burst;
+  bucket.store = std::min(bucket.store, bucket.burst);
+  double since = now - bucket.demand_at;
+  bucket.demand = bucket.demand * std::exp(-since / kSpread) + 1 / kSpread;
+  bucket.demand_at = now;
+  bucket.asked = now;
+  Refill(now, &bucket);
+  ++bucket.asks_now;
+  ++asks_sum_;
+  Window(now, &bucket);
+  double length = std::max(bucket.burst, 1.0) / bucket.rate;
+  double left = bucket.store + bucket.rate * length - bucket.window_total - bucket.newer;
+  if (bucket.counting && left < 1) {
+    ++figures_.by_counter;
+    return {false, std::max(kComeBack, bucket.window_from + length - now)};
+  }
+  if (bucket.tokens < 1) {
+    ++figures_.by_bucket;
+    double each = std::max(Fraction(now, bucket) * bucket.rate, 0.5);
+    return {false, std::clamp((1 - bucket.tokens) / each, kComeBack, 1.0)};
+  }
+  bucket.tokens -= 1;
+  bucket.newer += 1;
+  ++bucket.sent;
+  ++figures_.admitted;
+  return {};
+}
+
+heaphy::Report Admission::Report(double now, const std::string& core, size_t lenders) {
+  urgent_ = false;
+  heaphy::Report report;
+  report.number = ++last_report_;
+  report.lenders = static_cast<uint32_t>(lenders);
+  Out& out = reports_[report.number];
+  out.core = core;
+  out.at = now;
+  for (auto it = buckets_.begin(); it != buckets_.end();) {
+    Bucket& bucket = it->second;
+    if (now - bucket.asked > options_.idle_s) {
+      it = buckets_.erase(it);
+      continue;
+    }
+    double demand = bucket.demand * std::exp(-(now - bucket.demand_at) / kSpread);
+    heaphy::Use use;
+    use.tenant = it->first;
+    // What it could use, and a request more.
+    use.wanted = static_cast<float>((kHeadroom * demand + 1) / bucket.rate / static_cast<double>(std::max<size_t>(lenders, 1)));
+    use.sent = bucket.sent;
+    auto lent = bucket.lent.find(core);
+    if (lent != bucket.lent.end() && now < lent->second.until) use.held = static_cast<float>(lent->second.fraction);
+    out.sent[it->first] = bucket.sent;
+    report.uses.push_back(std::move(use));
+    ++it;
+  }
+  while (reports_.size() > 64) reports_.erase(reports_.begin());
+  return report;
+}
+
+void Admission::OnLoans(double now, const std::string& core, const heaphy::Loans& loans) {
+  auto out = reports_.find(loans.number);
+  if (out == reports_.end() || out->second.core != core) return;
+  Out report = std::move(out->second);
+  reports_.erase(out);
+  for (const heaphy::Loan& loan : loans.loans) {
+    auto it = buckets_.find(loan.tenant);
+    if (it == buckets_.end()) continue;
+    Bucket& bucket = it->second;
+    Refill(now, &bucket);  // what came before came by the old part
+    Lent_& lent = bucket.lent[core];
+    lent.fraction = loan.fraction;
+    lent.until = report.at + kTerm - kEarlier;
+    // The counter: of several cores, the one that has heard most since.
+    Window(now, &bucket);
+    if (lent.counted && loan.total >= lent.total) {
+      double told = static_cast<double>(loan.total - lent.total);
+      double own = static_cast<double>(bucket.sent - report.sent[loan.tenant]);
+      if (!bucket.counting || core == bucket.counter || now > bucket.counter_until) {
+        bucket.counter = core;
+        bucket.counter_until = now + 1;
+        bucket.counting = true;
+        bucket.window_total += told;
+        bucket.newer = own;
+      }
+    }
+    lent.total = loan.total;
+    lent.counted = true;
+    if (bucket.counting && now > bucket.counter_until) bucket.counting = false;
+  }
+}
+
+Admission::Figures Admission::figures() const {
+  Figures out = figures_;
+  out.tenants = buckets_.size();
+  return out;
+}
+
+}  // namespace ivygw::hollyford
--- /dev/null
+++ b/system/hollyford/admission.h
@@ -0,0 +1,106 @@
+// Hollyford (admission): whether a tenant's request may pass at this gateway, on arrival, before any backend is chosen. Pure:
+// the time of each event is told (seconds of one steady clock of this gateway). One thread.
+//
+// Each tenant has a bucket here. Every tick it is refilled by
+//     u_i = u_g_i + V_i / sum(V) * (W - mu_i), capped at T_i - mu_i
+// with the guarantee u_g_i from the parts of the tenant's limit that the cores have lent to this gateway, V_i its requests of
+// the last tick, W what this gateway served in it (nought after a backend without room, or latencies past the aim) and mu_i
+// what is in the bucket. The share term lifts a tenant by kLift of its guarantee at most, so that all gateways together stay
+// within what the limit's stated overrun allows. Beside that stands the counter check: in windows of burst / rate, the store
+// estimate S = clip(S + rate * window - last total, 0, burst); refused is what passes S + rate * window by the counter's total
+// and this gateway's newer count. A gateway that is cut off goes on with what it was lent until that ends.
+#ifndef IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
+#define IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "heaphy/messages.h"
+#include "kepler/model.h"
+
+namespace ivygw::hollyford {
+
+inline constexpr double kTerm = 12;     // s, of a loan, by its lender's clock from when the report came
+inline constexpr double kEarlier = 0.5; // s, by which its holder ends it before
+inline constexpr double kLentInAll = 1.08;  // of a limit, by all cores together
+
+struct Verdict {
+  bool admitted = true;
+  double retry_after_s = 0;
+};
+
+struct AdmissionOptions {
+  double tick_s = 0.1;
+  double slack = 20;       // requests over the limit that the operators allow in a window
+  double idle_s = 30;      // a bucket that nobody has asked for so long is dropped
+};
+
+class Admission {
+ public:
+  explicit Admission(AdmissionOptions options) : options_(options) {}
+
+  Verdict Ask(double now, const kepler::Tenant& tenant);
+  // What this gateway's requests met at the backends.
+  void OnServed() { ++served_; }
+  void OnCrowded() { crowded_ = true; }
+
+  void OnMembers(size_t gateways) { gateways_ = gateways; }
+  // To the lender of that name, at regular times and at once where a tenant is new (`urgent`).
+  heaphy::Report Report(double now, const std::string& core, size_t lenders);
+  void OnLoans(double now, const std::string& core, const heaphy::Loans& loans);
+  bool urgent() const { return urgent_; }
+
+  struct Figures {
+    size_t tenants = 0;
+    uint64_t admitted = 0, by_bucket = 0, by_counter = 0;
+  };
+  Figures figures() const;
+  // Of the tenant's limit, what is lent to this gateway now.
+  double Lent(double now, const std::string& tenant) const;
+
+ private:
+  struct Lent_ {
+    double fraction = 0, until = -1;
+    uint64_t total = 0;      // the counter's, at its last word
+    bool counted = false;
+  };
+  struct Bucket {
+    double rate = 0, burst = 0;
+    double tokens = 0, refilled = 0;
+    double asked = 0;                      // when, last
+    double demand = 0, demand_at = 0;      // requests a second, of late
+    uint64_t asks_now = 0, asks_before = 0;  // of this tick and the last
+    uint64_t sent = 0;                     // in all
+    std::map<std::string, Lent_> lent;     // by core
+    double store = 0, window_from = 0;     // S; when the window began
+    double window_total = 0, newer = 0;    // the counter's total of the window; own requests that it does not know yet
+    bool counting = false;
+    std::string counter;                   // the core whose totals count
+    double counter_until = 0;              // without a word of it, another's do
+  };
+  void Refill(double now, Bucket* bucket);
+  void Window(double now, Bucket* bucket);
+  double Fraction(double now, const Bucket& bucket) const;
+  double Free(double now);
+
+  const AdmissionOptions options_;
+  std::map<std::string, Bucket> buckets_;
+  struct Out {
+    std::string core;
+    double at = 0;
+    std::map<std::string, uint64_t> sent;  // that the report told
+  };
+  std::map<uint64_t, Out> reports_;
+  uint64_t last_report_ = 0;
+  size_t gateways_ = 1;
+  uint64_t served_ = 0, served_before_ = 0, asks_sum_ = 0, asks_sum_before_ = 0;
+  double tick_ = 0;
+  bool crowded_ = false, crowded_before_ = false, urgent_ = false;
+  Figures figures_;
+};
+
+}  // namespace ivygw::hollyford
+
+#endif  // IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
--- /dev/null
+++ b/system/kepler/model.h
@@ -0,0 +1,69 @@
+// Kepler (the configuration): its items as values, read from JSON by simdjson and checked. Pure.
+#ifndef IVYGW_SYSTEM_KEPLER_MODEL_H_
+#define IVYGW_SYSTEM_KEPLER_MODEL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "heaphy/messages.h"
+
+namespace ivygw::kepler {
+
+// What went wrong, for an operator's eyes: empty where nothing did. Outcomes are values here.
+using Fault = std::string;
+
+struct Route {
+  std::string name, host, prefix;
+  bool idempotent = false, open = false;  // open: public_access, no key wanted
+  int timeout_ms = 0, target_latency_ms = 0, priority = 0, max_attempts = 1;
+  std::vector<std::pair<std::string, double>> targets;  // services by weight; one at least
+};
+struct Tenant {
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<int> priority;
+  double rate_per_s = 0, burst = 0;  // requests; a rate of 0: no limit
+};
+struct Service {
+  std::string name, health_path;
+  int max_connections = 0;
+};
+struct Limits {
+  uint64_t max_header_bytes = 16384, max_body_bytes = 67108864;
+  int header_timeout_ms = 3000, idle_timeout_ms = 15000;
+};
+
+inline constexpr std::string_view kRoutes = "route_table", kTenants = "tenant_table", kServices = "service_table",
+                                  kLimits = "limits";
+// The key under which an item of a table is replicated.
+std::string KeyOf(std::string_view table, std::string_view name);
+// Its table, and its name.
+std::pair<std::string_view, std::string_view> SplitKey(std::string_view key);
+
+// Each reads the JSON of one item; a fault names the field.
+Fault ReadRoute(const std::string& json, Route* out);
+Fault ReadTenant(const std::string& json, Tenant* out);
+Fault ReadService(const std::string& json, Service* out);
+Fault ReadLimits(const std::string& json, Limits* out);
+
+// A call of configuration.modify: its items, those to be removed among them as dropped ones.
+struct Change {
+  std::vector<heaphy::Item> items;
+};
+// The whole call is read before anything of it counts.
+Fault ReadChange(const std::string& json, Change* out);
+
+// Whether a change may be taken on top of what stands: routes name services that are there, no two tenants share a key.
+// `standing` holds no dropped items that matter; keys are those of KeyOf.
+Fault CheckChange(const Change& change, const std::map<std::string, heaphy::Item>& standing);
+
+// The answer to configuration.show.
+std::string WriteAll(const std::vector<heaphy::Item>& items);
+
+}  // namespace ivygw::kepler
+
+#endif  // IVYGW_SYSTEM_KEPLER_MODEL_H_
--- /dev/null
+++ b/system/luxmore/replica.cpp
@@ -0,0 +1,409 @@
+#include "luxmore/replica.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace ivygw::luxmore {
+namespace {
+
+uint64_t Mix(uint64_t x) {
+  x ^= x >> 30;
+  x *= 0xbf58476d1ce4e5b9ULL;
+  x ^= x >> 27;
+  x *= 0x94d049bb133111ebULL;
+  return x ^ x >> 31;
+}
+uint64_t Fnv(const std::string& text, uint64_t seed) {
+  uint64_t h = 0xcbf29ce484222325ULL ^ seed;
+  for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
+  return h;
+}
+
+}  // namespace
+
+uint64_t DigestOf(const Item& item) {
+  uint64_t h = Mix(Fnv(item.key, 1)) + Mix(item.version + 0x9e3779b97f4a7c15ULL);
+  return Mix(h ^ Mix(Fnv(item.body, item.dropped ? 7 : 3)));
+}
+
+bool Newer(const Item& a, const Item& b) {
+  if (a.version != b.version) return a.version > b.version;
+  uint64_t da = DigestOf(a), db = DigestOf(b);
+  return std::tie(da, a.dropped, a.body) > std::tie(db, b.dropped, b.body);
+}
+
+Replica::Replica(ReplicaOptions options, std::vector<Item> from_disk) : options_(std::move(options)) {
+  options_.cores.insert(options_.self);
+  sums_.assign(options_.ranges, 0);
+  for (Item& item : from_disk) {
+    Entry entry;
+    entry.digest = DigestOf(item);
+    entry.synced = true;
+    entry.holders = options_.blank ? 0 : Bit(options_.self);
+    std::string key = item.key;
+    entry.item = std::move(item);
+    Sum(entry);
+    entries_[key] = std::move(entry);
+  }
+}
+
+uint32_t Replica::Bit(const std::string& core) const {
+  auto it = options_.cores.find(core);
+  return it == options_.cores.end() ? 0 : uint32_t{1} << std::distance(options_.cores.begin(), it);
+}
+
+size_t Replica::RangeOf(const std::string& key) const { return Mix(Fnv(key, 0)) % options_.ranges; }
+
+bool Replica::quorate() const { return up_.size() + (options_.blank ? 0 : 1) >= majority(); }
+
+void Replica::Sum(const Entry& entry) { sums_[RangeOf(entry.item.key)] ^= entry.digest; }
+
+bool Replica::Merge(const Item& item, std::vector<Item>* changed, Effects* out) {
+  auto [it, fresh] = entries_.try_emplace(item.key);
+  Entry& entry = it->second;
+  if (!fresh && !Newer(item, entry.item)) return false;
+  if (!fresh) {
+    if (entry.synced) Sum(entry);
+    if (entry.safe) {
+      entry.shown = entry.item;
+      entry.has_shown = true;
+    }
+  }
+  entry.item = item;
+  entry.digest = DigestOf(item);
+  entry.synced = entry.safe = false;
+  entry.holders = 0;
+  changed->push_back(item);
+  out->applied.push_back(item.key);
+  return true;
+}
+
+// One batch, even of nothing: it is told as stored after all that was before it.
+void Replica::Keep(std::vector<Item> items, std::vector<std::pair<std::string, uint64_t>> words, Effects* out) {
+  Batch batch;
+  for (const Item& item : items) batch.marks.push_back({item.key, item.version, entries_.at(item.key).digest, false});
+  batch.words = std::move(words);
+  uint64_t number = ++last_batch_;
+  batches_[number] = std::move(batch);
+  out->stores.push_back({number, std::move(items), false, {}});
+}
+
+void Replica::Write(double now, uint64_t ticket, const std::vector<Item>& items, Effects* out) {
+  std::vector<Item> changed, winners;
+  std::set<std::string> keys;
+  for (const Item& item : items) {
+    Merge(item, &changed, out);
+    keys.insert(item.key);
+  }
+  Pending pending;
+  pending.until = now + options_.patience_s;
+  for (const std::string& key : keys) {
+    const Entry& entry = entries_.at(key);
+    pending.marks.push_back({key, entry.item.version, entry.digest, false});
+    if (!entry.safe) winners.push_back(entry.item);
+  }
+  pending_[ticket] = std::move(pending);
+  if (!changed.empty()) Keep(std::move(changed), {}, out);
+  if (!winners.empty()) {
+    for (const std::string& core : up_) SendPut(core, winners, out);
+  }
+  Settle(now, out);
+}
+
+void Replica::Fresh(double now, uint64_t ticket, Effects* out) {
+  Asked asked;
+  asked.round = ++round_;
+  asked.until = now + options_.patience_s;
+  asked.again = now + 0.06;
+  asked_[ticket] = std::move(asked);
+  AskDigests(now, out);
+  Settle(now, out);
+}
+
+void Replica::AskDigests(double now, Effects* out) {
+  digests_due_ = now + options_.digest_every_s;
+  for (const std::string& core : up_) {
+    out->sends.push_back({core, heaphy::Digests{round_, false, options_.blank, sums_}});
+  }
+}
+
+void Replica::MakeSafe(Entry* entry, Effects* out) {
+  if (entry->safe) return;
+  entry->safe = true;
+  entry->has_shown = false;
+  entry->shown = Item();
+  out->safe.push_back(entry->item.key);
+}
+
+void Replica::Hold(Entry* entry, uint32_t bit, std::vector<Mark>* made, Effects* out) {
+  entry->holders |= bit;
+  if (!entry->safe && static_cast<size_t>(std::popcount(entry->holders)) >= majority()) {
+    MakeSafe(entry, out);
+    made->push_back({entry->item.key, entry->item.version, entry->digest, entry->synced});
+  }
+}
+
+void Replica::Announce(std::vector<Mark> made, Effects* out) {
+  if (made.empty()) return;
+  for (const std::string& core : up_) out->sends.push_back({core, heaphy::Safe{made}});
+}
+
+void Replica::SendPut(const std::string& core, const std::vector<Item>& items, Effects* out) {
+  uint64_t number = ++put_;
+  puts_[number] = core;
+  for (const Item& item : items) put_marks_[number].push_back({item.key, item.version, DigestOf(item), false});
+  out->sends.push_back({core, heaphy::Put{number, items}});
+}
+
+void Replica::OnPeer(double now, const std::string& core, bool up, Effects* out) {
+  if (core == options_.self) return;
+  // Its disk may have gone with it: what is not safe yet is counted anew there.
+  for (auto& [key, entry] : entries_) {
+    if (!entry.safe) entry.holders &= ~Bit(core);
+  }
+  if (!up) {
+    up_.erase(core);
+    even_now_.erase(core);
+    return;
+  }
+  up_.insert(core);
+  out->sends.push_back({core, heaphy::Digests{round_, false, options_.blank, sums_}});
+  // What waits for a majority may find it in this one.
+  std::vector<Item> winners;
+  std::set<std::string> keys;
+  for (const auto& [ticket, pending] : pending_) {
+    for (const Mark& mark : pending.marks) keys.insert(mark.key);
+  }
+  for (const std::string& key : keys) {
+    if (!entries_.at(key).safe) winners.push_back(entries_.at(key).item);
+  }
+  if (!winners.empty()) SendPut(core, winners, out);
+  Settle(now, out);
+}
+
+void Replica::OnCores(double now, const std::vector<std::string>& cores, Effects* out) {
+  std::set<std::string> all = options_.cores;
+  all.insert(cores.begin(), cores.end());
+  if (all == options_.cores || all.size() > 32) return;
+  // Bits are places in the order of addresses: counted anew by what each copy tells.
+  options_.cores = std::move(all);
+  for (auto& [key, entry] : entries_) entry.holders = entry.synced && !options_.blank ? Bit(options_.self) : 0;
+  uint64_t number = ++last_batch_;
+  batches_[number] = Batch();
+  out->stores.push_back({number, {}, false, options_.cores});
+  Settle(now, out);
+}
+
+void Replica::OnStored(double now, uint64_t number, bool ok, Effects* out) {
+  auto it = batches_.find(number);
+  if (it == batches_.end()) return;
+  Batch batch = std::move(it->second);
+  batches_.erase(it);
+  std::vector<Mark> made;
+  if (!ok) {  // the disk refuses: nothing of it counts; what is in memory is tried again with the next change of it
+    for (const Mark& mark : batch.marks) refused_.insert(mark.key);
+    return;
+  }
+  for (const Mark& mark : batch.marks) {
+    Entry& entry = entries_.at(mark.key);
+    if (entry.item.version != mark.version || entry.digest != mark.digest || entry.synced) continue;
+    entry.synced = true;
+    Sum(entry);
+    if (!options_.blank) Hold(&entry, Bit(options_.self), &made, out);
+  }
+  for (auto& [core, put] : batch.words) out->sends.push_back({core, heaphy::PutDone{put, !options_.blank}});
+  Announce(std::move(made), out);
+  Settle(now, out);
+}
+
+void Replica::OnMessage(double now, const std::string& from, const Message& message, Effects* out) {
+  if (const auto* put = std::get_if<heaphy::Put>(&message)) {
+    std::vector<Item> changed, newer;
+    for (const Item& item : put->items) {
+      if (!Merge(item, &changed, out)) {
+        const Entry& entry = entries_.at(item.key);
+        if (Newer(entry.item, item)) newer.push_back(entry.item);
+        // Known, but its disk had refused it.
+        if (refused_.erase(item.key) > 0 && !entry.synced) changed.push_back(entry.item);
+      }
+    }
+    // Told before the word that it is held: it is superseded.
+    if (put->number > 0 && !newer.empty()) out->sends.push_back({from, heaphy::Put{0, std::move(newer)}});
+    std::vector<std::pair<std::string, uint64_t>> words;
+    if (put->number > 0) words.push_back({from, put->number});
+    if (!changed.empty() || !words.empty()) Keep(std::move(changed), std::move(words), out);
+  } else if (const auto* done = std::get_if<heaphy::PutDone>(&message)) {
+    auto it = puts_.find(done->number);
+    if (it == puts_.end() || it->second != from) return;
+    puts_.erase(it);
+    std::vector<Mark> marks = std::move(put_marks_[done->number]);
+    put_marks_.erase(done->number);
+    if (!done->counts) return;
+    std::vector<Mark> made;
+    for (const Mark& mark : marks) {
+      Entry& entry = entries_.at(mark.key);
+      if (entry.item.version == mark.version && entry.digest == mark.digest) Hold(&entry, Bit(from), &made, out);
+    }
+    Announce(std::move(made), out);
+  } else if (const auto* safe = std::get_if<heaphy::Safe>(&message)) {
+    for (const Mark& mark : safe->marks) {
+      auto it = entries_.find(mark.key);
+      if (it == entries_.end()) continue;
+      Entry& entry = it->second;
+      if (entry.item.version == mark.version && entry.digest == mark.digest) MakeSafe(&entry, out);
+    }
+  } else if (const auto* digests = std::get_if<heaphy::Digests>(&message)) {
+    OnDigests(now, from, *digests, out);
+  } else if (const auto* marks = std::get_if<heaphy::RangeMarks>(&message)) {
+    OnMarks(from, *marks, out);
+  } else if (const auto* pull = std::get_if<heaphy::Pull>(&message)) {
+    heaphy::Put mend;
+    for (const std::string& key : pull->keys) {
+      auto it = entries_.find(key);
+      if (it != entries_.end()) mend.items.push_back(it->second.item);
+    }
+    if (!mend.items.empty()) out->sends.push_back({from, std::move(mend)});
+  }
+  Settle(now, out);
+}
+
+void Replica::OnDigests(double now, const std::string& from, const heaphy::Digests& told, Effects* out) {
+  if (told.ranges.size() != sums_.size()) return;
+  if (!told.answer) out->sends.push_back({from, heaphy::Digests{told.round, true, options_.blank, sums_}});
+  heaphy::RangeMarks differ;
+  std::vector<bool> same(sums_.size());
+  for (size_t i = 0; i < sums_.size(); ++i) {
+    same[i] = told.ranges[i] == sums_[i];
+    if (!same[i]) differ.ranges.push_back(static_cast<uint32_t>(i));
+  }
+  std::vector<Mark> made;
+  uint32_t bit = Bit(from);
+  for (auto& [key, entry] : entries_) {
+    bool in_same = same[RangeOf(key)];
+    if (!in_same) {
+      differ.marks.push_back({key, entry.item.version, entry.digest, entry.synced});
+    } else if (entry.synced && !told.blank && !entry.safe) {
+      Hold(&entry, bit, &made, out);
+    }
+  }
+  Announce(std::move(made), out);
+  if (differ.ranges.empty()) {
+    Even(now, from, told.blank, told.answer ? told.round : 0, out);
+  } else {
+    even_now_.erase(from);
+    out->sends.push_back({from, std::move(differ)});
+  }
+}
+
+void Replica::OnMarks(const std::string& from, const heaphy::RangeMarks& told, Effects* out) {
+  heaphy::Pull pull;
+  heaphy::Put mend;
+  std::set<std::string> seen;
+  for (const Mark& mark : told.marks) {
+    seen.insert(mark.key);
+    auto it = entries_.find(mark.key);
+    if (it == entries_.end()) {
+      pull.keys.push_back(mark.key);
+      continue;
+    }
+    Entry& entry = it->second;
+    if (entry.digest == mark.digest && entry.item.version == mark.version) continue;
+    bool theirs = std::tie(mark.version, mark.digest) > std::tie(entry.item.version, entry.digest);
+    if (theirs) {
+      pull.keys.push_back(mark.key);
+    } else {
+      mend.items.push_back(entry.item);
+    }
+  }
+  std::set<uint32_t> ranges(told.ranges.begin(), told.ranges.end());
+  for (const auto& [key, entry] : entries_) {
+    if (!seen.count(key) && ranges.count(static_cast<uint32_t>(RangeOf(key)))) mend.items.push_back(entry.item);
+  }
+  if (!pull.keys.empty()) out->sends.push_back({from, std::move(pull)});
+  if (!mend.items.empty()) out->sends.push_back({from, std::move(mend)});
+}
+
+// The peer's copy is the same as this one, as far as both have it on disk.
+void Replica::Even(double now, const std::string& from, bool blank, uint64_t round, Effects* out) {
+  if (blank) return;
+  even_once_.insert(from);
+  for (auto& [ticket, asked] : asked_) {
+    if (round >= asked.round) asked.even.insert(from);
+  }
+  if (options_.blank && even_once_.size() >= majority()) {
+    // It has read all of a majority that doesn't need it.
+    options_.blank = false;
+    uint64_t number = ++last_batch_;
+    batches_[number] = Batch();
+    out->stores.push_back({number, {}, true, options_.cores});
+    std::vector<Mark> made;
+    for (auto& [key, entry] : entries_) {
+      if (entry.synced) Hold(&entry, Bit(options_.self), &made, out);
+    }
+    Announce(std::move(made), out);
+  }
+  if (!options_.blank && even_once_.size() + 1 >= majority()) complete_ = true;
+  Settle(now, out);
+}
+
+void Replica::Settle(double now, Effects* out) {
+  if (!options_.blank && majority() == 1) complete_ = true;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    bool all = true;
+    for (const Mark& mark : it->second.marks) {
+      auto entry = entries_.find(mark.key);
+      all = all && entry != entries_.end() && entry->second.safe;
+    }
+    if (all || now >= it->second.until) {
+      out->done.push_back({it->first, all ? Outcome::kDone : Outcome::kUnclear});
+      it = pending_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (auto it = asked_.begin(); it != asked_.end();) {
+    bool enough = it->second.even.size() + (options_.blank ? 0 : 1) >= majority();
+    if (enough || now >= it->second.until) {
+      out->done.push_back({it->first, enough ? Outcome::kDone : Outcome::kUnclear});
+      it = asked_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Replica::OnTime(double now, Effects* out) {
+  bool ask = now >= digests_due_;
+  for (auto& [ticket, asked] : asked_) {
+    if (now >= asked.again) {
+      asked.again = now + 0.06;
+      ask = true;
+    }
+  }
+  if (ask) AskDigests(now, out);
+  // A disk that had refused is tried again.
+  if (!refused_.empty()) {
+    std::vector<Item> again;
+    for (const std::string& key : refused_) {
+      const Entry& entry = entries_.at(key);
+      if (!entry.synced) again.push_back(entry.item);
+    }
+    refused_.clear();
+    if (!again.empty()) Keep(std::move(again), {}, out);
+  }
+  while (puts_.size() > 4096) {  // to cores that have gone without a word
+    put_marks_.erase(puts_.begin()->first);
+    puts_.erase(puts_.begin());
+  }
+  Settle(now, out);
+}
+
+void Replica::Forget(const std::string& key) {
+  auto it = entries_.find(key);
+  if (it == entries_.end()) return;
+  if (it->second.synced) Sum(it->second);
+  entries_.erase(it);
+}
+
+}  // namespace ivygw::luxmore
--- /dev/null
+++ b/system/milford/gateway.cpp
@@ -0,0 +1,143 @@
+#include "milford/gateway.h"
+
+#include <algorithm>
+#include <random>
+
+#include "net/address.h"
+#include "rakiura/log.h"
+
+namespace ivygw::milford {
+
+using cascade::Changed;
+using cascade::Table;
+using rakiura::Log;
+
+namespace {
+
+constexpr double kTick = 0.05;       // s
+constexpr uint64_t kReportEvery = 5, kFiguresEvery = 100;  // ticks
+constexpr double kSeenLeaving = 2.5; // s, within which the platform has seen that it is not ready any more
+constexpr double kGraceMargin = 0.4; // s, before the platform's patience with a stopping process ends
+
+size_t MostClients(const rakiura::Settings& settings) {
+  return static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000));
+}
+uint64_t Seed() {
+  std::random_device source;
+  return source();
+}
+
+}  // namespace
+
+Gateway::Gateway(asio::io_context& io, const rakiura::Settings& settings, std::function<void()> ended)
+    : io_(io),
+      settings_(settings),
+      ended_(std::move(ended)),
+      memory_(static_cast<size_t>(std::max(16, settings.memory_mb / 3)) << 20),
+      configuration_(Table::kConfiguration, &journal_),
+      backends_(Table::kBackends, &journal_),
+      admission_({0.1, settings.quota_slack, 30}),
+      pool_(Seed(), settings.zone),
+      budget_(settings.retry_ratio, settings.retry_window_s, settings.retry_slack),
+      exchanges_(io, &memory_, &routes_, &admission_, &pool_, &budget_),
+      timer_(io) {
+  journal_.Attach([this](const Changed& event) {
+    if (event.table != Table::kConfiguration) return;
+    if (kepler::Fault fault = routes_.Fold(event.item); !fault.empty()) {
+      Log("item_unreadable").Add("key", event.item.key).Add("fault", fault);
+    }
+  });
+  journal_.Attach([this](const Changed& event) {
+    if (event.table == Table::kBackends) pool_.Fold(event.at, event.item);
+  });
+  front_ = std::make_unique<ClientServer>(
+      io, MostClients(settings), &memory_,
+      ClientServer::Events{[this](uint64_t client, ClientMessage message) { exchanges_.OnRequest(client, std::move(message)); },
+                           [this](uint64_t client, bool held) { exchanges_.OnClientClosed(client, held); },
+                           [this](uint64_t client, std::string bytes, bool last) { exchanges_.OnClientBody(client, std::move(bytes), last); },
+                           [this](uint64_t client) { exchanges_.OnClientDrained(client); }});
+  exchanges_.Serve(front_.get());
+  readiness_ = std::make_unique<ClientServer>(io, 64, &memory_,
+                                              ClientServer::Events{[this](uint64_t client, ClientMessage message) {
+                                                                     Answer answer;
+                                                                     bool known = View(message.head.target()) == "/ivygw/readiness";
+                                                                     answer.status = !known ? 404 : ready() ? 200 : 503;
+                                                                     readiness_->Reply(client, std::move(answer));
+                                                                   },
+                                                                   [](uint64_t, bool) {}});
+  dart::Followers::Events events;
+  events.push = [this](Table table, const std::string&, const heaphy::Push& push) {
+    (table == Table::kBackends ? backends_ : configuration_).OnPush(Now(), push);
+    Told();
+  };
+  events.state = [this](Table table, const std::string& core, const heaphy::State& state) {
+    (table == Table::kBackends ? backends_ : configuration_).OnState(core, state);
+    followers_->Know({state.cores.begin(), state.cores.end()});
+    if (table == Table::kBackends) {
+      admission_.OnMembers(std::max<size_t>(1, state.gateways));
+      budget_.OnMembers(std::max<size_t>(1, state.gateways));
+      pool_.OnMembers(state.members, settings_.ip);
+    }
+    Told();
+  };
+  events.loans = [this](const std::string& core, const heaphy::Loans& loans) { admission_.OnLoans(Now(), core, loans); };
+  events.registry = [this](const std::string& core, bool up) {
+    if (up) ReportTo(core);
+  };
+  followers_ = std::make_unique<dart::Followers>(io, settings, std::move(events));
+  readiness_->Listen(ParseAddress("listen_addresses.readiness", settings.readiness));
+  front_->Listen(ParseAddress("listen_addresses.front_http", settings.front_http));
+  Log("started").Add("zone", settings.zone);
+  Tick();
+}
+
+double Gateway::Now() const { return std::chrono::duration<double>(Clock::now().time_since_epoch()).count(); }
+
+void Gateway::Told() {
+  journal_.Run();
+  if (open_ || !configuration_.complete() || !backends_.complete() || !routes_.any()) return;
+  open_ = true;
+  exchanges_.Open(true);
+  Log("ready").Add("cores", configuration_.cores().size());
+}
+
+void Gateway::ReportTo(const std::string& core) {
+  size_t lenders = std::max<size_t>(1, followers_->registries().size());
+  followers_->Send(core, admission_.Report(Now(), core, lenders));
+}
+
+void Gateway::Tick() {
+  ++ticks_;
+  if (ticks_ % kReportEvery == 0 || admission_.urgent()) {
+    for (const std::string& core : followers_->registries()) ReportTo(core);
+  }
+  if (ticks_ % 10 == 0) exchanges_.Sweep();
+  if (ticks_ % kFiguresEvery == 0) {
+    const Figures& f = exchanges_.figures();
+    auto a = admission_.figures();
+    Log("figures").Add("requests", f.requests).Add("served", f.served).Add("refused", f.refused).Add("limited", f.limited)
+        .Add("by_bucket", a.by_bucket).Add("by_counter", a.by_counter).Add("failed", f.failed).Add("late", f.late)
+        .Add("tries", f.tries).Add("not_sent", f.not_sent).Add("full", f.full).Add("unknown", f.unknown).Add("broken", f.broken)
+        .Add("connections", f.connections).Add("denied", f.denied).Add("held", exchanges_.held());
+  }
+  if (stopping_) {
+    double since = Now() - stop_at_;
+    if (since > kSeenLeaving) front_->CloseIdle();
+    bool quiet = since > kSeenLeaving && exchanges_.held() == 0 && front_->Quiet();
+    if (quiet || since > settings_.grace_s - kGraceMargin) return ended_();
+  }
+  timer_.expires_after(Seconds(kTick));
+  timer_.async_wait([this](error_code cancelled) {
+    if (!cancelled) Tick();
+  });
+}
+
+void Gateway::Stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_at_ = Now();
+  front_->AskToClose(true);
+  Log("stopping").Add("held", exchanges_.held());
+}
+
+}  // namespace ivygw::milford
--- /dev/null
+++ b/system/rakiura/settings.h
@@ -0,0 +1,32 @@
+// Rakiura (what a process is told): the settings file, checked; the command line; logs as JSON lines.
+#ifndef IVYGW_SYSTEM_RAKIURA_SETTINGS_H_
+#define IVYGW_SYSTEM_RAKIURA_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+namespace ivygw::rakiura {
+
+struct Settings {
+  std::string node, machine_class, ip, zone, region;
+  std::string front_http, readiness, control_plane;  // IP:port; empty where not served
+  int first_port = 0, last_port = 0;                  // of the internal range
+  std::vector<std::string> seeds;                     // control_plane addresses
+  std::vector<std::pair<std::string, std::string>> zones;  // zone, region
+  bool initial_boot = false;
+  std::string data_directory;  // empty: no disk
+  int heartbeat_ms = 1500;
+  std::vector<std::string> contracts;
+  int memory_mb = 256, descriptors = 1024;
+  // Bounds that decisions go by.
+  int drain_ms = 2500, address_reuse_s = 2, grace_s = 6, contact_ms = 3000;
+  double retry_ratio = 0.2, retry_window_s = 10, retry_slack = 20;
+  double quota_window_s = 5, quota_overrun = 0.1, quota_slack = 20;
+};
+
+// All faults, each naming its field; none: the settings are sound.
+std::vector<std::string> ReadSettings(const std::string& json, Settings* out);
+
+}  // namespace ivygw::rakiura
+
+#endif  // IVYGW_SYSTEM_RAKIURA_SETTINGS_H_
--- /dev/null
+++ b/system/routeburn/routes.cpp
@@ -0,0 +1,110 @@
+#include "routeburn/routes.h"
+
+#include <algorithm>
+
+namespace ivygw::routeburn {
+namespace {
+
+std::string Lower(std::string_view text) {
+  std::string out(text);
+  for (char& c : out) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return out;
+}
+
+}  // namespace
+
+kepler::Fault Routes::Fold(const heaphy::Item& item) {
+  auto [table, name_view] = kepler::SplitKey(item.key);
+  std::string name(name_view);
+  if (table == kepler::kRoutes) {
+    kepler::Route route;
+    if (!item.dropped) {
+      if (kepler::Fault fault = kepler::ReadRoute(item.body, &route); !fault.empty()) return fault;
+    }
+    Unlink(name);
+    if (item.dropped) return {};
+    route.host = Lower(route.host);
+    auto made = std::make_shared<const kepler::Route>(std::move(route));
+    routes_[name] = made;
+    hosts_[made->host][made->prefix][name] = made;
+  } else if (table == kepler::kTenants) {
+    tenants_seen_ = true;
+    kepler::Tenant tenant;
+    if (!item.dropped) {
+      if (kepler::Fault fault = kepler::ReadTenant(item.body, &tenant); !fault.empty()) return fault;
+    }
+    auto old = tenants_.find(name);
+    if (old != tenants_.end()) {
+      for (const std::string& key : old->second->keys) {
+        auto held = keys_.find(key);
+        if (held == keys_.end()) continue;
+        held->second.erase(name);
+        if (held->second.empty()) keys_.erase(held);
+      }
+      tenants_.erase(old);
+    }
+    if (item.dropped) return {};
+    auto made = std::make_shared<const kepler::Tenant>(std::move(tenant));
+    tenants_[name] = made;
+    for (const std::string& key : made->keys) keys_[key][name] = made;
+  } else if (table == kepler::kServices) {
+    kepler::Service service;
+    if (!item.dropped) {
+      if (kepler::Fault fault = kepler::ReadService(item.body, &service); !fault.empty()) return fault;
+      services_[name] = std::move(service);
+    } else {
+      services_.erase(name);
+    }
+  } else if (table == kepler::kLimits && !item.dropped) {
+    return kepler::ReadLimits(item.body, &limits_);
+  }
+  return {};
+}
+
+void Routes::Unlink(const std::string& name) {
+  auto old = routes_.find(name);
+  if (old == routes_.end()) return;
+  auto host = hosts_.find(old->second->host);
+  auto place = host->second.find(old->second->prefix);
+  place->second.erase(name);
+  if (place->second.empty()) host->second.erase(place);
+  if (host->second.empty()) hosts_.erase(host);
+  routes_.erase(old);
+}
+
+Routes::Route Routes::Find(std::string_view host, std::string_view path) const {
+  size_t colon = host.rfind(':');
+  if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos) host = host.substr(0, colon);
+  auto it = hosts_.find(Lower(host));
+  if (it == hosts_.end()) return nullptr;
+  path = path.substr(0, std::min(path.find('?'), path.find('#')));
+  // Prefixes end with a slash: one look for each of the path's, the longest first.
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+    auto place = it->second.find(std::string(path.substr(0, slash + 1)));
+    if (place != it->second.end()) return place->second.begin()->second;
+  }
+  return nullptr;
+}
+
+Routes::Tenant Routes::Owner(const std::string& key) const {
+  auto it = keys_.find(key);
+  return it == keys_.end() ? nullptr : it->second.begin()->second;
+}
+
+const std::string& Routes::Pick(const kepler::Route& route, double dice) {
+  double sum = 0;
+  for (const auto& [service, weight] : route.targets) sum += weight;
+  double at = dice * sum;
+  const std::string* last = &route.targets.front().first;
+  for (const auto& [service, weight] : route.targets) {
+    if (weight <= 0) continue;
+    last = &service;
+    if (at < weight) return service;
+    at -= weight;
+  }
+  return *last;
+}
+
+}  // namespace ivygw::routeburn
--- /dev/null
+++ b/system/routeburn/routes.h
@@ -0,0 +1,51 @@
+// Routeburn (routing): which route a request is on, which tenant it is of, which service it goes to. Folded from the
+// configuration's items. Pure; one thread.
+#ifndef IVYGW_SYSTEM_ROUTEBURN_ROUTES_H_
+#define IVYGW_SYSTEM_ROUTEBURN_ROUTES_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "heaphy/messages.h"
+#include "kepler/model.h"
+
+namespace ivygw::routeburn {
+
+class Routes {
+ public:
+  using Route = std::shared_ptr<const kepler::Route>;
+  using Tenant = std::shared_ptr<const kepler::Tenant>;
+
+  // An item that can't be read is told as a fault and changes nothing.
+  kepler::Fault Fold(const heaphy::Item& item);
+
+  // Of the routes of that host, the one whose prefix begins the path and is longest. `host` may have a port.
+  Route Find(std::string_view host, std::string_view path) const;
+  Tenant Owner(const std::string& key) const;
+  bool any() const { return !routes_.empty(); }
+  bool has_tenants() const { return tenants_seen_; }
+  const kepler::Limits& limits() const { return limits_; }
+  const std::map<std::string, Tenant>& tenants() const { return tenants_; }
+  const std::map<std::string, kepler::Service>& services() const { return services_; }
+
+  // A service of the route by weight; the same for the same dice (0 to 1).
+  static const std::string& Pick(const kepler::Route& route, double dice);
+
+ private:
+  void Unlink(const std::string& name);
+  std::map<std::string, Route> routes_;
+  // By host, then by prefix, then by name where two are at one place.
+  std::unordered_map<std::string, std::map<std::string, std::map<std::string, Route>>> hosts_;
+  std::map<std::string, Tenant> tenants_;
+  std::unordered_map<std::string, std::map<std::string, Tenant>> keys_;  // holders of each key by name
+  std::map<std::string, kepler::Service> services_;
+  kepler::Limits limits_;
+  bool tenants_seen_ = false;
+};
+
+}  // namespace ivygw::routeburn
+
+#endif  // IVYGW_SYSTEM_ROUTEBURN_ROUTES_H_
--- /dev/null
+++ b/system/tongariro/pool.cpp
@@ -0,0 +1,143 @@
+#include "tongariro/pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivygw::tongariro {
+namespace {
+
+constexpr double kAvoidFirst = 0.4, kAvoidLongest = 4;  // s, after a failure and growing
+constexpr double kFullFor = 0.06;                       // s
+constexpr double kSlow = 2;                             // a backend that warms up takes so many times as long
+
+}  // namespace
+
+void Pool::Fold(double now, const heaphy::Item& item) {
+  size_t slash = item.key.find('/');
+  std::string id = item.key.substr(slash + 1);
+  cascade::Backend told;
+  told.id = id;
+  if (!item.dropped && !cascade::ReadBackend(item.body, &told).empty()) return;
+  auto it = seen_.find(id);
+  if (item.dropped) {
+    if (it == seen_.end()) return;
+    services_[it->second.backend.service].erase(id);
+    seen_.erase(it);
+  } else {
+    if (it != seen_.end() && it->second.backend.service != told.service) services_[it->second.backend.service].erase(id);
+    Seen& seen = seen_[id];
+    seen.backend = told;
+    seen.warm_until = told.warm_ms > 0 ? now + told.warm_ms / 1000.0 : 0;
+    services_[told.service].insert(id);
+    seen.gone = false;
+  }
+  dealt_ = false;
+}
+
+void Pool::OnMembers(const std::vector<std::string>& members, const std::string& self) {
+  if (members == members_ && self == self_) return;
+  members_ = members;
+  self_ = self;
+  dealt_ = false;
+}
+
+void Pool::Deal() {
+  dealt_ = true;
+  for (auto& [id, seen] : seen_) seen.own = 0;
+  auto mine = std::find(members_.begin(), members_.end(), self_);
+  if (mine == members_.end()) return;
+  size_t place = static_cast<size_t>(mine - members_.begin());
+  for (const auto& [service, ids] : services_) {
+    std::vector<Seen*> slots;
+    int most = 0;
+    for (const std::string& id : ids) most = std::max(most, seen_.at(id).backend.slots);
+    for (int round = 0; round < most; ++round) {
+      for (const std::string& id : ids) {
+        Seen& seen = seen_.at(id);
+        if (round < seen.backend.slots && !seen.backend.draining && !seen.gone) slots.push_back(&seen);
+      }
+    }
+    for (size_t i = place; i < slots.size(); i += members_.size()) ++slots[i]->own;
+  }
+}
+
+// What is expected of a place there, in parts of a usual request's time.
+double Pool::Cost(double now, const Seen& seen) const {
+  double slots = seen.backend.slots;
+  double cost = seen.out < seen.own ? 0 : 0.5 + (seen.out - seen.own) / slots;
+  if (seen.out >= seen.backend.slots) cost += 1;
+  if (now < seen.warm_until) cost += kSlow - 1;
+  if (now < seen.full_until) cost += 2;
+  if (seen.backend.zone != zone_) cost += 0.1;
+  return cost;
+}
+
+std::string Pool::Choose(double now, const std::string& service, const std::set<std::string>& tried) {
+  if (!dealt_) Deal();
+  auto it = services_.find(service);
+  if (it == services_.end()) return {};
+  std::string best;
+  double least = INFINITY;
+  std::uniform_real_distribution<double> chance(0, 0.3);
+  for (bool avoided : {false, true}) {
+    for (const std::string& id : it->second) {
+      const Seen& seen = seen_.at(id);
+      if (seen.gone || seen.backend.draining || tried.count(id)) continue;
+      if (!avoided && now < seen.avoid_until) continue;
+      double cost = Cost(now, seen) + chance(dice_) + (avoided ? seen.avoid_until - now : 0);
+      if (cost < least) {
+        least = cost;
+        best = id;
+      }
+    }
+    if (!best.empty()) break;
+  }
+  return best;
+}
+
+void Pool::OnSent(const std::string& id) {
+  auto it = seen_.find(id);
+  if (it != seen_.end()) ++it->second.out;
+}
+
+void Pool::OnMet(double now, const std::string& id, Met met, double took_s) {
+  auto it = seen_.find(id);
+  if (it == seen_.end()) return;
+  Seen& seen = it->second;
+  if (seen.out > 0) --seen.out;
+  switch (met) {
+    case Met::kServed:
+      seen.failures = 0;
+      seen.avoid_until = 0;
+      seen.latency = seen.latency == 0 ? took_s : 0.8 * seen.latency + 0.2 * took_s;
+      break;
+    case Met::kFailed:
+    case Met::kLeft: break;
+    case Met::kFull: seen.full_until = now + kFullFor; break;
+    case Met::kGone: seen.gone = true; dealt_ = false; break;
+    case Met::kRefusedConnection:
+    case Met::kSilent:
+    case Met::kBroken: {
+      ++seen.failures;
+      if (met == Met::kBroken && seen.failures < 2) break;  // one broken answer tells little
+      double pause = std::min(kAvoidFirst * std::pow(2, seen.failures - 1), kAvoidLongest);
+      seen.avoid_until = now + pause;
+      break;
+    }
+  }
+}
+
+const Seen* Pool::Find(const std::string& id) const {
+  auto it = seen_.find(id);
+  return it == seen_.end() ? nullptr : &it->second;
+}
+size_t Pool::of(const std::string& service) const {
+  auto it = services_.find(service);
+  return it == services_.end() ? 0 : it->second.size();
+}
+bool Pool::Idle(const std::string& id) const {
+  auto it = seen_.find(id);
+  return it == seen_.end() || (it->second.out == 0 && (it->second.gone || it->second.backend.draining));
+}
+
+}  // namespace ivygw::tongariro
