Limits are lent in parts and drawn from pools; holders are known after a restart

Cause: buckets fed by even parts alone refused 12 in 100 requests of tenants within their limits, as requests come in clumps and over many gateways; and after a kill of all, cores that had forgotten their loans lent nothing for a term of 12 s.

Ruled out: larger parts for each (they don't add up to the limit). Change: 0.6 of a rate is lent for terms, which a gateway that is cut off goes on with, 0.48 is drawn in small batches ahead of need; who may hold a loan is an item of the registry's table, so a core that starts anew lends on as soon as all of them have reported.

--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -47,7 +47,8 @@
 
 Registry::Registry(asio::io_context& io, const rakiura::Settings& settings)
     : io_(io),
-      node_(io, settings, {"angelus", settings.first_port, false}, [this] {
+      self_(settings.ip),
+      node_(io, settings, {"angelus", settings.first_port, false, kPrefix}, [this] {
         rees::CoreNode::Events events;
         events.follower_up = [this](uint64_t, const rees::CoreNode::Follower& follower) { members_[follower.node] = 1e300; };
         events.follower_down = [this](uint64_t, const rees::CoreNode::Follower& gone) {
@@ -58,9 +59,7 @@
         };
         events.message = [this](uint64_t peer, heaphy::Message message) {
           const auto* report = std::get_if<heaphy::Report>(&message);
-          auto it = node_.followers().find(peer);
-          if (!report || it == node_.followers().end()) return;
-          node_.Send(peer, lender_.OnReport(node_.Now(), it->second.node, it->second.boot, *report, node_.replica().cores().size()));
+          if (report) Lend(peer, *report);
         };
         events.tick = [this] { Tick(); };
         return events;
@@ -200,6 +199,35 @@
   store_->Send(heaphy::Call{number, name, body});
 }
 
+std::string Registry::HolderKey(const std::string& gateway) const { return "holder/" + self_ + "/" + gateway; }
+
+// Whoever is lent something is known as a holder on a majority's disks before, so that a later life of this core, with its
+// disk or without, knows whom to wait for.
+void Registry::Lend(uint64_t peer, const heaphy::Report& report) {
+  auto follower = node_.followers().find(peer);
+  if (follower == node_.followers().end() || !node_.replica().complete()) return;
+  std::string gateway = follower->second.node, key = HolderKey(gateway);
+  auto it = node_.replica().entries().find(key);
+  if (it != node_.replica().entries().end() && it->second.safe) {
+    if (!holders_told_) {
+      holders_told_ = true;
+      std::vector<std::string> holders;
+      std::string prefix = HolderKey("");
+      for (const auto& [other, entry] : node_.replica().entries()) {
+        if (other.compare(0, prefix.size(), prefix) == 0) holders.push_back(other.substr(prefix.size()));
+      }
+      lender_.OnHolders(holders);
+    }
+    node_.Send(peer, lender_.OnReport(node_.Now(), gateway, follower->second.boot, report, node_.replica().cores().size()));
+    return;
+  }
+  if (!noting_.insert(gateway).second) return;
+  Item item;
+  item.key = key;
+  item.version = 1;
+  node_.Write({item}, [this, gateway](Replica::Outcome) { noting_.erase(gateway); });
+}
+
 void Registry::Tick() {
   double now = node_.Now();
   lender_.OnTime(now);
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "bodies/body_memory.h"
@@ -29,8 +30,11 @@
   void Settle(uint64_t connection, const luxmore::Item& item, bool wait);
   void Pass(uint64_t connection, const std::string& name, const std::string& body);
   void Tick();
+  void Lend(uint64_t peer, const heaphy::Report& report);
+  std::string HolderKey(const std::string& gateway) const;
 
   asio::io_context& io_;
+  const std::string self_;
   rees::CoreNode node_;
   bodies::BodyMemory memory_;
   hollyford::Lender lender_;
@@ -44,6 +48,8 @@
   std::map<uint64_t, ClientMessage> reading_;  // calls whose body is still coming
   std::map<std::string, double> members_;      // gateways, until when they count as such
   std::map<std::string, double> gone_;         // tombstones, since when
+  std::set<std::string> noting_;               // gateways whose note as holders is under way
+  bool holders_told_ = false;
   uint64_t last_ = 0;
 };
 
--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -50,12 +50,19 @@
 struct PushAck { uint64_t number = 0; };
 // `members`: the gateways that hold a lease, where they are few enough to be named.
 struct State { uint32_t gateways = 0; bool complete = false; std::vector<std::string> cores, members; };
-// What a gateway wants of a tenant's limit, and what it has sent: fractions of the limit; requests.
-// `held`: what it still holds of this lender, by its own clock.
-struct Use { std::string tenant; float wanted = 0, held = 0; uint64_t sent = 0; };
-struct Report { uint64_t number = 0; uint32_t lenders = 0; std::vector<Use> uses; };
-struct Loan { std::string tenant; float fraction = 0; uint64_t total = 0; };
-struct Loans { uint64_t number = 0; uint32_t gateways = 0; std::vector<Loan> loans; };
+// A gateway's word on a tenant: its limit (requests a second, requests; of which version of its item), the part of the limit
+// that it wants to be lent and that it still holds of this lender, the requests that it lacks now, and all that it has sent.
+struct Use {
+  std::string tenant;
+  float rate = 0, burst = 0;
+  uint64_t version = 0;
+  float wanted = 0, held = 0, lacking = 0;
+  uint64_t sent = 0;
+};
+struct Report { uint64_t number = 0; std::vector<Use> uses; };
+// `fraction`: of the limit, lent for a term. `tokens`: requests, given for good. `total`: what all gateways have sent.
+struct Loan { std::string tenant; float fraction = 0, tokens = 0; uint64_t total = 0; };
+struct Loans { uint64_t number = 0; std::vector<Loan> loans; };
 struct Ping { uint64_t number = 0; };
 struct Pong { uint64_t number = 0; };
 
@@ -79,10 +86,10 @@
 template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.items); }
 template <class A> void serialize(A& a, PushAck& m) { a(m.number); }
 template <class A> void serialize(A& a, State& m) { a(m.gateways, m.complete, m.cores, m.members); }
-template <class A> void serialize(A& a, Use& m) { a(m.tenant, m.wanted, m.held, m.sent); }
-template <class A> void serialize(A& a, Report& m) { a(m.number, m.lenders, m.uses); }
-template <class A> void serialize(A& a, Loan& m) { a(m.tenant, m.fraction, m.total); }
-template <class A> void serialize(A& a, Loans& m) { a(m.number, m.gateways, m.loans); }
+template <class A> void serialize(A& a, Use& m) { a(m.tenant, m.rate, m.burst, m.version, m.wanted, m.held, m.lacking, m.sent); }
+template <class A> void serialize(A& a, Report& m) { a(m.number, m.uses); }
+template <class A> void serialize(A& a, Loan& m) { a(m.tenant, m.fraction, m.tokens, m.total); }
+template <class A> void serialize(A& a, Loans& m) { a(m.number, m.loans); }
 template <class A> void serialize(A& a, Ping& m) { a(m.number); }
 template <class A> void serialize(A& a, Pong& m) { a(m.number); }
 template <class A> void serialize(A& a, Call& m) { a(m.number, m.name, m.body); }
--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -7,10 +7,9 @@
 namespace {
 
 constexpr double kLift = 0.03;       // of the guarantee, by the share term
-constexpr double kStored = 0.8;      // of a part of the burst, as a bucket holds it
 constexpr double kSpread = 1.5;      // s over which demand is taken
-constexpr double kHeadroom = 1.4;    // of the demand, as it is asked for
 constexpr double kComeBack = 0.05;   // s, at the least
+constexpr double kAnswered = 0.03;   // s, within which a batch that was asked for has come
 
 }  // namespace
 
@@ -57,12 +56,19 @@
     share = static_cast<double>(bucket->asks_before) / static_cast<double>(asks_sum_before_) * (free - bucket->tokens);
   }
   share = std::clamp(share, 0.0, kLift * guarantee);
-  double most = std::max(1.0, kStored * fraction * bucket->burst);
-  if (bucket->tokens > most) {
-    bucket->tokens = most;  // a smaller part has a smaller store
-  } else {
-    bucket->tokens = std::min(most, bucket->tokens + ticks * guarantee + share);
-  }
+  double most = Store(now, *bucket);
+  if (bucket->tokens < most) bucket->tokens = std::min(most, bucket->tokens + ticks * guarantee + share);
+}
+
+double Admission::Demand(double now, const Bucket& bucket) const {
+  return bucket.demand * std::exp(-(now - bucket.demand_at) / kSpread);
+}
+double Admission::Store(double now, const Bucket& bucket) const {
+  double each = std::min(1.0, options_.slack * kSlackOfBuckets / static_cast<double>(gateways_));
+  return std::max(1.0, each + kAhead * Demand(now, bucket));
+}
+double Admission::Lacking(double now, const Bucket& bucket) const {
+  return std::max(0.0, Store(now, bucket) + 0.5 - bucket.tokens);
 }
 
 // Ends of the counter's windows.
@@ -86,11 +92,11 @@
     bucket.store = tenant.burst;
     bucket.demand_at = now;
     // Before the first loan: an even part of the slack, which all gateways together never pass.
-    bucket.tokens = std::min(1.0, std::floor(options_.slack * 0.9 / static_cast<double>(gateways_ + 3)));
-    urgent_ = true;
+    bucket.tokens = std::min(1.0, std::floor(options_.slack * kSlackOfBuckets / static_cast<double>(gateways_)));
   }
-  bucket.rate = tenant.rate_per_s;
+  bucket.rate = tenant.rate_per_s + options_.slack * kSlackOfRate / (options_.window_s + 1);
   bucket.burst = tenant.burst;
+  bucket.version = tenant.version;
   bucket.store = std::min(bucket.store, bucket.burst);
   double since = now - bucket.demand_at;
   bucket.demand = bucket.demand * std::exp(-since / kSpread) + 1 / kSpread;
@@ -108,36 +114,46 @@
   }
   if (bucket.tokens < 1) {
     ++figures_.by_bucket;
+    if (now > bucket.drawn_at + kAnswered) urgent_ = true;
     double each = std::max(Fraction(now, bucket) * bucket.rate, 0.5);
     return {false, std::clamp((1 - bucket.tokens) / each, kComeBack, 1.0)};
   }
   bucket.tokens -= 1;
+  if (Lacking(now, bucket) > 0.5 * Store(now, bucket) && now > bucket.drawn_at + kAnswered) urgent_ = true;
   bucket.newer += 1;
   ++bucket.sent;
   ++figures_.admitted;
   return {};
 }
 
-heaphy::Report Admission::Report(double now, const std::string& core, size_t lenders) {
-  urgent_ = false;
+heaphy::Report Admission::Report(double now, const std::string& core, size_t lenders, bool all, bool draw) {
+  if (draw) urgent_ = false;
   heaphy::Report report;
   report.number = ++last_report_;
-  report.lenders = static_cast<uint32_t>(lenders);
   Out& out = reports_[report.number];
   out.core = core;
   out.at = now;
+  double parts = static_cast<double>(std::max<size_t>(lenders, 1));
   for (auto it = buckets_.begin(); it != buckets_.end();) {
     Bucket& bucket = it->second;
     if (now - bucket.asked > options_.idle_s) {
       it = buckets_.erase(it);
       continue;
     }
-    double demand = bucket.demand * std::exp(-(now - bucket.demand_at) / kSpread);
+    double lacking = draw && now > bucket.drawn_at + kAnswered ? Lacking(now, bucket) : 0;
+    if (!all && lacking == 0) {
+      ++it;
+      continue;
+    }
     heaphy::Use use;
     use.tenant = it->first;
-    // What it could use, and a request more.
-    use.wanted = static_cast<float>((kHeadroom * demand + 1) / bucket.rate / static_cast<double>(std::max<size_t>(lenders, 1)));
+    use.rate = static_cast<float>(bucket.rate);
+    use.burst = static_cast<float>(bucket.burst);
+    use.version = bucket.version;
+    use.wanted = static_cast<float>(Demand(now, bucket) / bucket.rate / parts);
     use.sent = bucket.sent;
+    use.lacking = static_cast<float>(lacking);
+    if (lacking > 0) bucket.drawn_at = now;
     auto lent = bucket.lent.find(core);
     if (lent != bucket.lent.end() && now < lent->second.until) use.held = static_cast<float>(lent->second.fraction);
     out.sent[it->first] = bucket.sent;
@@ -158,7 +174,9 @@
     if (it == buckets_.end()) continue;
     Bucket& bucket = it->second;
     Refill(now, &bucket);  // what came before came by the old part
-    Lent_& lent = bucket.lent[core];
+    bucket.tokens += std::max(0.0f, loan.tokens);
+    if (loan.tokens > 0) bucket.drawn_at = -1;
+    LentPart& lent = bucket.lent[core];
     lent.fraction = loan.fraction;
     lent.until = report.at + kTerm - kEarlier;
     // The counter: of several cores, the one that has heard most since.
--- a/system/hollyford/admission.h
+++ b/system/hollyford/admission.h
@@ -6,7 +6,8 @@
 // with the guarantee u_g_i from the parts of the tenant's limit that the cores have lent to this gateway, V_i its requests of
 // the last tick, W what this gateway served in it (nought after a backend without room, or latencies past the aim) and mu_i
 // what is in the bucket. The share term lifts a tenant by kLift of its guarantee at most, so that all gateways together stay
-// within what the limit's stated overrun allows. Beside that stands the counter check: in windows of burst / rate, the store
+// within what the limit's stated overrun allows. What the guarantee leaves wanting, as requests come in clumps, is drawn from
+// the cores' pools in small batches ahead of need. Beside that stands the counter check: in windows of burst / rate, the store
 // estimate S = clip(S + rate * window - last total, 0, burst); refused is what passes S + rate * window by the counter's total
 // and this gateway's newer count. A gateway that is cut off goes on with what it was lent until that ends.
 #ifndef IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
@@ -18,14 +19,11 @@
 #include <vector>
 
 #include "heaphy/messages.h"
+#include "hollyford/terms.h"
 #include "kepler/model.h"
 
 namespace ivygw::hollyford {
 
-inline constexpr double kTerm = 12;     // s, of a loan, by its lender's clock from when the report came
-inline constexpr double kEarlier = 0.5; // s, by which its holder ends it before
-inline constexpr double kLentInAll = 1.08;  // of a limit, by all cores together
-
 struct Verdict {
   bool admitted = true;
   double retry_after_s = 0;
@@ -33,7 +31,8 @@
 
 struct AdmissionOptions {
   double tick_s = 0.1;
-  double slack = 20;       // requests over the limit that the operators allow in a window
+  double slack = 20;       // requests over the limit that the operators allow in a window, over all gateways
+  double window_s = 5;
   double idle_s = 30;      // a bucket that nobody has asked for so long is dropped
 };
 
@@ -47,9 +46,10 @@
   void OnCrowded() { crowded_ = true; }
 
   void OnMembers(size_t gateways) { gateways_ = gateways; }
-  // To the lender of that name, at regular times and at once where a tenant is new (`urgent`).
-  heaphy::Report Report(double now, const std::string& core, size_t lenders);
+  // To that lender: of all tenants, or of those alone that lack something now. `draw`: from this one's pool.
+  heaphy::Report Report(double now, const std::string& core, size_t lenders, bool all, bool draw);
   void OnLoans(double now, const std::string& core, const heaphy::Loans& loans);
+  // A tenant's bucket has run low, and nothing has been asked for it yet.
   bool urgent() const { return urgent_; }
 
   struct Figures {
@@ -61,29 +61,34 @@
   double Lent(double now, const std::string& tenant) const;
 
  private:
-  struct Lent_ {
+  struct LentPart {
     double fraction = 0, until = -1;
     uint64_t total = 0;      // the counter's, at its last word
     bool counted = false;
   };
   struct Bucket {
-    double rate = 0, burst = 0;
+    double rate = 0, burst = 0;              // as lent on: with its part of the slack
+    uint64_t version = 0;
     double tokens = 0, refilled = 0;
-    double asked = 0;                      // when, last
-    double demand = 0, demand_at = 0;      // requests a second, of late
+    double asked = 0;                        // when, last
+    double demand = 0, demand_at = 0;        // requests a second, of late
+    double drawn_at = -1;                    // when a batch was asked for that hasn't come
     uint64_t asks_now = 0, asks_before = 0;  // of this tick and the last
-    uint64_t sent = 0;                     // in all
-    std::map<std::string, Lent_> lent;     // by core
-    double store = 0, window_from = 0;     // S; when the window began
-    double window_total = 0, newer = 0;    // the counter's total of the window; own requests that it does not know yet
+    uint64_t sent = 0;                       // in all
+    std::map<std::string, LentPart> lent;    // by core
+    double store = 0, window_from = 0;       // S; when the window began
+    double window_total = 0, newer = 0;      // the counter's total of the window; own requests that it does not know yet
     bool counting = false;
-    std::string counter;                   // the core whose totals count
-    double counter_until = 0;              // without a word of it, another's do
+    std::string counter;                     // the core whose totals count
+    double counter_until = 0;                // without a word of it, another's do
   };
   void Refill(double now, Bucket* bucket);
   void Window(double now, Bucket* bucket);
   double Fraction(double now, const Bucket& bucket) const;
   double Free(double now);
+  double Demand(double now, const Bucket& bucket) const;
+  double Store(double now, const Bucket& bucket) const;  // T_i
+  double Lacking(double now, const Bucket& bucket) const;
 
   const AdmissionOptions options_;
   std::map<std::string, Bucket> buckets_;
--- a/system/hollyford/lender.cpp
+++ b/system/hollyford/lender.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <vector>
 
-#include "hollyford/admission.h"
+#include "hollyford/terms.h"
 
 namespace ivygw::hollyford {
 namespace {
@@ -12,7 +12,28 @@
 
 }  // namespace
 
-Lender::Lender(double now, bool first) : closed_until_(first ? -1 : now + kTerm) {}
+Lender::Lender(double now, bool first) : closed_until_(first ? -1 : now + kTerm), first_(first) {}
+
+void Lender::OnHolders(const std::vector<std::string>& holders) {
+  holders_known_ = true;
+  awaited_.clear();
+  for (const std::string& holder : holders) {
+    if (!reported_.count(holder)) awaited_.insert(holder);
+  }
+}
+
+bool Lender::Closed(double now) const { return now < closed_until_ && !(holders_known_ && awaited_.empty()); }
+
+void Lender::Fill(double now, Tenant* tenant, double part) const {
+  double most = kPoolStore * tenant->burst * part;
+  if (!tenant->begun) {
+    tenant->begun = true;
+    tenant->pool = first_ ? most : 0;
+  } else {
+    tenant->pool = std::min(most, tenant->pool + (now - tenant->filled) * kPool * tenant->rate * part);
+  }
+  tenant->filled = now;
+}
 
 // Max-min fair among those that report: nobody gets more while another that wants more has less; what nobody wants is
 // spread evenly over them.
@@ -38,9 +59,18 @@
 heaphy::Loans Lender::OnReport(double now, const std::string& gateway, uint64_t boot, const heaphy::Report& report, size_t lenders) {
   heaphy::Loans out;
   out.number = report.number;
-  double most = kLentInAll / static_cast<double>(std::max<size_t>(lenders, 1));
+  double part = 1 / static_cast<double>(std::max<size_t>(lenders, 1)), most = kLent * part;
+  reported_.insert(gateway);
+  awaited_.erase(gateway);
   for (const heaphy::Use& use : report.uses) {
     Tenant& tenant = tenants_[use.tenant];
+    if (use.version >= tenant.version) {
+      if (tenant.begun) Fill(now, &tenant, part);
+      tenant.version = use.version;
+      tenant.rate = std::max(0.0f, use.rate);
+      tenant.burst = std::max(0.0f, use.burst);
+    }
+    Fill(now, &tenant, part);
     Held& held = tenant.held[gateway];
     if (held.boot != boot) {  // another life of it: what the one before held has ended with it
       held = Held();
@@ -59,11 +89,13 @@
     double room = std::max(0.0, most - others);
     double fraction = std::min(Fair(tenant, gateway, most, now), room);
     // What was lent before this lender's start is known from those who hold it, and from nobody else.
-    if (now < closed_until_) fraction = std::min({static_cast<double>(use.held), room, most});
+    if (Closed(now)) fraction = std::min({static_cast<double>(use.held), room, most});
     held.fraction = fraction;
     held.exposed = std::max(fraction, static_cast<double>(use.held));
     held.until = now + kTerm;
-    out.loans.push_back({use.tenant, static_cast<float>(fraction), tenant.total});
+    double tokens = std::min(tenant.pool, static_cast<double>(std::max(0.0f, use.lacking)));
+    tenant.pool -= tokens;
+    out.loans.push_back({use.tenant, static_cast<float>(fraction), static_cast<float>(tokens), tenant.total});
   }
   return out;
 }
--- a/system/hollyford/lender.h
+++ b/system/hollyford/lender.h
@@ -5,7 +5,9 @@
 #define IVYGW_SYSTEM_HOLLYFORD_LENDER_H_
 
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "heaphy/messages.h"
 
@@ -13,8 +15,11 @@
 
 class Lender {
  public:
-  // `first`: nothing can have been lent before this start. Otherwise, for a term, only what a gateway still holds is lent on.
+  // `first`: nothing can have been lent before this start. Otherwise only what gateways show that they hold is lent on, until
+  // all that may hold something have reported, or a term is over.
   Lender(double now, bool first);
+  // Those that may hold something of an earlier life's; told again as often as wanted.
+  void OnHolders(const std::vector<std::string>& holders);
 
   // `lenders`: how many cores lend; each an even part.
   heaphy::Loans OnReport(double now, const std::string& gateway, uint64_t boot, const heaphy::Report& report, size_t lenders);
@@ -33,11 +38,19 @@
   };
   struct Tenant {
     std::map<std::string, Held> held;  // by gateway
+    double rate = 0, burst = 0;        // of the newest limit that any gateway has told
+    uint64_t version = 0;
+    double pool = 0, filled = 0;       // requests; when it was filled last
+    bool begun = false;
     uint64_t total = 0;
   };
   double Fair(const Tenant& tenant, const std::string& gateway, double most, double now) const;
   std::map<std::string, Tenant> tenants_;
+  void Fill(double now, Tenant* tenant, double part) const;
+  bool Closed(double now) const;
   double closed_until_ = -1;
+  bool first_ = false, holders_known_ = false;
+  std::set<std::string> awaited_, reported_;
 };
 
 }  // namespace ivygw::hollyford
--- a/system/kepler/model.h
+++ b/system/kepler/model.h
@@ -27,6 +27,7 @@
   std::vector<std::string> keys;
   std::optional<int> priority;
   double rate_per_s = 0, burst = 0;  // requests; a rate of 0: no limit
+  uint64_t version = 0;              // of its item, where that is known
 };
 struct Service {
   std::string name, health_path;
--- a/system/milford/gateway.cpp
+++ b/system/milford/gateway.cpp
@@ -36,7 +36,7 @@
       memory_(static_cast<size_t>(std::max(16, settings.memory_mb / 3)) << 20),
       configuration_(Table::kConfiguration, &journal_),
       backends_(Table::kBackends, &journal_),
-      admission_({0.1, settings.quota_slack, 30}),
+      admission_({0.1, settings.quota_slack, settings.quota_window_s, 30}),
       pool_(Seed(), settings.zone),
       budget_(settings.retry_ratio, settings.retry_window_s, settings.retry_slack),
       exchanges_(io, &memory_, &routes_, &admission_, &pool_, &budget_),
@@ -52,7 +52,15 @@
   });
   front_ = std::make_unique<ClientServer>(
       io, MostClients(settings), &memory_,
-      ClientServer::Events{[this](uint64_t client, ClientMessage message) { exchanges_.OnRequest(client, std::move(message)); },
+      ClientServer::Events{[this](uint64_t client, ClientMessage message) {
+                             exchanges_.OnRequest(client, std::move(message));
+                             if (!admission_.urgent() || drawing_) return;
+                             drawing_ = true;
+                             asio::post(io_, [this] {
+                               drawing_ = false;
+                               Draw();
+                             });
+                           },
                            [this](uint64_t client, bool held) { exchanges_.OnClientClosed(client, held); },
                            [this](uint64_t client, std::string bytes, bool last) { exchanges_.OnClientBody(client, std::move(bytes), last); },
                            [this](uint64_t client) { exchanges_.OnClientDrained(client); }});
@@ -82,7 +90,7 @@
   };
   events.loans = [this](const std::string& core, const heaphy::Loans& loans) { admission_.OnLoans(Now(), core, loans); };
   events.registry = [this](const std::string& core, bool up) {
-    if (up) ReportTo(core);
+    if (up) ReportTo(core, true, false);
   };
   followers_ = std::make_unique<dart::Followers>(io, settings, std::move(events));
   readiness_->Listen(ParseAddress("listen_addresses.readiness", settings.readiness));
@@ -101,15 +109,25 @@
   Log("ready").Add("cores", configuration_.cores().size());
 }
 
-void Gateway::ReportTo(const std::string& core) {
+void Gateway::ReportTo(const std::string& core, bool all, bool draw) {
   size_t lenders = std::max<size_t>(1, followers_->registries().size());
-  followers_->Send(core, admission_.Report(Now(), core, lenders));
+  heaphy::Report report = admission_.Report(Now(), core, lenders, all, draw);
+  if (all || !report.uses.empty()) followers_->Send(core, report);
+}
+
+void Gateway::Draw() {
+  std::vector<std::string> cores = followers_->registries();
+  if (!cores.empty()) ReportTo(cores[draws_++ % cores.size()], false, true);
 }
 
 void Gateway::Tick() {
   ++ticks_;
-  if (ticks_ % kReportEvery == 0 || admission_.urgent()) {
-    for (const std::string& core : followers_->registries()) ReportTo(core);
+  if (ticks_ % kReportEvery == 0) {
+    std::vector<std::string> cores = followers_->registries();
+    size_t from = draws_++;
+    for (size_t i = 0; i < cores.size(); ++i) ReportTo(cores[i], true, i == from % cores.size());
+  } else if (admission_.urgent()) {
+    Draw();
   }
   if (ticks_ % 10 == 0) exchanges_.Sweep();
   if (ticks_ % kFiguresEvery == 0) {
--- a/system/milford/gateway.h
+++ b/system/milford/gateway.h
@@ -26,7 +26,8 @@
   double Now() const;
   void Told();       // folds what came, and looks whether it is ready
   void Tick();
-  void ReportTo(const std::string& core);
+  void ReportTo(const std::string& core, bool all, bool draw);
+  void Draw();  // from the next lender's pool, for tenants whose buckets have run low
   bool ready() const { return open_ && !stopping_; }
 
   asio::io_context& io_;
@@ -43,7 +44,8 @@
   std::unique_ptr<ClientServer> front_, readiness_;
   std::unique_ptr<dart::Followers> followers_;
   asio::steady_timer timer_;
-  uint64_t ticks_ = 0;
+  uint64_t ticks_ = 0, draws_ = 0;
+  bool drawing_ = false;
   bool open_ = false, stopping_ = false;
   double stop_at_ = 0;
 };
--- a/system/mueller/store.cpp
+++ b/system/mueller/store.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 Store::Store(asio::io_context& io, const rakiura::Settings& settings)
-    : node_(io, settings, {"mueller", settings.first_port + 1, true}, [this] {
+    : node_(io, settings, {"mueller", settings.first_port + 1, true, ""}, [this] {
         rees::CoreNode::Events events;
         events.message = [this](uint64_t peer, heaphy::Message message) {
           const auto* call = std::get_if<heaphy::Call>(&message);
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -195,6 +195,7 @@
 }
 
 std::optional<luxmore::Item> CoreNode::Shown(const std::string& key) const {
+  if (key.compare(0, options_.shown_prefix.size(), options_.shown_prefix) != 0) return std::nullopt;
   auto it = replica_->entries().find(key);
   if (it == replica_->entries().end()) return std::nullopt;
   const Replica::Entry& entry = it->second;
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -27,6 +27,7 @@
     int port = 0;            // internal; the same on every core machine
     // Whether gateways are shown what is safe only, or all that this copy holds.
     bool show_safe_only = true;
+    std::string shown_prefix;  // of the keys that gateways are shown; empty: all
   };
   struct Follower {
     std::string node, zone;
--- a/system/routeburn/routes.cpp
+++ b/system/routeburn/routes.cpp
@@ -46,6 +46,7 @@
       tenants_.erase(old);
     }
     if (item.dropped) return {};
+    tenant.version = item.version;
     auto made = std::make_shared<const kepler::Tenant>(std::move(tenant));
     tenants_[name] = made;
     for (const std::string& key : made->keys) keys_[key][name] = made;
