--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -50,12 +50,12 @@
       self_(settings.ip),
       node_(io, settings, {"angelus", settings.first_port, false, kPrefix}, [this] {
         rees::CoreNode::Events events;
-        events.follower_up = [this](uint64_t, const rees::CoreNode::Follower& follower) { members_[follower.node] = 1e300; };
+        events.follower_up = [this](uint64_t, const rees::CoreNode::Follower& follower) { members_[follower.node] = {follower.zone, 1e300}; };
         events.follower_down = [this](uint64_t, const rees::CoreNode::Follower& gone) {
           for (const auto& [peer, follower] : node_.followers()) {
             if (follower.node == gone.node) return;
           }
-          members_[gone.node] = node_.Now() + kLease;
+          members_[gone.node] = {gone.zone, node_.Now() + kLease};
         };
         events.message = [this](uint64_t peer, heaphy::Message message) {
           const auto* report = std::get_if<heaphy::Report>(&message);
@@ -241,10 +241,10 @@
     Reply(connection, 503, "{\"error\":\"may have been taken: the store is silent\"}");
   }
   for (auto it = members_.begin(); it != members_.end();) {
-    it = now >= it->second ? members_.erase(it) : std::next(it);
+    it = now >= it->second.until ? members_.erase(it) : std::next(it);
   }
-  std::vector<std::string> members;
-  for (const auto& [member, until] : members_) members.push_back(member);
+  std::vector<heaphy::Member> members;
+  for (const auto& [member, lease] : members_) members.push_back({member, lease.zone});
   node_.Tell(std::move(members));
   for (const auto& [key, entry] : node_.replica().entries()) {
     if (entry.item.dropped) gone_.try_emplace(key, now);
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -46,7 +46,11 @@
   };
   std::map<uint64_t, Passed> passed_;
   std::map<uint64_t, ClientMessage> reading_;  // calls whose body is still coming
-  std::map<std::string, double> members_;      // gateways, until when they count as such
+  struct Lease {
+    std::string zone;
+    double until = 0;
+  };
+  std::map<std::string, Lease> members_;       // gateways, until when they count as such
   std::map<std::string, double> gone_;         // tombstones, since when
   std::set<std::string> noting_;               // gateways whose note as holders is under way
   bool holders_told_ = false;
--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -49,7 +49,13 @@
 struct Push { uint64_t number = 0; bool full = false; std::vector<Item> items; };
 struct PushAck { uint64_t number = 0; };
 // `members`: the gateways that hold a lease, where they are few enough to be named.
-struct State { uint32_t gateways = 0; bool complete = false; std::vector<std::string> cores, members; };
+struct Member { std::string node, zone; bool operator==(const Member&) const = default; };
+struct State {
+  uint32_t gateways = 0;
+  bool complete = false;
+  std::vector<std::string> cores;
+  std::vector<Member> members;
+};
 // A gateway's word on a tenant: its limit (requests a second, requests; of which version of its item), the part of the limit
 // that it wants to be lent and that it still holds of this lender, the requests that it lacks now, and all that it has sent.
 struct Use {
@@ -85,6 +91,7 @@
 template <class A> void serialize(A& a, Heard& m) { a(m.ids); }
 template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.items); }
 template <class A> void serialize(A& a, PushAck& m) { a(m.number); }
+template <class A> void serialize(A& a, Member& m) { a(m.node, m.zone); }
 template <class A> void serialize(A& a, State& m) { a(m.gateways, m.complete, m.cores, m.members); }
 template <class A> void serialize(A& a, Use& m) { a(m.tenant, m.rate, m.burst, m.version, m.wanted, m.held, m.lacking, m.sent); }
 template <class A> void serialize(A& a, Report& m) { a(m.number, m.uses); }
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -55,7 +55,7 @@
   const std::map<uint64_t, Follower>& followers() const { return followers_; }
   void Send(uint64_t peer, const heaphy::Message& message) { host_.Send(peer, message); }
   void SendCores(const heaphy::Message& message);
-  void Tell(std::vector<std::string> gateways) { gateways_ = std::move(gateways); }  // the members, as gateways are told
+  void Tell(std::vector<heaphy::Member> gateways) { gateways_ = std::move(gateways); }  // the members, as gateways are told
   double Now() const;
 
  private:
@@ -83,7 +83,7 @@
   std::deque<Replica::Effects> effects_;
   bool running_ = false;
   uint64_t last_ticket_ = 0, boot_ = 0;
-  std::vector<std::string> gateways_;
+  std::vector<heaphy::Member> gateways_;
   heaphy::State told_;
   asio::steady_timer timer_;
 };
--- a/system/tongariro/pool.cpp
+++ b/system/tongariro/pool.cpp
@@ -8,6 +8,7 @@
 
 constexpr double kAvoidFirst = 0.4, kAvoidLongest = 4;  // s, after a failure and growing
 constexpr double kFullFor = 0.06;                       // s
+constexpr double kFar = 0.3;                            // of another zone: its bytes cost
 constexpr double kSlow = 2;                             // a backend that warms up takes so many times as long
 
 }  // namespace
@@ -34,7 +35,7 @@
   dealt_ = false;
 }
 
-void Pool::OnMembers(const std::vector<std::string>& members, const std::string& self) {
+void Pool::OnMembers(const std::vector<heaphy::Member>& members, const std::string& self) {
   if (members == members_ && self == self_) return;
   members_ = members;
   self_ = self;
@@ -44,9 +45,17 @@
 void Pool::Deal() {
   dealt_ = true;
   for (auto& [id, seen] : seen_) seen.own = 0;
-  auto mine = std::find(members_.begin(), members_.end(), self_);
-  if (mine == members_.end()) return;
-  size_t place = static_cast<size_t>(mine - members_.begin());
+  // Within each zone first, where answers cost nothing between zones; a zone without gateways is dealt to all.
+  std::vector<std::string> peers;
+  std::set<std::string> zones;
+  bool member = false;
+  for (const heaphy::Member& other : members_) {
+    zones.insert(other.zone);
+    if (other.zone == zone_) peers.push_back(other.node);
+    member = member || other.node == self_;
+  }
+  if (!member) return;
+  size_t place = static_cast<size_t>(std::find(peers.begin(), peers.end(), self_) - peers.begin());
   for (const auto& [service, ids] : services_) {
     std::vector<Seen*> slots;
     int most = 0;
@@ -54,10 +63,13 @@
     for (int round = 0; round < most; ++round) {
       for (const std::string& id : ids) {
         Seen& seen = seen_.at(id);
-        if (round < seen.backend.slots && !seen.backend.draining && !seen.gone) slots.push_back(&seen);
+        if (seen.backend.zone != zone_ || round >= seen.backend.slots || seen.backend.draining || seen.gone) continue;
+        slots.push_back(&seen);
       }
     }
-    for (size_t i = place; i < slots.size(); i += members_.size()) ++slots[i]->own;
+    // Where slots don't go round evenly, services take turns in whom they give one more.
+    size_t first = (place + std::hash<std::string>()(service)) % peers.size();
+    for (size_t i = first; i < slots.size(); i += peers.size()) ++slots[i]->own;
   }
 }
 
@@ -68,7 +80,7 @@
   if (seen.out >= seen.backend.slots) cost += 1;
   if (now < seen.warm_until) cost += kSlow - 1;
   if (now < seen.full_until) cost += 2;
-  if (seen.backend.zone != zone_) cost += 0.1;
+  if (seen.backend.zone != zone_) cost += kFar;
   return cost;
 }
 
