--- a/system/heaphy/links.cpp
+++ b/system/heaphy/links.cpp
@@ -8,8 +8,8 @@
 namespace ivygw::heaphy {
 namespace {
 
-constexpr double kFirstPause = 0.05, kLongestPause = 0.6;  // s
-constexpr auto kComesUp = std::chrono::milliseconds(400);  // for a connection to come up
+constexpr double kFirstPause = 0.05, kLongestPause = 0.25;  // s
+constexpr auto kComesUp = std::chrono::milliseconds(300);  // for a connection to come up
 
 void Guard(tcp::socket& socket) {
   unsigned ms = static_cast<unsigned>(kSilence * 1000);
--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -169,6 +169,7 @@
   if (out == reports_.end() || out->second.core != core) return;
   Out report = std::move(out->second);
   reports_.erase(out);
+  heard_ = now;
   for (const heaphy::Loan& loan : loans.loans) {
     auto it = buckets_.find(loan.tenant);
     if (it == buckets_.end()) continue;
@@ -198,6 +199,16 @@
   }
 }
 
+// The pools are out of reach: what is lent for terms is short of what was drawn beside it, for a while.
+void Admission::OnTime(double now) {
+  if (heard_ < 0 || now < heard_ + kAnswers || alone_at_ > heard_ || now < alone_at_ + options_.window_s + 1) return;
+  alone_at_ = now;
+  for (auto& [name, bucket] : buckets_) {
+    Refill(now, &bucket);
+    bucket.tokens += kAlone * Fraction(now, bucket) * bucket.rate;
+  }
+}
+
 Admission::Figures Admission::figures() const {
   Figures out = figures_;
   out.tenants = buckets_.size();
--- a/system/hollyford/admission.h
+++ b/system/hollyford/admission.h
@@ -49,6 +49,8 @@
   // To that lender: of all tenants, or of those alone that lack something now. `draw`: from this one's pool.
   heaphy::Report Report(double now, const std::string& core, size_t lenders, bool all, bool draw);
   void OnLoans(double now, const std::string& core, const heaphy::Loans& loans);
+  // Looks whether any core answers still; to be told of time some ten times a second.
+  void OnTime(double now);
   // A tenant's bucket has run low, and nothing has been asked for it yet.
   bool urgent() const { return urgent_; }
 
@@ -99,6 +101,7 @@
   };
   std::map<uint64_t, Out> reports_;
   uint64_t last_report_ = 0;
+  double heard_ = -1, alone_at_ = -1;  // when a core answered last; when this gateway last added what is for times without
   size_t gateways_ = 1;
   uint64_t served_ = 0, served_before_ = 0, asks_sum_ = 0, asks_sum_before_ = 0;
   double tick_ = 0;
--- a/system/hollyford/terms.h
+++ b/system/hollyford/terms.h
@@ -2,7 +2,8 @@
 //
 // Bound. With a limit of r requests a second and a burst of b, N gateways and windows of w seconds, all gateways together
 // send in any window at most (kLent + kPool) * r * w by flow, kPoolStore * b from the pools' stores, and what their buckets
-// held when it began, some 1 + kAhead * demand each: within (r * w + b) * (1 + overrun) + slack as long as N stays under
+// held when it began, some 1 + kAhead * demand each, and kAlone seconds of what each was lent, once a window at most, by those
+// that no core answers: within (r * w + b) * (1 + overrun) + slack as long as N stays under
 // kSlackOfBuckets of the slack. Whoever is in touch with whom: each core lends its own even part, and knows its holders.
 #ifndef IVYGW_SYSTEM_HOLLYFORD_TERMS_H_
 #define IVYGW_SYSTEM_HOLLYFORD_TERMS_H_
@@ -15,6 +16,8 @@
 inline constexpr double kPool = 0.48;    // of a limit's rate, given in batches by all cores together
 inline constexpr double kPoolStore = 0.6;  // of a burst, that the pools hold together
 inline constexpr double kAhead = 0.4;    // s of its demand, that a bucket holds
+inline constexpr double kAlone = 0.5;    // s of its loans, that a gateway adds when no core answers it
+inline constexpr double kAnswers = 0.6;  // s, within which one does
 inline constexpr double kSlackOfBuckets = 0.7, kSlackOfRate = 0.2;  // parts of the slack
 
 }  // namespace ivygw::hollyford
--- a/system/milford/gateway.cpp
+++ b/system/milford/gateway.cpp
@@ -122,6 +122,7 @@
 
 void Gateway::Tick() {
   ++ticks_;
+  admission_.OnTime(Now());
   if (ticks_ % kReportEvery == 0) {
     std::vector<std::string> cores = followers_->registries();
     size_t from = draws_++;
