--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -231,6 +231,10 @@
 void Registry::Tick() {
   double now = node_.Now();
   lender_.OnTime(now);
+  if (lending_ != !lender_.Closed(now)) {
+    lending_ = !lending_;
+    Log(lending_ ? "lending" : "lending_closed").Add("awaited", lender_.awaited()).Add("complete", node_.replica().complete());
+  }
   for (auto it = passed_.begin(); it != passed_.end();) {
     if (now < it->second.until) {
       ++it;
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -53,7 +53,7 @@
   std::map<std::string, Lease> members_;       // gateways, until when they count as such
   std::map<std::string, double> gone_;         // tombstones, since when
   std::set<std::string> noting_;               // gateways whose note as holders is under way
-  bool holders_told_ = false;
+  bool holders_told_ = false, lending_ = false;
   uint64_t last_ = 0;
 };
 
--- a/system/hollyford/lender.h
+++ b/system/hollyford/lender.h
@@ -25,6 +25,9 @@
   heaphy::Loans OnReport(double now, const std::string& gateway, uint64_t boot, const heaphy::Report& report, size_t lenders);
   void OnTime(double now);  // lets go of what has ended
 
+  // Lends on only what gateways show that they hold.
+  bool Closed(double now) const;
+  size_t awaited() const { return awaited_.size(); }
   // Of a tenant's limit, what may be in use by this lender's word now.
   double Lent(double now, const std::string& tenant) const;
   size_t tenants() const { return tenants_.size(); }
@@ -47,7 +50,6 @@
   double Fair(const Tenant& tenant, const std::string& gateway, double most, double now) const;
   std::map<std::string, Tenant> tenants_;
   void Fill(double now, Tenant* tenant, double part) const;
-  bool Closed(double now) const;
   double closed_until_ = -1;
   bool first_ = false, holders_known_ = false;
   std::set<std::string> awaited_, reported_;
--- a/system/luxmore/replica.cpp
+++ b/system/luxmore/replica.cpp
@@ -122,7 +122,8 @@
 }
 
 void Replica::AskDigests(double now, Effects* out) {
-  digests_due_ = now + options_.digest_every_s;
+  // Until it holds what a majority does, it looks again as soon as what it asked for may have come.
+  digests_due_ = now + (complete_ && !options_.blank ? options_.digest_every_s : options_.digest_every_s / 8);
   for (const std::string& core : up_) {
     out->sends.push_back({core, heaphy::Digests{round_, false, options_.blank, sums_}});
   }
