Replicated table on a simulated network: three faults found and mended

(1) A copy counted again before the word that it does was on its disk. (2) Digests left out what a disk had not synced yet, so a copy read anew could miss an acknowledged item that a newer, unsynced one hid, and a read too. (3) A word of an earlier life, or an answer to its digest round, passed for one of this life.

Change: digests are over all that a copy holds, with the ranges that are not all on disk named; lives are told apart; words are sent only for what stands on the disk.

--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -40,7 +40,8 @@
 struct Put { uint64_t number = 0; std::vector<Item> items; };  // number 0: mending, no word wanted
 struct PutDone { uint64_t number = 0; bool counts = false; };  // synced here; `counts`: this copy counts toward a majority
 struct Safe { std::vector<Mark> marks; };                      // a majority holds these on disk
-struct Digests { uint64_t round = 0; bool answer = false, blank = false; std::vector<uint64_t> ranges; };
+// Of all that the copy holds; `unsynced`: ranges of which its disk has not all yet.
+struct Digests { uint64_t round = 0; bool answer = false, blank = false; std::vector<uint64_t> ranges; std::vector<uint32_t> unsynced; };
 struct RangeMarks { std::vector<uint32_t> ranges; std::vector<Mark> marks; };
 struct Pull { std::vector<std::string> keys; };
 struct Heard { std::vector<std::string> ids; };  // registry: backends whose beats came here since the last of these
@@ -85,7 +86,7 @@
 template <class A> void serialize(A& a, Put& m) { a(m.number, m.items); }
 template <class A> void serialize(A& a, PutDone& m) { a(m.number, m.counts); }
 template <class A> void serialize(A& a, Safe& m) { a(m.marks); }
-template <class A> void serialize(A& a, Digests& m) { a(m.round, m.answer, m.blank, m.ranges); }
+template <class A> void serialize(A& a, Digests& m) { a(m.round, m.answer, m.blank, m.ranges, m.unsynced); }
 template <class A> void serialize(A& a, RangeMarks& m) { a(m.ranges, m.marks); }
 template <class A> void serialize(A& a, Pull& m) { a(m.keys); }
 template <class A> void serialize(A& a, Heard& m) { a(m.ids); }
--- a/system/luxmore/replica.cpp
+++ b/system/luxmore/replica.cpp
@@ -35,7 +35,9 @@
 
 Replica::Replica(ReplicaOptions options, std::vector<Item> from_disk) : options_(std::move(options)) {
   options_.cores.insert(options_.self);
+  round_ = put_ = uint64_t{options_.life} << 32;
   sums_.assign(options_.ranges, 0);
+  unsynced_.assign(options_.ranges, 0);
   for (Item& item : from_disk) {
     Entry entry;
     entry.digest = DigestOf(item);
@@ -57,6 +59,20 @@
 
 bool Replica::quorate() const { return up_.size() + (options_.blank ? 0 : 1) >= majority(); }
 
+void Replica::Synced(Entry* entry) {
+  if (entry->synced) return;
+  entry->synced = true;
+  --unsynced_[RangeOf(entry->item.key)];
+}
+
+heaphy::Digests Replica::Told(uint64_t round, bool answer) const {
+  heaphy::Digests digests{round, answer, options_.blank, sums_, {}};
+  for (size_t i = 0; i < unsynced_.size(); ++i) {
+    if (unsynced_[i] > 0) digests.unsynced.push_back(static_cast<uint32_t>(i));
+  }
+  return digests;
+}
+
 void Replica::Sum(const Entry& entry) { sums_[RangeOf(entry.item.key)] ^= entry.digest; }
 
 bool Replica::Merge(const Item& item, std::vector<Item>* changed, Effects* out) {
@@ -64,7 +80,8 @@
   Entry& entry = it->second;
   if (!fresh && !Newer(item, entry.item)) return false;
   if (!fresh) {
-    if (entry.synced) Sum(entry);
+    Sum(entry);
+    Synced(&entry);
     if (entry.safe) {
       entry.shown = entry.item;
       entry.has_shown = true;
@@ -74,13 +91,15 @@
   entry.digest = DigestOf(item);
   entry.synced = entry.safe = false;
   entry.holders = 0;
+  Sum(entry);
+  ++unsynced_[RangeOf(item.key)];
   changed->push_back(item);
   out->applied.push_back(item.key);
   return true;
 }
 
 // One batch, even of nothing: it is told as stored after all that was before it.
-void Replica::Keep(std::vector<Item> items, std::vector<std::pair<std::string, uint64_t>> words, Effects* out) {
+void Replica::Keep(std::vector<Item> items, std::vector<Word> words, Effects* out) {
   Batch batch;
   for (const Item& item : items) batch.marks.push_back({item.key, item.version, entries_.at(item.key).digest, false});
   batch.words = std::move(words);
@@ -125,7 +144,7 @@
   // Until it holds what a majority does, it looks again as soon as what it asked for may have come.
   digests_due_ = now + (complete_ && !options_.blank ? options_.digest_every_s : options_.digest_every_s / 8);
   for (const std::string& core : up_) {
-    out->sends.push_back({core, heaphy::Digests{round_, false, options_.blank, sums_}});
+    out->sends.push_back({core, Told(round_, false)});
   }
 }
 
@@ -169,7 +188,7 @@
     return;
   }
   up_.insert(core);
-  out->sends.push_back({core, heaphy::Digests{round_, false, options_.blank, sums_}});
+  out->sends.push_back({core, Told(round_, false)});
   // What waits for a majority may find it in this one.
   std::vector<Item> winners;
   std::set<std::string> keys;
@@ -177,7 +196,8 @@
     for (const Mark& mark : pending.marks) keys.insert(mark.key);
   }
   for (const std::string& key : keys) {
-    if (!entries_.at(key).safe) winners.push_back(entries_.at(key).item);
+    auto it = entries_.find(key);
+    if (it != entries_.end() && !it->second.safe) winners.push_back(it->second.item);
   }
   if (!winners.empty()) SendPut(core, winners, out);
   Settle(now, out);
@@ -202,18 +222,35 @@
   Batch batch = std::move(it->second);
   batches_.erase(it);
   std::vector<Mark> made;
+  if (batch.counts) counting_ = false;
+  if (batch.counts && ok && options_.blank) {
+    options_.blank = false;
+    for (auto& [key, entry] : entries_) {
+      if (entry.synced) Hold(&entry, Bit(options_.self), &made, out);
+    }
+    if (even_once_.size() + 1 >= majority()) complete_ = true;
+  }
   if (!ok) {  // the disk refuses: nothing of it counts; what is in memory is tried again with the next change of it
     for (const Mark& mark : batch.marks) refused_.insert(mark.key);
     return;
   }
   for (const Mark& mark : batch.marks) {
-    Entry& entry = entries_.at(mark.key);
+    auto at = entries_.find(mark.key);
+    if (at == entries_.end()) continue;
+    Entry& entry = at->second;
     if (entry.item.version != mark.version || entry.digest != mark.digest || entry.synced) continue;
-    entry.synced = true;
-    Sum(entry);
+    Synced(&entry);
     if (!options_.blank) Hold(&entry, Bit(options_.self), &made, out);
   }
-  for (auto& [core, put] : batch.words) out->sends.push_back({core, heaphy::PutDone{put, !options_.blank}});
+  for (const Word& word : batch.words) {
+    // One that is not synced yet comes in a batch of its own, later; else the disk has refused it.
+    bool all = std::all_of(word.keys.begin(), word.keys.end(), [&](const std::string& key) {
+      auto at = entries_.find(key);
+      return at == entries_.end() || at->second.synced ||
+             std::any_of(batch.marks.begin(), batch.marks.end(), [&](const Mark& mark) { return mark.key == key; });
+    });
+    if (all) out->sends.push_back({word.to, heaphy::PutDone{word.number, !options_.blank}});
+  }
   Announce(std::move(made), out);
   Settle(now, out);
 }
@@ -231,8 +268,11 @@
     }
     // Told before the word that it is held: it is superseded.
     if (put->number > 0 && !newer.empty()) out->sends.push_back({from, heaphy::Put{0, std::move(newer)}});
-    std::vector<std::pair<std::string, uint64_t>> words;
-    if (put->number > 0) words.push_back({from, put->number});
+    std::vector<Word> words;
+    if (put->number > 0) {
+      words.push_back({from, put->number, {}});
+      for (const Item& item : put->items) words.back().keys.push_back(item.key);
+    }
     if (!changed.empty() || !words.empty()) Keep(std::move(changed), std::move(words), out);
   } else if (const auto* done = std::get_if<heaphy::PutDone>(&message)) {
     auto it = puts_.find(done->number);
@@ -243,7 +283,9 @@
     if (!done->counts) return;
     std::vector<Mark> made;
     for (const Mark& mark : marks) {
-      Entry& entry = entries_.at(mark.key);
+      auto at = entries_.find(mark.key);
+      if (at == entries_.end()) continue;
+      Entry& entry = at->second;
       if (entry.item.version == mark.version && entry.digest == mark.digest) Hold(&entry, Bit(from), &made, out);
     }
     Announce(std::move(made), out);
@@ -271,20 +313,24 @@
 
 void Replica::OnDigests(double now, const std::string& from, const heaphy::Digests& told, Effects* out) {
   if (told.ranges.size() != sums_.size()) return;
-  if (!told.answer) out->sends.push_back({from, heaphy::Digests{told.round, true, options_.blank, sums_}});
+  if (!told.answer) out->sends.push_back({from, Told(told.round, true)});
   heaphy::RangeMarks differ;
   std::vector<bool> same(sums_.size());
   for (size_t i = 0; i < sums_.size(); ++i) {
     same[i] = told.ranges[i] == sums_[i];
     if (!same[i]) differ.ranges.push_back(static_cast<uint32_t>(i));
   }
+  std::vector<bool> synced(sums_.size(), !told.blank);
+  for (uint32_t range : told.unsynced) {
+    if (range < synced.size()) synced[range] = false;
+  }
   std::vector<Mark> made;
   uint32_t bit = Bit(from);
   for (auto& [key, entry] : entries_) {
-    bool in_same = same[RangeOf(key)];
-    if (!in_same) {
+    size_t range = RangeOf(key);
+    if (!same[range]) {
       differ.marks.push_back({key, entry.item.version, entry.digest, entry.synced});
-    } else if (entry.synced && !told.blank && !entry.safe) {
+    } else if (synced[range] && !entry.safe) {
       Hold(&entry, bit, &made, out);
     }
   }
@@ -325,24 +371,20 @@
   if (!mend.items.empty()) out->sends.push_back({from, std::move(mend)});
 }
 
-// The peer's copy is the same as this one, as far as both have it on disk.
+// The peer's copy is the same as this one, on disk or not: it holds nothing that this doesn't, or what supersedes it.
 void Replica::Even(double now, const std::string& from, bool blank, uint64_t round, Effects* out) {
   if (blank) return;
   even_once_.insert(from);
   for (auto& [ticket, asked] : asked_) {
-    if (round >= asked.round) asked.even.insert(from);
+    if (round >> 32 == options_.life && round >= asked.round) asked.even.insert(from);
   }
-  if (options_.blank && even_once_.size() >= majority()) {
-    // It has read all of a majority that doesn't need it.
-    options_.blank = false;
+  bool all = std::all_of(unsynced_.begin(), unsynced_.end(), [](uint32_t n) { return n == 0; });
+  if (options_.blank && even_once_.size() >= majority() && all && !counting_) {
+    // It has read all of a majority that doesn't need it, and counts as soon as that is written.
+    counting_ = true;
     uint64_t number = ++last_batch_;
-    batches_[number] = Batch();
+    batches_[number].counts = true;
     out->stores.push_back({number, {}, true, options_.cores});
-    std::vector<Mark> made;
-    for (auto& [key, entry] : entries_) {
-      if (entry.synced) Hold(&entry, Bit(options_.self), &made, out);
-    }
-    Announce(std::move(made), out);
   }
   if (!options_.blank && even_once_.size() + 1 >= majority()) complete_ = true;
   Settle(now, out);
@@ -387,8 +429,8 @@
   if (!refused_.empty()) {
     std::vector<Item> again;
     for (const std::string& key : refused_) {
-      const Entry& entry = entries_.at(key);
-      if (!entry.synced) again.push_back(entry.item);
+      auto it = entries_.find(key);
+      if (it != entries_.end() && !it->second.synced) again.push_back(it->second.item);
     }
     refused_.clear();
     if (!again.empty()) Keep(std::move(again), {}, out);
@@ -403,7 +445,8 @@
 void Replica::Forget(const std::string& key) {
   auto it = entries_.find(key);
   if (it == entries_.end()) return;
-  if (it->second.synced) Sum(it->second);
+  Sum(it->second);
+  Synced(&it->second);
   entries_.erase(it);
 }
 
--- a/system/luxmore/replica.h
+++ b/system/luxmore/replica.h
@@ -31,6 +31,7 @@
   std::string self;              // IP address
   std::set<std::string> cores;   // all that are known, itself among them
   bool blank = false;
+  uint32_t life = 1;             // drawn anew at each start: what answers an earlier one answers nobody now
   double patience_s = 0.9;       // for a write or a fresh view to be had
   double digest_every_s = 0.4;
   size_t ranges = 16;
@@ -96,16 +97,23 @@
     uint64_t round = 0;          // answers to older rounds don't count
     double until = 0, again = 0;
   };
+  struct Word {  // PutDone, to be sent where all of the keys stand on disk
+    std::string to;
+    uint64_t number = 0;
+    std::vector<std::string> keys;
+  };
   struct Batch {
     std::vector<Mark> marks;
-    std::vector<std::pair<std::string, uint64_t>> words;  // PutDone to send
+    std::vector<Word> words;
     bool counts = false;
   };
   uint32_t Bit(const std::string& core) const;
   size_t RangeOf(const std::string& key) const;
   bool Merge(const Item& item, std::vector<Item>* changed, Effects* out);
   void Sum(const Entry& entry);
-  void Keep(std::vector<Item> items, std::vector<std::pair<std::string, uint64_t>> words, Effects* out);
+  void Synced(Entry* entry);
+  heaphy::Digests Told(uint64_t round, bool answer) const;
+  void Keep(std::vector<Item> items, std::vector<Word> words, Effects* out);
   void Hold(Entry* entry, uint32_t bit, std::vector<Mark>* made, Effects* out);
   void MakeSafe(Entry* entry, Effects* out);
   void Announce(std::vector<Mark> made, Effects* out);
@@ -118,7 +126,8 @@
 
   ReplicaOptions options_;
   std::map<std::string, Entry> entries_;
-  std::vector<uint64_t> sums_;
+  std::vector<uint64_t> sums_;      // by range, of all entries
+  std::vector<uint32_t> unsynced_;  // by range, how many entries the disk has not yet
   std::set<std::string> up_, even_once_, even_now_;
   std::map<uint64_t, Pending> pending_;
   std::map<uint64_t, Asked> asked_;
@@ -128,7 +137,7 @@
   std::set<std::string> refused_;                    // keys that the disk would not take
   uint64_t last_batch_ = 0, round_ = 0, put_ = 0;
   double digests_due_ = 0;
-  bool complete_ = false;
+  bool complete_ = false, counting_ = false;
 };
 
 }  // namespace ivygw::luxmore
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -76,6 +76,7 @@
   }
   luxmore::ReplicaOptions own;
   own.self = settings.ip;
+  own.life = static_cast<uint32_t>(boot_) | 1;
   own.cores = content.cores;
   for (const std::string& seed : settings.seeds) own.cores.insert(HostOf(seed));
   own.cores.insert(settings.ip);
