--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -8,6 +8,7 @@
 
 constexpr double kLift = 0.03;       // of the guarantee, by the share term
 constexpr double kSpread = 1.5;      // s over which demand is taken
+constexpr double kLongestWait = 10;  // s, of what a refused client is told
 constexpr double kComeBack = 0.05;   // s, at the least
 constexpr double kRound = 0.05;      // s, in which pools are asked one after the other
 constexpr int kDraws = 3;            // at most
@@ -84,6 +85,15 @@
   bucket->window_from += windows * length;
 }
 
+// When a request that is refused now may be served: at once where requests come in a clump; where more are asked than the
+// limit lets pass, after all those that were refused before it.
+double Admission::ComeBack(double now, const Bucket& bucket) const {
+  double flow = std::max(Fraction(now, bucket) / kLent * (kLent + kPool) * bucket.rate, 0.5);
+  double behind = bucket.demand - flow;
+  if (behind <= 0.3 * flow) return std::clamp((1 - bucket.tokens) / flow, kComeBack, 1.0);
+  return std::clamp(kSpread * behind / flow, 0.2, kLongestWait);
+}
+
 Verdict Admission::Ask(double now, const kepler::Tenant& tenant) {
   if (tenant.rate_per_s <= 0) return {};
   auto [it, fresh] = buckets_.try_emplace(tenant.name);
@@ -117,8 +127,7 @@
   if (bucket.tokens < 1) {
     ++figures_.by_bucket;
     if (now > bucket.drawn_at + kAnswered) urgent_ = true;
-    double each = std::max(Fraction(now, bucket) * bucket.rate, 0.5);
-    return {false, std::clamp((1 - bucket.tokens) / each, kComeBack, 1.0)};
+    return {false, ComeBack(now, bucket)};
   }
   bucket.tokens -= 1;
   if (Lacking(now, bucket) > 0.5 * Store(now, bucket) && now > bucket.drawn_at + kAnswered) urgent_ = true;
--- a/system/hollyford/admission.h
+++ b/system/hollyford/admission.h
@@ -91,6 +91,7 @@
   void Window(double now, Bucket* bucket);
   double Fraction(double now, const Bucket& bucket) const;
   double Free(double now);
+  double ComeBack(double now, const Bucket& bucket) const;
   double Demand(double now, const Bucket& bucket) const;
   double Store(double now, const Bucket& bucket) const;  // T_i
   double Lacking(double now, const Bucket& bucket) const;
