Answers are read, and the roll of backends kept, by pure decisions

Cause: W of the design's share term stood at nought, as nobody told admission of what was served; what an answer means and what a beat changes stood between sockets. Also: an accept without descriptors waits, a store that LevelDB finds corrupt is put aside and read anew.

--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -15,7 +15,6 @@
 constexpr double kLease = 3;       // s, for which a gateway counts as a member after its connection has ended
 constexpr double kKeepGone = 60;   // s, for which it is known that a backend has gone
 constexpr double kPassed = 1.5;    // s, for the store to answer
-constexpr char kPrefix[] = "backend/";
 
 // The parts of a target: its path's segments and its query.
 struct Target {
@@ -48,7 +47,7 @@
 Registry::Registry(asio::io_context& io, const rakiura::Settings& settings)
     : io_(io),
       self_(settings.ip),
-      node_(io, settings, {"angelus", settings.first_port, false, kPrefix}, [this] {
+      node_(io, settings, {"angelus", settings.first_port, false, kBackends}, [this] {
         rees::CoreNode::Events events;
         events.follower_up = [this](uint64_t, const rees::CoreNode::Follower& follower) { members_[follower.node] = {follower.zone, 1e300}; };
         events.follower_down = [this](uint64_t, const rees::CoreNode::Follower& gone) {
@@ -146,46 +145,31 @@
     Log("beat_refused").Add("backend", id).Add("fault", fault);
     return Reply(connection, 400, "{\"error\":\"" + fault + "\"}");
   }
-  Item item;
-  item.key = kPrefix + id;
-  item.version = told.sequence;
-  auto it = node_.replica().entries().find(item.key);
-  if (it != node_.replica().entries().end()) {
-    const Item& known = it->second.item;
-    Backend before;
-    cascade::ReadBackend(known.body, &before);
-    // Late, or of one that has said that it goes. What a late one says stands already, or is out of date.
-    bool late = known.dropped || known.version >= told.sequence || (before.draining && !told.draining);
-    bool same = before.service == told.service && before.address == told.address && before.slots == told.slots &&
-                before.draining == told.draining && (before.warm_ms > 0) == (told.warm_ms > 0);
-    if (late || same) return Settle(connection, known, told.draining);
+  const Replica::Entry* known = Find(kBackends + id);
+  Entry entry = OnBeat(told, known ? &known->item : nullptr, known && known->safe);
+  if (entry.write && !(known && known->item == entry.item)) {
+    Log("backend").Add("id", id).Add("service", told.service).Add("address", told.address).Add("draining", told.draining).Add("warm_ms", told.warm_ms);
   }
-  item.body = cascade::WriteBackend(told);
-  Log("backend").Add("id", id).Add("service", told.service).Add("address", told.address).Add("draining", told.draining).Add("warm_ms", told.warm_ms);
-  Settle(connection, item, told.draining);
+  Settle(connection, entry);
 }
 
 void Registry::Deregister(uint64_t connection, const std::string& id, const std::string& body) {
-  Item item;
-  item.key = kPrefix + id;
-  auto it = node_.replica().entries().find(item.key);
-  // Its number may be left out; it is the last word of this start either way.
-  item.version = it == node_.replica().entries().end() ? 1 : it->second.item.version + 1;
   Backend told;
-  if (cascade::ReadBeat(body, &told).empty()) item.version = std::max(item.version, told.sequence);
-  if (it != node_.replica().entries().end() && it->second.item.dropped) item = it->second.item;
-  item.dropped = true;
+  uint64_t sequence = cascade::ReadBeat(body, &told).empty() ? told.sequence : 0;
+  const Replica::Entry* known = Find(kBackends + id);
   Log("backend_gone").Add("id", id);
-  Settle(connection, item, true);
+  Settle(connection, OnDeregister(id, sequence, known ? &known->item : nullptr, known && known->safe));
+}
+
+const Replica::Entry* Registry::Find(const std::string& key) const {
+  auto it = node_.replica().entries().find(key);
+  return it == node_.replica().entries().end() ? nullptr : &it->second;
 }
 
-// A word on which others rely is acknowledged once a majority holds it; any other at once.
-void Registry::Settle(uint64_t connection, const Item& item, bool wait) {
-  auto it = node_.replica().entries().find(item.key);
-  bool known = it != node_.replica().entries().end() && it->second.item == item;
-  if (known && (it->second.safe || !wait)) return Reply(connection, 200, "{}");
-  if (!wait) Reply(connection, 200, "{}");
-  node_.Write({item}, [this, connection, wait](Replica::Outcome outcome) {
+void Registry::Settle(uint64_t connection, const Entry& entry) {
+  if (!entry.write || !entry.wait) Reply(connection, 200, "{}");
+  if (!entry.write) return;
+  node_.Write({entry.item}, [this, connection, wait = entry.wait](Replica::Outcome outcome) {
     if (!wait) return;
     if (outcome == Replica::Outcome::kDone) return Reply(connection, 200, "{}");
     Reply(connection, 503, "{\"error\":\"not yet on a majority of the core\"}");
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "bodies/body_memory.h"
+#include "angelus/roll.h"
 #include "cascade/backend.h"
 #include "hollyford/lender.h"
 #include "net/client_server.h"
@@ -27,7 +28,8 @@
   void Reply(uint64_t connection, int status, std::string body);
   void Beat(uint64_t connection, const std::string& id, const std::string& body);
   void Deregister(uint64_t connection, const std::string& id, const std::string& body);
-  void Settle(uint64_t connection, const luxmore::Item& item, bool wait);
+  void Settle(uint64_t connection, const Entry& entry);
+  const luxmore::Replica::Entry* Find(const std::string& key) const;
   void Pass(uint64_t connection, const std::string& name, const std::string& body);
   void Tick();
   void Lend(uint64_t peer, const heaphy::Report& report);
--- a/system/brewster/disk.cpp
+++ b/system/brewster/disk.cpp
@@ -6,6 +6,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
+#include <filesystem>
 #include <sstream>
 #include <stdexcept>
 
@@ -43,6 +44,15 @@
   options.max_open_files = 64;
   leveldb::DB* db = nullptr;
   leveldb::Status status = leveldb::DB::Open(options, folder, &db);
+  if (status.IsCorruption()) {
+    // As good as lost: put aside for whoever wants to look, and read anew from the others.
+    content->unreadable = status.ToString();
+    std::string aside = folder + ".unreadable";
+    std::error_code ignored;
+    std::filesystem::remove_all(aside, ignored);
+    std::filesystem::rename(folder, aside, ignored);
+    status = leveldb::DB::Open(options, folder, &db);
+  }
   if (!status.ok()) throw std::runtime_error("data_directory " + folder + ": " + status.ToString());
   db_.reset(db);
   std::unique_ptr<leveldb::Iterator> it(db_->NewIterator(leveldb::ReadOptions()));
--- a/system/heaphy/links.cpp
+++ b/system/heaphy/links.cpp
@@ -171,7 +171,13 @@
 void Host::Accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
-    if (!error && !Prepare(socket)) {
+    if (error) {  // out of descriptors or of memory: what waits is taken when there is room
+      retry_.expires_after(std::chrono::milliseconds(50));
+      return retry_.async_wait([this](error_code cancelled) {
+        if (!cancelled) Accept();
+      });
+    }
+    if (!Prepare(socket)) {
       uint64_t id = ++last_;
       auto link = std::make_shared<Link>(io_, std::move(socket));
       links_[id].link = link;
--- a/system/heaphy/links.h
+++ b/system/heaphy/links.h
@@ -87,7 +87,7 @@
     std::function<void(uint64_t, Message)> message;
     std::function<void(uint64_t)> down;
   };
-  Host(asio::io_context& io, Events events) : io_(io), acceptor_(io), events_(std::move(events)) {}
+  Host(asio::io_context& io, Events events) : io_(io), acceptor_(io), retry_(io), events_(std::move(events)) {}
   ~Host();
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
   void Send(uint64_t peer, const Message& message);
@@ -98,6 +98,7 @@
   void Accept();
   asio::io_context& io_;
   tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
   Events events_;
   uint64_t last_ = 0;
   struct Peer { std::shared_ptr<Link> link; bool greeted = false; };
--- a/system/milford/exchanges.cpp
+++ b/system/milford/exchanges.cpp
@@ -219,11 +219,25 @@
   request.written = true;
 }
 
-// Whether the answer is this request's, and the backend's own.
-bool Exchanges::Sound(const Request& request, const BackendAnswer& answer) const {
-  if (answer.attempt_id != request.attempt_id || answer.encoded) return false;
-  if (answer.status / 100 == 2 && !answer.sealed) return false;
-  return answer.status >= 200 && answer.status < 600;
+tongariro::Reading Exchanges::Read(const Request& request, const BackendAnswer& answer) {
+  tongariro::AnswerFacts facts;
+  facts.status = answer.status;
+  facts.has_id = !answer.attempt_id.empty();
+  facts.own_id = facts.has_id && answer.attempt_id == request.attempt_id;
+  facts.not_executed = answer.not_executed;
+  facts.sealed = answer.sealed;
+  facts.encoded = answer.encoded;
+  return tongariro::ReadAnswer(facts);
+}
+
+// What admission goes by: served within the aim, or with less room than there was thought to be.
+void Exchanges::Served(const Request& request, double now) {
+  ++figures_.served;
+  if (now - request.arrived <= request.route->target_latency_ms / 1000.0) {
+    admission_->OnServed();
+  } else {
+    admission_->OnCrowded();
+  }
 }
 
 void Exchanges::OnAnswer(uint64_t connection, BackendAnswer answer) {
@@ -233,35 +247,26 @@
   if (id == 0) return Drop(connection);
   Request& request = requests_.at(id);
   ++request.course.sent;
-  bool not_run = answer.status == 421 || answer.not_executed;
-  // The id tells a late answer to another request; one that turns away without an id is of a backend that read none.
-  bool ours = answer.attempt_id == request.attempt_id || (not_run && answer.attempt_id.empty());
-  if (ours && not_run) {
-    bool instance = answer.status == 421;
-    Release(connection, answer.keep && !instance, answer.keep_alive_s);
-    if (!instance) ++figures_.full;
-    return Ended(id, Told::kNotRun, instance ? Met::kGone : Met::kFull);
-  }
-  if (!Sound(request, answer)) {
+  tongariro::Reading reading = Read(request, answer);
+  if (!reading.sound) {
     ++figures_.broken;
     Drop(connection);
-    return Ended(id, Told::kUnknown, Met::kBroken);
+    return Ended(id, reading.told, reading.met);
   }
-  Release(connection, answer.keep, answer.keep_alive_s);
-  bool promise = answer.status == 503 || answer.status == 429 || answer.status == 408;
-  if (answer.status >= 500 || promise) {
-    // Its own 500 and 504 count as run.
-    if (request.course.idempotent && request.course.sent < request.course.most_sent && budget_->May(Now(), request.service)) {
-      return Ended(id, Told::kUnknown, Met::kFailed);
-    }
-    pool_->OnMet(Now(), request.backend, Met::kFailed, 0);
-    request.connection = 0;
-    if (promise) return Refuse(id, 502, 0, "a promise that the backend did not give");
-  } else {
-    pool_->OnMet(Now(), request.backend, Met::kServed, Now() - request.sent_at);
-    request.connection = 0;
+  Release(connection, answer.keep && reading.met != Met::kGone, answer.keep_alive_s);
+  if (reading.met == Met::kFull) {
+    ++figures_.full;
+    admission_->OnCrowded();
   }
-  if (answer.status < 400) ++figures_.served;
+  if (reading.told != Told::kRan) return Ended(id, reading.told, reading.met);
+  // A failure of its own has run: asked again only where that does no harm.
+  bool again = reading.met == Met::kFailed && request.course.idempotent && request.course.sent < request.course.most_sent &&
+               budget_->May(Now(), request.service);
+  if (again) return Ended(id, Told::kUnknown, reading.met);
+  double now = Now();
+  pool_->OnMet(now, request.backend, reading.met, now - request.sent_at);
+  request.connection = 0;
+  if (reading.met == Met::kServed) Served(request, now);
   Answer out;
   out.status = static_cast<int>(answer.status);
   out.headers = std::move(answer.headers);
@@ -274,7 +279,8 @@
   if (it == connections_.end()) return;
   uint64_t id = it->second.request;
   Request& request = requests_.at(id);
-  if (!Sound(request, answer) || request.client_gone) {
+  tongariro::Reading reading = Read(request, answer);
+  if (!reading.sound || !reading.pass || request.client_gone) {
     ++request.course.sent;
     Drop(connection);
     return Ended(id, Told::kUnknown, Met::kBroken);
@@ -307,9 +313,10 @@
   uint64_t id = it->second.request;
   Request& request = requests_.at(id);
   uint64_t client = request.client;
-  pool_->OnMet(Now(), request.backend, Met::kServed, Now() - request.sent_at);
+  double now = Now();
+  pool_->OnMet(now, request.backend, Met::kServed, now - request.sent_at);
   Release(connection, keep, 0);
-  ++figures_.served;
+  Served(request, now);
   of_client_.erase(client);
   requests_.erase(id);
   front_->ReplyPart(client, "", true);
--- a/system/milford/exchanges.h
+++ b/system/milford/exchanges.h
@@ -13,6 +13,7 @@
 #include "net/backend_links.h"
 #include "net/client_server.h"
 #include "routeburn/routes.h"
+#include "tongariro/answers.h"
 #include "tongariro/pool.h"
 #include "tongariro/tries.h"
 
@@ -83,7 +84,8 @@
   void Release(uint64_t connection, bool keep, double keep_alive_s);
   void Drop(uint64_t connection);
   std::string Message(const Request& request, double now) const;
-  bool Sound(const Request& request, const BackendAnswer& answer) const;
+  static tongariro::Reading Read(const Request& request, const BackendAnswer& answer);
+  void Served(const Request& request, double now);
 
   asio::io_context& io_;
   routeburn::Routes* routes_;
