Lengths in messages are bounded by the bytes that are there

Cause: of 20,000 frames with three wrong bytes the decoder took 431 s and gigabytes, as a length was believed before its elements were there. Change: the archive that reads frames checks each length against what is left. Tests of configurations, routes, answers, tries, choice, the roll, the codec, settings.

--- a/system/heaphy/codec.cpp
+++ b/system/heaphy/codec.cpp
@@ -5,21 +5,51 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdlib>
-#include <istream>
-#include <sstream>
+#include <cstring>
+#include <ostream>
 #include <streambuf>
 
 namespace ivygw::heaphy {
 namespace {
 
-// A stream over bytes that are there already.
-class ViewBuffer : public std::streambuf {
+// What cereal's portable binary archive has written, read with a bound: no length in it is believed past the bytes that are
+// there, as each element takes one at least. Every machine of a system has one byte order; the first byte tells it.
+class FrameInput : public cereal::InputArchive<FrameInput, cereal::AllowEmptyClassElision> {
  public:
-  explicit ViewBuffer(std::string_view text) {
-    char* begin = const_cast<char*>(text.data());
-    setg(begin, begin, begin + text.size());
+  explicit FrameInput(std::string_view bytes) : InputArchive(this), bytes_(bytes) {
+    uint8_t order = 0;
+    loadBinary(&order, 1);
+    if (order != cereal::portable_binary_detail::is_little_endian()) throw cereal::Exception("byte order");
   }
+  void loadBinary(void* to, size_t n) {
+    if (n > bytes_.size()) throw cereal::Exception("short");
+    std::memcpy(to, bytes_.data(), n);
+    bytes_.remove_prefix(n);
+  }
+  size_t left() const { return bytes_.size(); }
+
+ private:
+  std::string_view bytes_;
 };
+template <class T>
+  requires std::is_arithmetic_v<T>
+void CEREAL_LOAD_FUNCTION_NAME(FrameInput& archive, T& value) {
+  archive.loadBinary(&value, sizeof(value));
+}
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(FrameInput& archive, cereal::BinaryData<T>& data) {
+  archive.loadBinary(data.data, static_cast<size_t>(data.size));
+}
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(FrameInput& archive, cereal::SizeTag<T>& tag) {
+  archive(tag.size);
+  if (tag.size > archive.left()) throw cereal::Exception("length");
+}
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(FrameInput& archive, cereal::NameValuePair<T>& pair) {
+  archive(pair.value);
+}
+
 class StringBuffer : public std::streambuf {
  public:
   explicit StringBuffer(std::string* out) : out_(out) {}
@@ -55,10 +85,8 @@
 }
 
 std::optional<Message> Decode(std::string_view content) {
-  ViewBuffer buffer(content);
-  std::istream stream(&buffer);
   try {  // the library's edge: lengths past the end, a kind that isn't there
-    cereal::PortableBinaryInputArchive archive(stream);
+    FrameInput archive(content);
     Message message;
     archive(message);
     return message;
--- /dev/null
+++ b/tests/system/decisions_test.cpp
@@ -0,0 +1,367 @@
+// Decisions of the system without I/O: configurations, routes, what answers mean, further tries, choice of backends, the roll
+// of backends, and the codec under bad input.
+#include <random>
+#include <set>
+#include <string>
+
+#include "angelus/roll.h"
+#include "cascade/copy.h"
+#include "heaphy/codec.h"
+#include "kepler/model.h"
+#include "rakiura/settings.h"
+#include "routeburn/routes.h"
+#include "tongariro/answers.h"
+#include "tongariro/pool.h"
+
+#include <CppUTest/TestHarness.h>  // after all others: it names new anew
+
+using namespace ivygw;
+using kepler::Change;
+using tongariro::Met;
+using tongariro::Step;
+using tongariro::Told;
+
+namespace {
+
+std::string Route(const std::string& name, const std::string& extra = "", const std::string& service = "s1", const std::string& version = "00000007") {
+  return R"({"name":")" + name + R"(","host_name":"h.example","path_prefix":"/a/","route_type":"idempotent","timeout_ms":900,"target_service":")" +
+         service + R"(","max_attempts":2,"config_version":")" + version + "\"" + extra + "}";
+}
+std::string Call(const std::string& routes, const std::string& tenants = "", const std::string& removed = "") {
+  return R"({"upsert_items":{"route_table":[)" + routes + R"(],"tenant_table":[)" + tenants +
+         R"(],"service_table":[{"name":"s1","health_path":"/h","config_version":"00000007"}]},"remove_items":{"route_table":[)" + removed + "]}}";
+}
+std::string Tenant(const std::string& name, const std::string& key) {
+  return R"({"name":")" + name + R"(","api_keys":[")" + key + R"("],"rate_per_s":5,"burst_size":5,"config_version":"00000007"})";
+}
+std::string FaultOf(const std::string& json) {
+  Change change;
+  kepler::Fault fault = kepler::ReadChange(json, &change);
+  return fault.empty() ? kepler::CheckChange(change, {}) : fault;
+}
+void Has(const std::string& text, const std::string& part) {
+  if (text.find(part) == std::string::npos) FAIL(("'" + text + "' does not tell of '" + part + "'").c_str());
+}
+heaphy::Item Backend(const std::string& id, const std::string& service, const std::string& zone, uint64_t version = 1, bool draining = false) {
+  cascade::Backend b;
+  b.service = service;
+  b.address = "10.0.0." + std::to_string(std::hash<std::string>()(id) % 200) + ":80";
+  b.zone = zone;
+  b.slots = 2;
+  b.draining = draining;
+  return {"backend/" + id, version, false, cascade::WriteBackend(b)};
+}
+
+}  // namespace
+
+TEST_GROUP(Configuration) {};
+
+TEST(Configuration, AGoodCallIsReadWhole) {
+  Change change;
+  STRCMP_EQUAL("", kepler::ReadChange(Call(Route("r1"), Tenant("t1", "k1"), R"({"name":"old","config_version":"0000000a"})"), &change).c_str());
+  CHECK_EQUAL(4u, change.items.size());
+  CHECK(change.items.back().dropped || change.items.front().dropped || change.items[2].dropped || change.items[1].dropped);
+  for (const auto& item : change.items) {
+    if (item.dropped) CHECK_EQUAL(10u, item.version);
+  }
+  STRCMP_EQUAL("", kepler::CheckChange(change, {}).c_str());
+}
+
+TEST(Configuration, EachBadCallIsNamedByItsField) {
+  struct Case { std::string json, named; };
+  std::string good = Call(Route("r1"));
+  for (const Case& c : {
+           Case{good.substr(0, good.size() / 2), "JSON"}, Case{"[]", "object"}, Case{"{}", "upsert_items"},
+           Case{Call(Route("r1", "", "nowhere")), "target_service"},
+           Case{Call(Route("r1", R"(,"traffic_split":[{"target_service":"s1","weight":-1}])")), "weight"},
+           Case{Call(R"({"name":"r","host_name":"","path_prefix":"/a/","route_type":"idempotent","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"), "host_name"},
+           Case{Call(R"({"name":"r","host_name":"h","path_prefix":"a/","route_type":"idempotent","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"), "path_prefix"},
+           Case{Call(R"({"name":"r","host_name":"h","path_prefix":"/a/","route_type":"idempotent","target_service":"s1","config_version":"00000007"})"), "timeout_ms"},
+           Case{Call(R"({"name":"r","host_name":"h","path_prefix":"/a/","route_type":"x","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"), "route_type"},
+           Case{Call(Route("r1", "", "s1", "7")), "config_version"}, Case{Call(Route("r1", "", "s1", "0000000g")), "config_version"},
+           Case{Call(Route("r1"), Tenant("t1", "k") + "," + Tenant("t2", "k")), "api_keys"},
+           Case{R"({"upsert_items":{"routes":[]}})", "routes"}}) {
+    Has(FaultOf(c.json), c.named);
+  }
+}
+
+TEST(Configuration, AKeyOfAnotherTenantThatStandsIsRefusedAndItsMoveIsNot) {
+  Change first;
+  kepler::ReadChange(Call("", Tenant("t1", "k1")), &first);
+  std::map<std::string, heaphy::Item> standing;
+  for (const auto& item : first.items) standing[item.key] = item;
+  Change second;
+  kepler::ReadChange(Call("", Tenant("t2", "k1")), &second);
+  Has(kepler::CheckChange(second, standing), "share a key");
+  // Moved in one call: taken from the one, given to the other.
+  Change moved;
+  std::string empty = R"({"name":"t1","api_keys":["k9"],"config_version":"00000009"})";
+  kepler::ReadChange(Call("", empty + "," + Tenant("t2", "k1")), &moved);
+  STRCMP_EQUAL("", kepler::CheckChange(moved, standing).c_str());
+}
+
+TEST(Configuration, WhatIsShownCanBeSetAgain) {
+  Change change, again;
+  kepler::ReadChange(Call(Route("r1") + "," + Route("r2"), Tenant("t1", "k1")), &change);
+  std::string all = kepler::WriteAll(change.items);
+  STRCMP_EQUAL("", kepler::ReadChange(R"({"upsert_items":)" + all + "}", &again).c_str());
+  CHECK(change.items.size() == again.items.size());
+}
+
+TEST(Configuration, ANameThatIsSetAndDroppedInOneCallGoesByItsHighestVersion) {
+  Change change;
+  kepler::ReadChange(Call(Route("r1"), "", R"({"name":"r1","config_version":"00000009"})"), &change);
+  for (const auto& item : change.items) {
+    if (item.key == "route_table/r1") CHECK(item.dropped);
+  }
+}
+
+TEST_GROUP(Routing) {};
+
+TEST(Routing, TheLongestPrefixOfTheHostWins) {
+  routeburn::Routes routes;
+  auto put = [&](const std::string& name, const std::string& host, const std::string& prefix, uint64_t version, bool dropped = false) {
+    std::string body = R"({"name":")" + name + R"(","host_name":")" + host + R"(","path_prefix":")" + prefix +
+                       R"(","route_type":"idempotent","timeout_ms":9,"target_service":"s"})";
+    STRCMP_EQUAL("", routes.Fold({"route_table/" + name, version, dropped, body}).c_str());
+  };
+  put("a", "H.example", "/", 1);
+  put("b", "h.example", "/x/", 1);
+  put("c", "h.example", "/x/y/", 1);
+  auto name = [&](const char* host, const char* path) {
+    auto route = routes.Find(host, path);
+    return route ? route->name : std::string("none");
+  };
+  STRCMP_EQUAL("c", name("h.EXAMPLE:8080", "/x/y/z?q=/a/").c_str());
+  STRCMP_EQUAL("b", name("h.example", "/x/y").c_str());
+  STRCMP_EQUAL("a", name("h.example", "/xx").c_str());
+  STRCMP_EQUAL("none", name("other", "/x/").c_str());
+  put("c", "h.example", "/x/y/", 2, true);
+  STRCMP_EQUAL("b", name("h.example", "/x/y/z").c_str());
+  put("b", "h.example", "/q/", 2);  // moved: its old place is free
+  STRCMP_EQUAL("a", name("h.example", "/x/y/z").c_str());
+}
+
+TEST(Routing, KeysFollowTheirTenant) {
+  routeburn::Routes routes;
+  auto put = [&](const std::string& name, const std::string& keys, uint64_t version, bool dropped = false) {
+    routes.Fold({"tenant_table/" + name, version, dropped, R"({"name":")" + name + R"(","api_keys":[)" + keys + "]}"});
+  };
+  put("t1", R"("k1","k2")", 1);
+  STRCMP_EQUAL("t1", routes.Owner("k2")->name.c_str());
+  put("t2", R"("k2")", 2);  // told before t1 has let go of it
+  put("t1", R"("k1")", 2);
+  STRCMP_EQUAL("t2", routes.Owner("k2")->name.c_str());
+  put("t2", "", 3, true);
+  CHECK(!routes.Owner("k2"));
+  CHECK(routes.has_tenants());
+}
+
+TEST(Routing, SplitsGoByWeight) {
+  kepler::Route route;
+  route.targets = {{"a", 90}, {"b", 10}, {"none", 0}};
+  int b = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string& to = routeburn::Routes::Pick(route, i / 1000.0);
+    CHECK(to != "none");
+    b += to == "b";
+  }
+  CHECK_EQUAL(100, b);
+  STRCMP_EQUAL("b", routeburn::Routes::Pick(route, 0.9999999).c_str());
+}
+
+TEST_GROUP(Tries) {};
+
+TEST(Tries, OnlyTheBackendsOwnWordPromisesThatNothingRan) {
+  using tongariro::AnswerFacts;
+  auto told = [](AnswerFacts facts) { return tongariro::ReadAnswer(facts); };
+  CHECK(told({503, true, true, true, false, false}).told == Told::kNotRun);
+  CHECK(told({421, true, true, false, false, false}).met == Met::kGone);
+  CHECK(told({400, false, false, true, false, false}).told == Told::kNotRun);  // it has read no id
+  CHECK(told({503, false, true, true, false, false}).told == Told::kUnknown);  // of another request
+  // A promise that the backend does not give is not passed on.
+  for (unsigned status : {503u, 429u, 408u}) {
+    CHECK(told({status, true, true, false, true, false}).told == Told::kUnknown);
+    CHECK(!told({status, true, true, false, true, false}).pass);
+  }
+  CHECK(told({200, true, true, false, true, false}).pass);
+  CHECK(!told({200, true, true, false, false, false}).sound);  // without its seal
+  CHECK(!told({200, true, true, false, true, true}).sound);    // encoded: not its body
+  CHECK(!told({200, false, true, false, true, false}).sound);  // another request's
+  CHECK(!told({200, false, false, false, true, false}).sound);
+  CHECK(told({500, true, true, false, true, false}).pass);
+}
+
+TEST(Tries, WhatMayHaveRunIsNeverSentAgainUnlessItMayBe) {
+  // Every course of up to four ends: a request that isn't repeatable is never sent again after one that may have run, and no
+  // refusal promises what isn't so.
+  for (int bits = 0; bits < 256; ++bits) {
+    for (bool idempotent : {false, true}) {
+      for (int most = 1; most <= 3; ++most) {
+        tongariro::Course course;
+        course.idempotent = idempotent;
+        course.most_sent = most;
+        bool ran = false;
+        for (int i = 0; i < 4; ++i) {
+          Told told = static_cast<Told>(bits >> (2 * i) & 3);
+          if (told == Told::kRan) break;
+          (told == Told::kNotSent ? course.unsent : course.sent) += 1;
+          CHECK(!(ran && !idempotent));
+          ran = ran || told == Told::kUnknown;
+          Step step = tongariro::After(&course, told, true);
+          if (step == Step::kRefuse) CHECK(!ran);
+          if (step == Step::kFail) CHECK(ran);
+          if (step != Step::kAgain) break;
+          CHECK(course.sent < most);
+        }
+      }
+    }
+  }
+}
+
+TEST(Tries, TheBudgetOfAllGatewaysHolds) {
+  // Eleven gateways, each for itself, of a service that fails all the time.
+  std::vector<tongariro::Budget> budgets(11, tongariro::Budget(0.2, 10, 62));
+  std::deque<double> requests, again;
+  std::mt19937 dice(5);
+  for (auto& budget : budgets) budget.OnMembers(11);
+  for (double now = 0; now < 60; now += 0.01) {
+    bool quiet = now > 20 && now < 32;  // then nothing for a while, and all at once
+    for (auto& budget : budgets) {
+      if (quiet || dice() % 10 != 0) continue;
+      budget.OnRequest(now, "s");
+      requests.push_back(now);
+      for (int i = 0; i < 3 && budget.May(now, "s"); ++i) {
+        budget.OnTry(now, "s");
+        again.push_back(now);
+      }
+    }
+    auto in = [&](const std::deque<double>& list, double from, double to) {
+      return static_cast<double>(std::count_if(list.begin(), list.end(), [&](double at) { return at > from && at <= to; }));
+    };
+    if (static_cast<int>(now * 100) % 50 != 0) continue;
+    double most = std::max({in(requests, now - 10, now), in(requests, now - 20, now - 10), in(requests, now - 15, now - 5)});
+    CHECK(in(again, now - 10, now) <= 0.2 * most + 62);
+  }
+}
+
+TEST_GROUP(Choice) {};
+
+TEST(Choice, OwnSlotsOfTheZoneComeFirstAndAllGatewaysOwnAll) {
+  std::vector<heaphy::Member> members = {{"g1", "z1"}, {"g2", "z1"}, {"g3", "z2"}};
+  std::map<std::string, int> taken;
+  for (const auto& member : members) {
+    tongariro::Pool pool(1, member.zone);
+    for (const char* id : {"a", "b"}) pool.Fold(0, Backend(id, "s", "z1"));
+    pool.Fold(0, Backend("c", "s", "z2"));
+    pool.OnMembers(members, member.node);
+    for (int i = 0; i < 2; ++i) {
+      std::string id = pool.Choose(1, "s", {});
+      pool.OnSent(id);
+      ++taken[id];
+    }
+  }
+  for (const char* id : {"a", "b", "c"}) CHECK_EQUAL(2, taken[id]);
+}
+
+TEST(Choice, WhoDrainsHasGoneOrFailsIsLeftOut) {
+  tongariro::Pool pool(1, "z1");
+  for (const char* id : {"a", "b", "c"}) pool.Fold(0, Backend(id, "s", "z1"));
+  pool.Fold(0, Backend("a", "s", "z1", 2, true));
+  pool.OnSent("b");
+  pool.OnMet(0, "b", Met::kRefusedConnection, 0);
+  for (int i = 0; i < 20; ++i) STRCMP_EQUAL("c", pool.Choose(0.1, "s", {}).c_str());
+  STRCMP_EQUAL("b", pool.Choose(0.1, "s", {"c"}).c_str());  // better than nobody
+  pool.OnSent("c");
+  pool.OnMet(0.1, "c", Met::kGone, 0);
+  STRCMP_EQUAL("b", pool.Choose(0.2, "s", {}).c_str());
+  pool.Fold(1, {"backend/b", 5, true, ""});
+  STRCMP_EQUAL("", pool.Choose(1, "s", {}).c_str());
+  STRCMP_EQUAL("", pool.Choose(1, "unknown", {}).c_str());
+}
+
+TEST_GROUP(Roll) {};
+
+TEST(Roll, ADrainWaitsForAMajorityAndIsNeverTakenBack) {
+  cascade::Backend b;
+  b.id = "i1";
+  b.service = "s";
+  b.address = "10.0.0.1:80";
+  b.sequence = 4;
+  angelus::Entry ready = angelus::OnBeat(b, nullptr, false);
+  CHECK(ready.write && !ready.wait);
+  b.sequence = 5;
+  CHECK(!angelus::OnBeat(b, &ready.item, true).write);  // the same again
+  b.draining = true;
+  b.sequence = 6;
+  angelus::Entry drain = angelus::OnBeat(b, &ready.item, true);
+  CHECK(drain.write && drain.wait);
+  CHECK(luxmore::Newer(drain.item, ready.item));
+  // Said again where it is not safe yet: still not acknowledged without a majority.
+  CHECK(angelus::OnBeat(b, &drain.item, false).write && angelus::OnBeat(b, &drain.item, false).wait);
+  CHECK(!angelus::OnBeat(b, &drain.item, true).write);
+  b.draining = false;
+  b.sequence = 9;  // late in the network, or confused
+  CHECK(angelus::OnBeat(b, &drain.item, true).item == drain.item);
+  angelus::Entry gone = angelus::OnDeregister("i1", 0, &drain.item, true);
+  CHECK(gone.write && gone.wait && gone.item.dropped && luxmore::Newer(gone.item, drain.item));
+  CHECK(angelus::OnBeat(b, &gone.item, true).item.dropped);
+}
+
+TEST(Roll, ABadBeatIsNamedByItsField) {
+  cascade::Backend b;
+  Has(cascade::ReadBeat("{", &b), "JSON");
+  Has(cascade::ReadBeat(R"({"target_service":"s","address":"nowhere","oper_state":"ready","call_sequence":1})", &b), "address");
+  Has(cascade::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"odd","call_sequence":1})", &b), "oper_state");
+  Has(cascade::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready"})", &b), "call_sequence");
+}
+
+TEST_GROUP(Plumbing) {};
+
+TEST(Plumbing, MessagesSurviveAndGarbageDoesNotHurt) {
+  heaphy::Push push{7, true, {{"k", 3, false, "body"}, {"q", 9, true, ""}}};
+  std::string frame = heaphy::Encode(push);
+  heaphy::FrameReader reader;
+  for (char c : frame) reader.Add(std::string_view(&c, 1));
+  std::string_view content;
+  CHECK(reader.Next(&content) == heaphy::FrameReader::Got::kFrame);
+  auto back = heaphy::Decode(content);
+  CHECK(back && std::get<heaphy::Push>(*back).items == push.items);
+  std::mt19937 dice(3);
+  for (int i = 0; i < 20000; ++i) {
+    std::string bad = frame.substr(4, dice() % (frame.size() - 3));
+    for (int n = 0; n < 3 && !bad.empty(); ++n) bad[dice() % bad.size()] = static_cast<char>(dice());
+    heaphy::Decode(bad);
+  }
+  heaphy::FrameReader large;
+  large.Add(std::string("\xff\xff\xff\xff", 4));
+  CHECK(large.Next(&content) == heaphy::FrameReader::Got::kBad);
+}
+
+TEST(Plumbing, ACopyNeverGoesBackWhoeverTells) {
+  cascade::Journal<cascade::Changed> journal;
+  cascade::Copy copy(cascade::Table::kConfiguration, &journal);
+  uint64_t seen = 0;
+  journal.Attach([&](const cascade::Changed& event) {
+    CHECK(event.item.version >= seen);
+    seen = event.item.version;
+  });
+  for (uint64_t version : {3, 5, 4, 5, 2, 9}) {
+    copy.OnPush(1, {1, false, {{"k", version, false, "x"}}});
+    journal.Run();
+  }
+  CHECK_EQUAL(9u, seen);
+  CHECK(!copy.complete());
+  copy.OnState("c1", {11, true, {"c1", "c2", "c3"}, {}});
+  CHECK(!copy.complete());
+  copy.OnState("c2", {11, true, {"c1", "c2", "c3"}, {}});
+  CHECK(copy.complete());
+}
+
+TEST(Plumbing, SettingsTellEveryFaultByItsField) {
+  rakiura::Settings settings;
+  auto faults = rakiura::ReadSettings(R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","timing_bounds":{"grace_s":"long"}})", &settings);
+  std::string all;
+  for (const auto& fault : faults) all += fault + "\n";
+  for (const char* field : {"node_name", "ip_address", "internal_port_range", "seed_nodes", "timing_bounds.grace_s"}) Has(all, field);
+}
