--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -65,7 +65,7 @@
       }()),
       memory_(size_t{32} << 20),
       lender_(node_.Now(), settings.initial_boot),
-      server_(io, 1024, &memory_,
+      server_(io, static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000)), &memory_,
               {[this](uint64_t connection, ClientMessage message) { OnCall(connection, std::move(message)); },
                [this](uint64_t connection, bool) { reading_.erase(connection); },
                [this](uint64_t connection, std::string bytes, bool last) {
--- a/system/heaphy/codec.h
+++ b/system/heaphy/codec.h
@@ -10,7 +10,7 @@
 
 namespace ivygw::heaphy {
 
-inline constexpr size_t kMostFrame = size_t{8} << 20;  // bytes; a longer frame ends its connection
+inline constexpr size_t kMostFrame = size_t{32} << 20;  // bytes; a longer frame ends its connection
 
 // The frame, header included. A message over kMostFrame is a broken invariant of its sender.
 std::string Encode(const Message& message);
--- a/system/heaphy/links.h
+++ b/system/heaphy/links.h
@@ -18,7 +18,7 @@
 
 // For which a peer may say nothing before the connection counts as dead; each side pings three times in it.
 inline constexpr double kSilence = 1.5;          // s
-inline constexpr size_t kMostUnsent = size_t{16} << 20;  // bytes; a peer that reads no more loses its connection
+inline constexpr size_t kMostUnsent = size_t{64} << 20;  // bytes; a peer that reads no more loses its connection
 
 class Link : public std::enable_shared_from_this<Link> {
  public:
--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -88,6 +88,7 @@
 // When a request that is refused now may be served: at once where requests come in a clump; where more are asked than the
 // limit lets pass, after all those that were refused before it.
 double Admission::ComeBack(double now, const Bucket& bucket) const {
+  if (Fraction(now, bucket) <= 0) return 2 * kComeBack;  // new here: what it is lent is on its way
   double flow = std::max(Fraction(now, bucket) / kLent * (kLent + kPool) * bucket.rate, 0.5);
   double behind = bucket.demand - flow;
   if (behind <= 0.3 * flow) return std::clamp((1 - bucket.tokens) / flow, kComeBack, 1.0);
