Lists to gateways tell what differs, part by part; changes are checked by an index

Change: a gateway tells digests of what it has (Have) and asks one core at a time; a list goes on with each acknowledgement; an index of services and keys; only items not yet safe are looked at.

--- a/system/cascade/copy.h
+++ b/system/cascade/copy.h
@@ -22,13 +22,16 @@
 
 class Copy {
  public:
-  Copy(Table table, Journal<Changed>* journal) : table_(table), journal_(journal) {}
+  Copy(Table table, Journal<Changed>* journal) : table_(table), journal_(journal), sums_(luxmore::kListRanges, 0) {}
 
   void OnPush(double now, const heaphy::Push& push) {
     for (const heaphy::Item& item : push.items) {
       auto [it, fresh] = items_.try_emplace(item.key, item);
       if (!fresh && !luxmore::Newer(item, it->second)) continue;
+      uint64_t& sum = sums_[luxmore::RangeOf(item.key, sums_.size())];
+      if (!fresh) sum ^= luxmore::DigestOf(it->second);
       it->second = item;
+      sum ^= luxmore::DigestOf(item);
       journal_->Append({table_, item, now});
     }
   }
@@ -43,12 +46,15 @@
     for (const std::string& core : listed_) n += cores_.count(core);
     return !cores_.empty() && n >= cores_.size() / 2 + 1;
   }
+  const std::vector<uint64_t>& sums() const { return sums_; }
+  bool listed(const std::string& core) const { return listed_.count(core) > 0; }
   const std::set<std::string>& cores() const { return cores_; }
 
  private:
   const Table table_;
   Journal<Changed>* journal_;
   std::map<std::string, heaphy::Item> items_;
+  std::vector<uint64_t> sums_;  // by range
   std::set<std::string> listed_, cores_;
 };
 
--- a/system/dart/followers.cpp
+++ b/system/dart/followers.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr auto kListPatience = std::chrono::milliseconds(400);
+
 uint64_t Draw() {
   std::random_device source;
   return uint64_t{source()} << 32 | source();
@@ -43,9 +45,13 @@
     hello.boot = boot_;
     dialers_.at(key)->Send(hello);
     if (key.second == Table::kBackends) events_.registry(key.first, true);
+    if (asking_[key.second].core.empty()) AskNext(key.second);
   };
   events.down = [this, key] {
     if (key.second == Table::kBackends) events_.registry(key.first, false);
+    Asking& asking = asking_[key.second];
+    asking.done.erase(key.first);
+    if (asking.core == key.first) AskNext(key.second);
   };
   events.message = [this, key](heaphy::Message message) {
     if (const auto* push = std::get_if<heaphy::Push>(&message)) {
@@ -54,6 +60,9 @@
       dialers_.at(key)->Send(heaphy::PushAck{push->number});
     } else if (const auto* state = std::get_if<heaphy::State>(&message)) {
       events_.state(key.second, key.first, *state);
+      Asking& asking = asking_[key.second];
+      asking.done.insert(key.first);
+      if (asking.core == key.first) AskNext(key.second);
     } else if (const auto* loans = std::get_if<heaphy::Loans>(&message)) {
       events_.loans(key.first, *loans);
     }
@@ -62,6 +71,25 @@
   dialers_[key] = std::make_unique<heaphy::Dialer>(io_, tcp::endpoint(ip, static_cast<uint16_t>(port)), std::move(events));
 }
 
+// The next that is in touch and has not given its list. One that takes long stays asked, and another is asked beside it.
+void Followers::AskNext(Table table) {
+  Asking& asking = asking_[table];
+  std::string before = asking.core;
+  asking.core.clear();
+  for (auto& [key, dialer] : dialers_) {
+    if (key.second != table || !dialer->up() || asking.done.count(key.first) || key.first == before) continue;
+    asking.core = key.first;
+    dialer->Send(heaphy::Have{events_.have(table)});
+    break;
+  }
+  if (asking.core.empty()) return;
+  if (!asking.patience) asking.patience = std::make_unique<asio::steady_timer>(io_);
+  asking.patience->expires_after(kListPatience);
+  asking.patience->async_wait([this, table](error_code cancelled) {
+    if (!cancelled) AskNext(table);
+  });
+}
+
 void Followers::Send(const std::string& core, const heaphy::Message& message) {
   auto it = dialers_.find({core, Table::kBackends});
   if (it != dialers_.end()) it->second->Send(message);
--- a/system/dart/followers.h
+++ b/system/dart/followers.h
@@ -22,6 +22,7 @@
     std::function<void(cascade::Table, const std::string& core, const heaphy::State&)> state;
     std::function<void(const std::string& core, const heaphy::Loans&)> loans;
     std::function<void(const std::string& core, bool up)> registry;  // a registry's connection
+    std::function<std::vector<uint64_t>(cascade::Table)> have;       // digests of what this gateway has
   };
   Followers(asio::io_context& io, const rakiura::Settings& settings, Events events);
 
@@ -33,11 +34,19 @@
 
  private:
   void Dial(const std::string& core, cascade::Table table);
+  void AskNext(cascade::Table table);
   asio::io_context& io_;
   const rakiura::Settings settings_;
   Events events_;
   const uint64_t boot_;
   uint64_t pushes_ = 0;
+  // Lists are asked for from one core at a time, so that the others need tell only what differs.
+  struct Asking {
+    std::string core;            // that has been asked and has not ended its list; empty: none
+    std::set<std::string> done;  // connections that have
+    std::unique_ptr<asio::steady_timer> patience;
+  };
+  std::map<cascade::Table, Asking> asking_;
   std::map<std::pair<std::string, cascade::Table>, std::unique_ptr<heaphy::Dialer>> dialers_;
 };
 
--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -46,6 +46,9 @@
 struct Pull { std::vector<std::string> keys; };
 struct Heard { std::vector<std::string> ids; };  // registry: backends whose beats came here since the last of these
 
+// Gateway to core, after its Hello: digests by range of what it has of the table; the core lists what differs.
+struct Have { std::vector<uint64_t> ranges; };
+
 // Core to gateway.
 struct Push { uint64_t number = 0; bool full = false; std::vector<Item> items; };
 struct PushAck { uint64_t number = 0; };
@@ -77,7 +80,7 @@
 struct Call { uint64_t number = 0; std::string name, body; };
 struct CallDone { uint64_t number = 0; uint32_t status = 0; std::string body; };
 
-using Message = std::variant<Hello, Put, PutDone, Safe, Digests, RangeMarks, Pull, Heard, Push, PushAck, State, Report, Loans,
+using Message = std::variant<Hello, Put, PutDone, Safe, Digests, RangeMarks, Pull, Heard, Have, Push, PushAck, State, Report, Loans,
                              Ping, Pong, Call, CallDone>;
 
 template <class A> void serialize(A& a, Item& m) { a(m.key, m.version, m.dropped, m.body); }
@@ -90,6 +93,7 @@
 template <class A> void serialize(A& a, RangeMarks& m) { a(m.ranges, m.marks); }
 template <class A> void serialize(A& a, Pull& m) { a(m.keys); }
 template <class A> void serialize(A& a, Heard& m) { a(m.ids); }
+template <class A> void serialize(A& a, Have& m) { a(m.ranges); }
 template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.items); }
 template <class A> void serialize(A& a, PushAck& m) { a(m.number); }
 template <class A> void serialize(A& a, Member& m) { a(m.node, m.zone); }
--- a/system/kepler/model.cpp
+++ b/system/kepler/model.cpp
@@ -1,5 +1,6 @@
 #include "kepler/model.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <set>
@@ -187,43 +188,67 @@
   return {};
 }
 
-Fault CheckChange(const Change& change, const std::map<std::string, heaphy::Item>& standing) {
-  // What would stand: of each name the highest version.
-  std::map<std::string, const heaphy::Item*> after;
-  for (const auto& [key, item] : standing) after[key] = &item;
-  for (const heaphy::Item& item : change.items) {
-    const heaphy::Item*& at = after[item.key];
-    if (!at || item.version > at->version) at = &item;
-  }
-  std::set<std::string_view> services;
-  std::map<std::string, std::string> owner;  // of each key, among what would stand
-  std::set<std::string> changed;
-  for (const heaphy::Item& item : change.items) changed.insert(item.key);
-  for (const auto& [key, item] : after) {
-    if (item->dropped) continue;
-    auto [table, name] = SplitKey(key);
-    if (table == kServices) services.insert(name);
-    if (table != kTenants) continue;
-    Tenant tenant;
-    if (Fault fault = ReadTenant(item->body, &tenant); !fault.empty()) return fault;
-    for (const std::string& api : tenant.keys) {
-      auto [at, fresh] = owner.try_emplace(api, tenant.name);
-      if (!fresh && at->second != tenant.name) {
-        return "tenant_table: api_keys: " + tenant.name + " and " + at->second + " share a key";
-      }
+void Index::Fold(const heaphy::Item& item) {
+  versions_[item.key] = item.version;
+  auto [table, name_view] = SplitKey(item.key);
+  std::string name(name_view);
+  if (table == kServices) {
+    if (item.dropped) {
+      services_.erase(name);
+    } else {
+      services_.insert(name);
     }
   }
+  if (table != kTenants) return;
+  for (const std::string& key : keys_[name]) {
+    auto it = holders_.find(key);
+    it->second.erase(name);
+    if (it->second.empty()) holders_.erase(it);
+  }
+  keys_.erase(name);
+  Tenant tenant;
+  if (item.dropped || !ReadTenant(item.body, &tenant).empty()) return;
+  for (const std::string& key : tenant.keys) holders_[key].insert(name);
+  keys_[name] = std::move(tenant.keys);
+  std::sort(keys_[name].begin(), keys_[name].end());
+  keys_[name].erase(std::unique(keys_[name].begin(), keys_[name].end()), keys_[name].end());
+}
+
+const std::set<std::string>* Index::Holders(const std::string& api_key) const {
+  auto it = holders_.find(api_key);
+  return it == holders_.end() ? nullptr : &it->second;
+}
+
+uint64_t Index::VersionOf(const std::string& key) const {
+  auto it = versions_.find(key);
+  return it == versions_.end() ? 0 : it->second;
+}
+
+Fault CheckChange(const Change& change, const Index& standing) {
   // Items that a higher version holds back are checked, too: a call is valid whole or not at all.
+  std::map<std::string, const heaphy::Item*> winning;  // of the call, over what stands
+  std::set<std::string_view> services, dropped;
+  for (const heaphy::Item& item : change.items) {
+    auto [table, name] = SplitKey(item.key);
+    bool wins = item.version > standing.VersionOf(item.key);
+    if (wins) winning[item.key] = &item;
+    if (table == kServices && wins) (item.dropped ? dropped : services).insert(name);
+  }
+  std::map<std::string, std::string> owner;  // of each key that the call names, within the call
   for (const heaphy::Item& item : change.items) {
     if (item.dropped) continue;
     auto [table, name] = SplitKey(item.key);
     if (table == kTenants) {
       Tenant tenant;
       ReadTenant(item.body, &tenant);
+      auto share = [&](const std::string& other) { return "tenant_table: api_keys: " + tenant.name + " and " + other + " share a key"; };
       for (const std::string& api : tenant.keys) {
-        auto at = owner.find(api);
-        if (at != owner.end() && at->second != tenant.name) {
-          return "tenant_table: api_keys: " + tenant.name + " and " + at->second + " share a key";
+        auto [at, fresh] = owner.try_emplace(api, tenant.name);
+        if (!fresh && at->second != tenant.name) return share(at->second);
+        const std::set<std::string>* holders = standing.Holders(api);
+        for (const std::string& holder : holders ? *holders : std::set<std::string>()) {
+          // One that the call itself sets anew is judged by what it holds then.
+          if (holder != tenant.name && !winning.count(KeyOf(kTenants, holder))) return share(holder);
         }
       }
     }
@@ -231,9 +256,8 @@
     Route route;
     ReadRoute(item.body, &route);
     for (const auto& [service, weight] : route.targets) {
-      if (!services.count(service)) {
-        return "route_table: " + route.name + ": target_service: " + service + " is no service";
-      }
+      if (services.count(service) || (standing.Service(service) && !dropped.count(service))) continue;
+      return "route_table: " + route.name + ": target_service: " + service + " is no service";
     }
   }
   return {};
--- a/system/kepler/model.h
+++ b/system/kepler/model.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,9 +59,24 @@
 // The whole call is read before anything of it counts.
 Fault ReadChange(const std::string& json, Change* out);
 
+// What a check of a change needs to know of all that stands, kept up item by item.
+class Index {
+ public:
+  void Fold(const heaphy::Item& item);  // the newest of its key
+  // Of a tenant's key, the tenants that hold it; whether there is such a service.
+  const std::set<std::string>* Holders(const std::string& api_key) const;
+  bool Service(const std::string& name) const { return services_.count(name) > 0; }
+  uint64_t VersionOf(const std::string& key) const;
+
+ private:
+  std::set<std::string> services_;
+  std::map<std::string, std::set<std::string>> holders_;
+  std::map<std::string, std::vector<std::string>> keys_;  // by tenant
+  std::map<std::string, uint64_t> versions_;
+};
+
 // Whether a change may be taken on top of what stands: routes name services that are there, no two tenants share a key.
-// `standing` holds no dropped items that matter; keys are those of KeyOf.
-Fault CheckChange(const Change& change, const std::map<std::string, heaphy::Item>& standing);
+Fault CheckChange(const Change& change, const Index& standing);
 
 // The answer to configuration.show.
 std::string WriteAll(const std::vector<heaphy::Item>& items);
--- a/system/luxmore/replica.cpp
+++ b/system/luxmore/replica.cpp
@@ -22,6 +22,8 @@
 
 }  // namespace
 
+size_t RangeOf(const std::string& key, size_t ranges) { return Mix(Fnv(key, 0)) % ranges; }
+
 uint64_t DigestOf(const Item& item) {
   uint64_t h = Mix(Fnv(item.key, 1)) + Mix(item.version + 0x9e3779b97f4a7c15ULL);
   return Mix(h ^ Mix(Fnv(item.body, item.dropped ? 7 : 3)));
@@ -46,6 +48,7 @@
     std::string key = item.key;
     entry.item = std::move(item);
     Sum(entry);
+    unsafe_.insert(key);
     entries_[key] = std::move(entry);
   }
 }
@@ -55,14 +58,12 @@
   return it == options_.cores.end() ? 0 : uint32_t{1} << std::distance(options_.cores.begin(), it);
 }
 
-size_t Replica::RangeOf(const std::string& key) const { return Mix(Fnv(key, 0)) % options_.ranges; }
-
 bool Replica::quorate() const { return up_.size() + (options_.blank ? 0 : 1) >= majority(); }
 
 void Replica::Synced(Entry* entry) {
   if (entry->synced) return;
   entry->synced = true;
-  --unsynced_[RangeOf(entry->item.key)];
+  --unsynced_[Range(entry->item.key)];
 }
 
 heaphy::Digests Replica::Told(uint64_t round, bool answer) const {
@@ -73,7 +74,7 @@
   return digests;
 }
 
-void Replica::Sum(const Entry& entry) { sums_[RangeOf(entry.item.key)] ^= entry.digest; }
+void Replica::Sum(const Entry& entry) { sums_[Range(entry.item.key)] ^= entry.digest; }
 
 bool Replica::Merge(const Item& item, std::vector<Item>* changed, Effects* out) {
   auto [it, fresh] = entries_.try_emplace(item.key);
@@ -92,7 +93,8 @@
   entry.synced = entry.safe = false;
   entry.holders = 0;
   Sum(entry);
-  ++unsynced_[RangeOf(item.key)];
+  ++unsynced_[Range(item.key)];
+  unsafe_.insert(item.key);
   changed->push_back(item);
   out->applied.push_back(item.key);
   return true;
@@ -151,6 +153,7 @@
 void Replica::MakeSafe(Entry* entry, Effects* out) {
   if (entry->safe) return;
   entry->safe = true;
+  unsafe_.erase(entry->item.key);
   entry->has_shown = false;
   entry->shown = Item();
   out->safe.push_back(entry->item.key);
@@ -326,12 +329,14 @@
   }
   std::vector<Mark> made;
   uint32_t bit = Bit(from);
-  for (auto& [key, entry] : entries_) {
-    size_t range = RangeOf(key);
-    if (!same[range]) {
-      differ.marks.push_back({key, entry.item.version, entry.digest, entry.synced});
-    } else if (synced[range] && !entry.safe) {
-      Hold(&entry, bit, &made, out);
+  std::vector<std::string> unsafe(unsafe_.begin(), unsafe_.end());
+  for (const std::string& key : unsafe) {
+    size_t range = Range(key);
+    if (same[range] && synced[range]) Hold(&entries_.at(key), bit, &made, out);
+  }
+  if (!differ.ranges.empty()) {
+    for (const auto& [key, entry] : entries_) {
+      if (!same[Range(key)]) differ.marks.push_back({key, entry.item.version, entry.digest, entry.synced});
     }
   }
   Announce(std::move(made), out);
@@ -365,7 +370,7 @@
   }
   std::set<uint32_t> ranges(told.ranges.begin(), told.ranges.end());
   for (const auto& [key, entry] : entries_) {
-    if (!seen.count(key) && ranges.count(static_cast<uint32_t>(RangeOf(key)))) mend.items.push_back(entry.item);
+    if (!seen.count(key) && ranges.count(static_cast<uint32_t>(Range(key)))) mend.items.push_back(entry.item);
   }
   if (!pull.keys.empty()) out->sends.push_back({from, std::move(pull)});
   if (!mend.items.empty()) out->sends.push_back({from, std::move(mend)});
@@ -447,6 +452,8 @@
   if (it == entries_.end()) return;
   Sum(it->second);
   Synced(&it->second);
+  unsafe_.erase(key);
+  refused_.erase(key);
   entries_.erase(it);
 }
 
--- a/system/luxmore/replica.h
+++ b/system/luxmore/replica.h
@@ -24,6 +24,9 @@
 using heaphy::Message;
 
 uint64_t DigestOf(const Item& item);
+// The range of a key among so many.
+size_t RangeOf(const std::string& key, size_t ranges);
+inline constexpr size_t kListRanges = 64;  // by which gateways tell what they have
 // One total order over the contents that a key may have, the same on every copy: version, then digest, then bytes.
 bool Newer(const Item& a, const Item& b);
 
@@ -108,7 +111,7 @@
     bool counts = false;
   };
   uint32_t Bit(const std::string& core) const;
-  size_t RangeOf(const std::string& key) const;
+  size_t Range(const std::string& key) const { return RangeOf(key, options_.ranges); }
   bool Merge(const Item& item, std::vector<Item>* changed, Effects* out);
   void Sum(const Entry& entry);
   void Synced(Entry* entry);
@@ -134,6 +137,7 @@
   std::map<uint64_t, Batch> batches_;
   std::map<uint64_t, std::string> puts_;             // out, to whom
   std::map<uint64_t, std::vector<Mark>> put_marks_;  // and of what
+  std::set<std::string> unsafe_;                     // keys of which the newest item is not known to be safe
   std::set<std::string> refused_;                    // keys that the disk would not take
   uint64_t last_batch_ = 0, round_ = 0, put_ = 0;
   double digests_due_ = 0;
--- a/system/milford/gateway.cpp
+++ b/system/milford/gateway.cpp
@@ -88,6 +88,7 @@
     }
     Told();
   };
+  events.have = [this](Table table) { return (table == Table::kBackends ? backends_ : configuration_).sums(); };
   events.loans = [this](const std::string& core, const heaphy::Loans& loans) {
     admission_.OnLoans(Now(), core, loans);
     if (admission_.urgent()) Draw();
--- a/system/mueller/store.cpp
+++ b/system/mueller/store.cpp
@@ -24,6 +24,9 @@
 Store::Store(asio::io_context& io, const rakiura::Settings& settings)
     : node_(io, settings, {"mueller", settings.first_port + 1, true, ""}, [this] {
         rees::CoreNode::Events events;
+        events.applied = [this](const std::vector<std::string>& keys) {
+          for (const std::string& key : keys) index_.Fold(node_.replica().entries().at(key).item);
+        };
         events.message = [this](uint64_t peer, heaphy::Message message) {
           const auto* call = std::get_if<heaphy::Call>(&message);
           if (!call) return;
@@ -32,7 +35,9 @@
           });
         };
         return events;
-      }()) {}
+      }()) {
+  for (const auto& [key, entry] : node_.replica().entries()) index_.Fold(entry.item);
+}
 
 void Store::Take(const heaphy::Call& call, Answer answer) {
   if (call.name == "configuration.modify") return Modify(call.body, std::move(answer));
@@ -49,9 +54,7 @@
   // What stands is read from a majority before anything is refused or taken: a refusal must be true everywhere.
   node_.Fresh([this, change, answer = std::move(answer)](Replica::Outcome outcome) {
     if (outcome != Replica::Outcome::kDone) return answer(503, ErrorBody("no majority of the core in touch"));
-    std::map<std::string, heaphy::Item> standing;
-    for (const auto& [key, entry] : node_.replica().entries()) standing[key] = entry.item;
-    if (kepler::Fault fault = kepler::CheckChange(*change, standing); !fault.empty()) {
+    if (kepler::Fault fault = kepler::CheckChange(*change, index_); !fault.empty()) {
       Log("change_refused").Add("fault", fault);
       return answer(400, ErrorBody(fault));
     }
--- a/system/mueller/store.h
+++ b/system/mueller/store.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "kepler/model.h"
 #include "rees/core_node.h"
 
 namespace ivygw::mueller {
@@ -17,6 +18,7 @@
   void Take(const heaphy::Call& call, Answer answer);
   void Modify(const std::string& body, Answer answer);
   void Show(Answer answer);
+  kepler::Index index_;  // of all that this copy holds
   rees::CoreNode node_;
 };
 
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -36,7 +36,6 @@
                      follower.zone = hello.zone;
                      follower.boot = hello.boot;
                      events_.follower_up(peer, follower);
-                     List(peer, &follower);
                    }
                  },
                  [this](uint64_t peer, heaphy::Message message) {
@@ -49,9 +48,20 @@
                    }
                    if (const auto* ack = std::get_if<heaphy::PushAck>(&message)) {
                      auto it = followers_.find(peer);
-                     if (it != followers_.end()) it->second.acknowledged = ack->number;
+                     if (it == followers_.end()) return;
+                     it->second.acknowledged = ack->number;
+                     if (it->second.listing && ack->number == it->second.pushed) List(peer, &it->second);
                      return;
                    }
+                   if (const auto* have = std::get_if<heaphy::Have>(&message)) {
+                     auto it = followers_.find(peer);
+                     if (it == followers_.end() || have->ranges.size() != luxmore::kListRanges) return;
+                     it->second.asked = true;
+                     it->second.ranges.assign(luxmore::kListRanges, false);
+                     const std::vector<uint64_t>& sums = ShownSums();
+                     for (size_t i = 0; i < sums.size(); ++i) it->second.ranges[i] = sums[i] != have->ranges[i];
+                     return List(peer, &it->second);
+                   }
                    events_.message(peer, std::move(message));
                  },
                  [this](uint64_t peer) {
@@ -157,10 +167,11 @@
       }
     }
     if (!now.applied.empty()) events_.applied(now.applied);
+    if (!now.applied.empty() || !now.safe.empty()) shown_sums_.clear();
     const auto& news = options_.show_safe_only ? now.safe : now.applied;
     if (!news.empty()) {
       for (auto& [peer, follower] : followers_) {
-        if (follower.listed) PushTo(peer, &follower, news);
+        if (follower.listed || follower.listing) PushTo(peer, &follower, news);
       }
     }
     for (auto& [ticket, outcome] : now.done) {
@@ -208,6 +219,7 @@
 void CoreNode::PushTo(uint64_t peer, Follower* follower, const std::vector<std::string>& keys) {
   heaphy::Push push;
   for (const std::string& key : keys) {
+    if (follower->listing && key > follower->cursor) continue;  // it comes with the list
     if (auto item = Shown(key)) push.items.push_back(std::move(*item));
   }
   if (push.items.empty()) return;
@@ -215,28 +227,39 @@
   host_.Send(peer, push);
 }
 
-// The whole list, once this copy holds all that a majority does.
+const std::vector<uint64_t>& CoreNode::ShownSums() {
+  if (shown_sums_.empty()) {
+    shown_sums_.assign(luxmore::kListRanges, 0);
+    for (const auto& [key, entry] : replica_->entries()) {
+      if (auto item = Shown(key)) shown_sums_[luxmore::RangeOf(key, shown_sums_.size())] ^= luxmore::DigestOf(*item);
+    }
+  }
+  return shown_sums_;
+}
+
+// What it lacks, once this copy holds all that a majority does.
 void CoreNode::List(uint64_t peer, Follower* follower) {
-  if (follower->listed || !replica_->complete()) return;
-  follower->listed = true;
+  if (follower->listed || !follower->asked || !replica_->complete()) return;
+  follower->listing = true;
   heaphy::Push push;
   size_t bytes = 0;
-  auto send = [&] {
-    if (push.items.empty()) return;
+  const auto& entries = replica_->entries();
+  for (auto it = entries.upper_bound(follower->cursor); it != entries.end() && bytes < kPushBytes; ++it) {
+    follower->cursor = it->first;
+    if (!follower->ranges[luxmore::RangeOf(it->first, follower->ranges.size())]) continue;
+    auto item = Shown(it->first);
+    if (!item) continue;
+    bytes += it->first.size() + item->body.size() + 32;
+    push.items.push_back(std::move(*item));
+  }
+  if (!push.items.empty()) {
     push.number = ++follower->pushed;
     push.full = true;
     host_.Send(peer, push);
-    push = heaphy::Push();
-    bytes = 0;
-  };
-  for (const auto& [key, entry] : replica_->entries()) {
-    auto item = Shown(key);
-    if (!item) continue;
-    bytes += key.size() + item->body.size() + 32;
-    push.items.push_back(std::move(*item));
-    if (bytes > kPushBytes) send();
+    if (bytes >= kPushBytes) return;  // on with its acknowledgement
   }
-  send();
+  follower->listing = false;
+  follower->listed = true;
   host_.Send(peer, StateNow());
 }
 
@@ -262,7 +285,9 @@
   Replica::Effects effects;
   replica_->OnTime(Now(), &effects);
   Run(std::move(effects));
-  for (auto& [peer, follower] : followers_) List(peer, &follower);
+  for (auto& [peer, follower] : followers_) {
+    if (!follower.listing) List(peer, &follower);
+  }
   events_.tick();
   TellState();
   timer_.expires_after(std::chrono::milliseconds(100));
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -33,7 +33,10 @@
     std::string node, zone;
     uint64_t boot = 0;
     uint64_t pushed = 0, acknowledged = 0;  // numbers of changes
-    bool listed = false;                    // has been given the whole list
+    bool listed = false;                    // has been given all that it lacked
+    bool asked = false, listing = false;    // it has told what it has; a list is under way
+    std::vector<bool> ranges;               // of which it is listed
+    std::string cursor;                     // the last key that has been listed
   };
   struct Events {
     std::function<void(const std::vector<std::string>& keys)> applied = [](const auto&) {};
@@ -63,7 +66,9 @@
   void Dial(const std::string& core);
   heaphy::Hello Greeting() const;
   void PushTo(uint64_t peer, Follower* follower, const std::vector<std::string>& keys);
+  // Begins a list, or goes on with it: one part after each acknowledgement, so that none piles up here.
   void List(uint64_t peer, Follower* follower);
+  const std::vector<uint64_t>& ShownSums();
   void TellState();
   heaphy::State StateNow() const;
   void Tick();
@@ -85,6 +90,8 @@
   uint64_t last_ticket_ = 0, boot_ = 0;
   std::vector<heaphy::Member> gateways_;
   heaphy::State told_;
+  std::vector<uint64_t> shown_sums_;  // empty: to be added up anew
+
   asio::steady_timer timer_;
 };
 
--- a/system/taranaki/run.cpp
+++ b/system/taranaki/run.cpp
@@ -15,7 +15,7 @@
 #include <random>
 #include <sstream>
 
-#include "cascade/copy.h"
+#include "luxmore/replica.h"
 #include "heaphy/links.h"
 #include "kepler/model.h"
 #include "net/message_reader.h"
@@ -40,7 +40,7 @@
       std::filesystem::create_directories(base + "/data");
       std::ofstream(base + "/boot.json") << "{\"node_name\":\"core" << i << "\",\"ip_address\":\"" << CoreIp(i) << "\",\"zone\":\"z" << i
           << "\",\"listen_addresses\":{\"control_plane\":\"" << CoreIp(i) << ":" << plan.first_port + 2 << "\"},\"internal_port_range\":["
-          << plan.first_port << "," << plan.first_port + 1 << "],\"seed_nodes\":[" << seeds << "],\"initial_boot\":true,\"data_directory\":\""
+          << plan.first_port << "," << plan.first_port + 1 << "],\"seed_nodes\":[" << seeds << "],\"limits\":{\"max_file_descriptors\":20000},\"initial_boot\":true,\"data_directory\":\""
           << base << "/data\"}";
       for (const char* program : {"angelus", "mueller"}) Start(program, base);
     }
@@ -167,6 +167,8 @@
   struct Gateway {
     std::vector<std::unique_ptr<heaphy::Dialer>> dialers;
     std::vector<bool> listed;
+    std::vector<uint64_t> sums[2];  // in the place of its copies of both tables
+    bool asked[2] = {false, false};
     uint64_t reports = 0, sent = 0, boot = 1;
     bool ready = false;
   };
@@ -238,6 +240,10 @@
     gateway.dialers.clear();
     gateway.ready = false;
     ++gateway.boot;
+    for (int t : {0, 1}) {
+      gateway.sums[t].assign(luxmore::kListRanges, 0);
+      gateway.asked[t] = false;
+    }
     gateway.listed.assign(static_cast<size_t>(2 * plan_.cores), false);
     for (int i = 0; i < 2 * plan_.cores; ++i) {
       heaphy::Dialer::Events events;
@@ -248,6 +254,8 @@
         hello.zone = "z" + std::to_string(g % 15);
         hello.boot = gateways_[static_cast<size_t>(g)].boot;
         Send(g, i, hello);
+        Gateway& mine = gateways_[static_cast<size_t>(g)];
+        if (!mine.asked[i % 2]) Ask(g, i);
       };
       events.down = [] {};
       events.message = [this, g, i](heaphy::Message message) { Told(g, i, message); };
@@ -255,6 +263,11 @@
       gateway.dialers.push_back(std::make_unique<heaphy::Dialer>(io_, to, std::move(events)));
     }
   }
+  void Ask(int g, int i) {
+    Gateway& gateway = gateways_[static_cast<size_t>(g)];
+    gateway.asked[i % 2] = true;
+    Send(g, i, heaphy::Have{gateway.sums[i % 2]});
+  }
   void Send(int g, int i, const heaphy::Message& message) {
     out_bytes_ += heaphy::Encode(message).size();
     gateways_[static_cast<size_t>(g)].dialers[static_cast<size_t>(i)]->Send(message);
@@ -266,6 +279,9 @@
     if (!gateway.ready) list_bytes_ += bytes;
     if (const auto* push = std::get_if<heaphy::Push>(&message)) {
       Send(g, i, heaphy::PushAck{push->number});
+      for (const auto& item : push->items) {
+        if (!gateway.ready && push->full) gateway.sums[i % 2][luxmore::RangeOf(item.key, luxmore::kListRanges)] ^= luxmore::DigestOf(item);
+      }
       for (const auto& item : push->items) {
         auto it = spreading_.find(item.key);
         if (it == spreading_.end() || item.version != it->second.version) continue;
@@ -275,7 +291,15 @@
         spreading_.erase(it);
       }
     } else if (const auto* state = std::get_if<heaphy::State>(&message)) {
+      bool first = !gateway.listed[static_cast<size_t>(i)];
       gateway.listed[static_cast<size_t>(i)] = state->complete;
+      if (first) {  // the next core of the table
+        for (int n = i % 2; n < 2 * plan_.cores; n += 2) {
+          if (gateway.listed[static_cast<size_t>(n)] || !gateway.dialers[static_cast<size_t>(n)]->up()) continue;
+          Ask(g, n);
+          break;
+        }
+      }
       if (gateway.ready) return;
       int lists[2] = {0, 0};
       for (size_t n = 0; n < gateway.listed.size(); ++n) lists[n % 2] += gateway.listed[n];
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -37,7 +37,7 @@
 std::string FaultOf(const std::string& json) {
   Change change;
   kepler::Fault fault = kepler::ReadChange(json, &change);
-  return fault.empty() ? kepler::CheckChange(change, {}) : fault;
+  return fault.empty() ? kepler::CheckChange(change, kepler::Index()) : fault;
 }
 void Has(const std::string& text, const std::string& part) {
   if (text.find(part) == std::string::npos) FAIL(("'" + text + "' does not tell of '" + part + "'").c_str());
@@ -64,7 +64,7 @@
   for (const auto& item : change.items) {
     if (item.dropped) CHECK_EQUAL(10u, item.version);
   }
-  STRCMP_EQUAL("", kepler::CheckChange(change, {}).c_str());
+  STRCMP_EQUAL("", kepler::CheckChange(change, kepler::Index()).c_str());
 }
 
 TEST(Configuration, EachBadCallIsNamedByItsField) {
@@ -88,8 +88,8 @@
 TEST(Configuration, AKeyOfAnotherTenantThatStandsIsRefusedAndItsMoveIsNot) {
   Change first;
   kepler::ReadChange(Call("", Tenant("t1", "k1")), &first);
-  std::map<std::string, heaphy::Item> standing;
-  for (const auto& item : first.items) standing[item.key] = item;
+  kepler::Index standing;
+  for (const auto& item : first.items) standing.Fold(item);
   Change second;
   kepler::ReadChange(Call("", Tenant("t2", "k1")), &second);
   Has(kepler::CheckChange(second, standing), "share a key");
