A core that starts anew does not count again what was sent before

Also: at 87 gateways and 85 tenants no bucket can hold a request in stock; a request now waits for its token where the pools were not empty just now, 30 ms at most, and is refused on arrival otherwise. News is gathered for 8 ms and encoded once for all gateways.

--- a/system/heaphy/links.cpp
+++ b/system/heaphy/links.cpp
@@ -68,9 +68,9 @@
   });
 }
 
-void Link::Send(const Message& message) {
+void Link::SendFrame(const std::string& frame) {
   if (!open_) return;
-  out_ += Encode(message);
+  out_ += frame;
   if (out_.size() > kMostUnsent) return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Lost(); });
   if (sending_ || flushing_) return;
   // What one turn of the loop sends goes out in one write.
@@ -208,6 +208,11 @@
   if (it != links_.end()) it->second.link->Send(message);
 }
 
+void Host::SendFrame(uint64_t peer, const std::string& frame) {
+  auto it = links_.find(peer);
+  if (it != links_.end()) it->second.link->SendFrame(frame);
+}
+
 void Host::Close(uint64_t peer) {
   auto it = links_.find(peer);
   if (it == links_.end()) return;
--- a/system/heaphy/links.h
+++ b/system/heaphy/links.h
@@ -28,7 +28,8 @@
 
   // Neither is called any more after Close or after `closed`.
   void Start(OnMessage message, OnClosed closed);
-  void Send(const Message& message);
+  void Send(const Message& message) { SendFrame(Encode(message)); }
+  void SendFrame(const std::string& frame);  // of Encode
   void Close();
   bool open() const { return open_; }
 
@@ -91,6 +92,7 @@
   ~Host();
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
   void Send(uint64_t peer, const Message& message);
+  void SendFrame(uint64_t peer, const std::string& frame);
   void Close(uint64_t peer);
   size_t peers() const { return links_.size(); }
 
--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -12,6 +12,7 @@
 constexpr double kComeBack = 0.05;   // s, at the least
 constexpr double kRound = 0.05;      // s, in which pools are asked one after the other
 constexpr int kDraws = 3;            // at most
+constexpr double kDry = 0.05;        // s, for which pools that were empty are not asked for more than is usual
 constexpr double kAnswered = 0.03;   // s, within which a batch that was asked for has come
 
 }  // namespace
@@ -68,10 +69,12 @@
 }
 double Admission::Store(double now, const Bucket& bucket) const {
   double each = std::min(1.0, options_.slack * kSlackOfBuckets / static_cast<double>(gateways_));
-  return std::max(1.0, each + kAhead * Demand(now, bucket));
+  double store = each + kAhead * Demand(now, bucket);
+  return Alone(now) ? std::max(1.0, store) : store;
 }
 double Admission::Lacking(double now, const Bucket& bucket) const {
-  return std::max(0.0, Store(now, bucket) + 0.5 - bucket.tokens);
+  double want = std::max(Store(now, bucket) + 0.5, static_cast<double>(bucket.wanting));
+  return std::max(0.0, want - bucket.tokens);
 }
 
 // Ends of the counter's windows.
@@ -105,7 +108,7 @@
     bucket.store = tenant.burst;
     bucket.demand_at = now;
     // Before the first loan: an even part of the slack, which all gateways together never pass.
-    bucket.tokens = std::min(1.0, std::floor(options_.slack * kSlackOfBuckets / static_cast<double>(gateways_)));
+    bucket.tokens = std::min(1.0, options_.slack * kSlackOfBuckets / static_cast<double>(gateways_));
   }
   bucket.rate = tenant.rate_per_s + options_.slack * kSlackOfRate / (options_.window_s + 1);
   bucket.burst = tenant.burst;
@@ -115,25 +118,48 @@
   bucket.demand = bucket.demand * std::exp(-since / kSpread) + 1 / kSpread;
   bucket.demand_at = now;
   bucket.asked = now;
-  Refill(now, &bucket);
   ++bucket.asks_now;
   ++asks_sum_;
-  Window(now, &bucket);
-  double length = std::max(bucket.burst, 1.0) / bucket.rate;
-  double left = bucket.store + bucket.rate * length - bucket.window_total - bucket.newer;
-  if (bucket.counting && left < 1) {
+  return Take(now, &bucket);
+}
+
+Verdict Admission::Again(double now, const std::string& tenant) {
+  auto it = buckets_.find(tenant);
+  if (it == buckets_.end()) return {false, false, kComeBack};
+  Bucket& bucket = it->second;
+  if (bucket.wanting > 0) --bucket.wanting;
+  return Take(now, &bucket);
+}
+
+void Admission::GiveUp(const std::string& tenant) {
+  auto it = buckets_.find(tenant);
+  if (it != buckets_.end() && it->second.wanting > 0) --it->second.wanting;
+}
+
+Verdict Admission::Take(double now, Bucket* bucket) {
+  Refill(now, bucket);
+  Window(now, bucket);
+  double length = std::max(bucket->burst, 1.0) / bucket->rate;
+  double left = bucket->store + bucket->rate * length - bucket->window_total - bucket->newer;
+  if (bucket->counting && left < 1) {
     ++figures_.by_counter;
-    return {false, std::max(kComeBack, bucket.window_from + length - now)};
+    return {false, false, std::max(kComeBack, bucket->window_from + length - now)};
   }
-  if (bucket.tokens < 1) {
+  bool drawn = now <= bucket->drawn_at + kAnswered;
+  if (bucket->tokens < 1) {
+    // The pools may have what is wanted: their word is a few milliseconds away. Where they were empty just now it is no.
+    if (!Alone(now) && now >= bucket->dry_until) {
+      ++bucket->wanting;
+      urgent_ = urgent_ || !drawn;
+      return {false, true, 0};
+    }
     ++figures_.by_bucket;
-    if (now > bucket.drawn_at + kAnswered) urgent_ = true;
-    return {false, ComeBack(now, bucket)};
+    return {false, false, ComeBack(now, *bucket)};
   }
-  bucket.tokens -= 1;
-  if (Lacking(now, bucket) > 0.5 * Store(now, bucket) && now > bucket.drawn_at + kAnswered) urgent_ = true;
-  bucket.newer += 1;
-  ++bucket.sent;
+  bucket->tokens -= 1;
+  if (Lacking(now, *bucket) > 0.5 * Store(now, *bucket) && !drawn && now >= bucket->dry_until) urgent_ = true;
+  bucket->newer += 1;
+  ++bucket->sent;
   ++figures_.admitted;
   return {};
 }
@@ -198,7 +224,12 @@
         bucket.round_at = now;
         bucket.draws = 0;
       }
-      if (bucket.tokens < 1 && ++bucket.draws < kDraws) urgent_ = true;
+      bool short_of = bucket.tokens < std::max(1.0, static_cast<double>(bucket.wanting));
+      if (short_of && ++bucket.draws < kDraws) {
+        urgent_ = true;
+      } else if (short_of) {
+        bucket.dry_until = now + kDry;
+      }
     }
     LentPart& lent = bucket.lent[core];
     lent.fraction = loan.fraction;
@@ -224,7 +255,7 @@
 
 // The pools are out of reach: what is lent for terms is short of what was drawn beside it, for a while.
 void Admission::OnTime(double now) {
-  if (heard_ < 0 || now < heard_ + kAnswers || alone_at_ > heard_ || now < alone_at_ + options_.window_s + 1) return;
+  if (heard_ < 0 || !Alone(now) || alone_at_ > heard_ || now < alone_at_ + options_.window_s + 1) return;
   alone_at_ = now;
   for (auto& [name, bucket] : buckets_) {
     Refill(now, &bucket);
--- a/system/hollyford/admission.h
+++ b/system/hollyford/admission.h
@@ -25,8 +25,10 @@
 
 namespace ivygw::hollyford {
 
+// `pending`: its token is on its way from a core's pool; Again tells more once loans have come. Nobody waits longer than
+// kAsked for that.
 struct Verdict {
-  bool admitted = true;
+  bool admitted = true, pending = false;
   double retry_after_s = 0;
 };
 
@@ -42,11 +44,14 @@
   explicit Admission(AdmissionOptions options) : options_(options) {}
 
   Verdict Ask(double now, const kepler::Tenant& tenant);
+  Verdict Again(double now, const std::string& tenant);
+  void GiveUp(const std::string& tenant);  // one that was pending waits no longer
   // What this gateway's requests met at the backends.
   void OnServed() { ++served_; }
   void OnCrowded() { crowded_ = true; }
 
   void OnMembers(size_t gateways) { gateways_ = gateways; }
+  void OnLenders(size_t in_touch) { none_ = in_touch == 0; }
   // To that lender: of all tenants, or of those alone that lack something now. `draw`: from this one's pool.
   heaphy::Report Report(double now, const std::string& core, size_t lenders, bool all, bool draw);
   void OnLoans(double now, const std::string& core, const heaphy::Loans& loans);
@@ -75,6 +80,8 @@
     double tokens = 0, refilled = 0;
     double asked = 0;                        // when, last
     double demand = 0, demand_at = 0;        // requests a second, of late
+    size_t wanting = 0;                      // requests that are pending
+    double dry_until = -1;                   // all pools were empty
     double drawn_at = -1;                    // when a batch was asked for that hasn't come
     double round_at = -1;                    // when pools began to be asked one after the other
     int draws = 0;
@@ -88,6 +95,8 @@
     double counter_until = 0;                // without a word of it, another's do
   };
   void Refill(double now, Bucket* bucket);
+  Verdict Take(double now, Bucket* bucket);
+  bool Alone(double now) const { return heard_ < 0 || none_ || now > heard_ + kAnswers; }
   void Window(double now, Bucket* bucket);
   double Fraction(double now, const Bucket& bucket) const;
   double Free(double now);
@@ -110,6 +119,7 @@
   size_t gateways_ = 1;
   uint64_t served_ = 0, served_before_ = 0, asks_sum_ = 0, asks_sum_before_ = 0;
   double tick_ = 0;
+  bool none_ = false;
   bool crowded_ = false, crowded_before_ = false, urgent_ = false;
   Figures figures_;
 };
--- a/system/hollyford/lender.cpp
+++ b/system/hollyford/lender.cpp
@@ -73,9 +73,11 @@
     Fill(now, &tenant, part);
     Held& held = tenant.held[gateway];
     if (held.boot != boot) {  // another life of it: what the one before held has ended with it
+      // What one that this lender had not met before has sent was counted in this lender's earlier life, if at all.
+      bool met = held.boot != 0;
       held = Held();
       held.boot = boot;
-      tenant.total += use.sent;
+      if (met) tenant.total += use.sent;
     } else {
       tenant.total += use.sent - std::min(use.sent, held.sent);
     }
--- a/system/hollyford/terms.h
+++ b/system/hollyford/terms.h
@@ -17,6 +17,7 @@
 inline constexpr double kPoolStore = 0.3;  // of a burst, that the pools hold together
 inline constexpr double kAhead = 0.9;    // s of its demand, that a bucket holds
 inline constexpr double kAlone = 0.5;    // s of its loans, that a gateway adds when no core answers it
+inline constexpr double kAsked = 0.03;   // s, for which a request waits for its token
 inline constexpr double kAnswers = 0.6;  // s, within which one does
 inline constexpr double kSlackOfBuckets = 0.7, kSlackOfRate = 0.2;  // parts of the slack
 
--- a/system/milford/exchanges.cpp
+++ b/system/milford/exchanges.cpp
@@ -82,6 +82,10 @@
   if (at == requests_.end()) return;
   Request& request = at->second;
   request.client_gone = true;
+  if (auto waits = std::find(pending_.begin(), pending_.end(), id); waits != pending_.end()) {
+    pending_.erase(waits);
+    admission_->GiveUp(request.tenant->name);
+  }
   // What may run only once goes on to its end; what may be asked again frees its place at once.
   if (request.connection != 0 && !request.course.idempotent && !request.replying) return;
   if (request.connection != 0) {
@@ -110,13 +114,47 @@
   auto [end, bad] = std::from_chars(told.data(), told.data() + told.size(), ms);
   if (!told.empty() && bad == std::errc() && std::isfinite(ms)) allowed = std::min(allowed, ms / 1000 - kReserve);
   request.deadline = request.arrived + allowed;
-  if (request.tenant) {
-    hollyford::Verdict verdict = admission_->Ask(request.arrived, *request.tenant);
-    if (!verdict.admitted) {
+  if (!request.tenant) return Admitted(id);
+  Judged(id, admission_->Ask(request.arrived, *request.tenant));
+}
+
+void Exchanges::Judged(uint64_t id, const hollyford::Verdict& verdict) {
+  if (verdict.admitted) return Admitted(id);
+  Request& request = requests_.at(id);
+  if (verdict.pending) {
+    pending_.push_back(id);
+    if (request.timer) return;
+    request.timer = std::make_unique<asio::steady_timer>(io_);
+    request.timer->expires_after(Seconds(hollyford::kAsked));
+    request.timer->async_wait([this, id](error_code cancelled) {
+      auto at = std::find(pending_.begin(), pending_.end(), id);
+      if (cancelled || at == pending_.end()) return;
+      pending_.erase(at);
+      auto it = requests_.find(id);
+      if (it == requests_.end()) return;
+      hollyford::Verdict last = admission_->Again(Now(), it->second.tenant->name);
+      if (last.admitted) return Admitted(id);
+      if (last.pending) admission_->GiveUp(it->second.tenant->name);
       ++figures_.limited;
-      return Refuse(id, 429, verdict.retry_after_s, "limit");
-    }
+      Refuse(id, 429, std::max(0.05, last.retry_after_s), "limit");
+    });
+    return;
   }
+  ++figures_.limited;
+  Refuse(id, 429, verdict.retry_after_s, "limit");
+}
+
+void Exchanges::OnLoans() {
+  std::deque<uint64_t> ids;
+  ids.swap(pending_);
+  for (uint64_t id : ids) {
+    auto it = requests_.find(id);
+    if (it != requests_.end()) Judged(id, admission_->Again(Now(), it->second.tenant->name));
+  }
+}
+
+void Exchanges::Admitted(uint64_t id) {
+  Request& request = requests_.at(id);
   request.service = routeburn::Routes::Pick(*request.route, Dice(request.attempt_id));
   request.course.idempotent = request.route->idempotent;
   request.course.most_sent = request.route->max_attempts;
--- a/system/milford/exchanges.h
+++ b/system/milford/exchanges.h
@@ -3,6 +3,7 @@
 #ifndef IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
 #define IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -36,6 +37,8 @@
   void OnClientDrained(uint64_t client);
   // Until the configuration is here nothing is served.
   void Open(bool open) { open_ = open; }
+  // Loans have come: requests whose tokens were on their way are looked at again.
+  void OnLoans();
   void Sweep();  // connections to backends that are no longer wanted
   size_t held() const { return requests_.size(); }
   const Figures& figures() const { return figures_; }
@@ -75,6 +78,8 @@
 
   double Now() const;
   void Begin(uint64_t id);
+  void Judged(uint64_t id, const hollyford::Verdict& verdict);
+  void Admitted(uint64_t id);
   void Try(uint64_t id);
   void Write(uint64_t id);
   void Ended(uint64_t id, tongariro::Told told, tongariro::Met met);
@@ -95,6 +100,7 @@
   ClientServer* front_ = nullptr;
   BackendLinks links_;
   std::unordered_map<uint64_t, Request> requests_;         // by id
+  std::deque<uint64_t> pending_;                           // requests whose tokens are on their way, in order
   std::unordered_map<uint64_t, uint64_t> of_client_;       // the request that a client's connection waits for
   std::unordered_map<uint64_t, Link> connections_;
   std::map<std::string, std::vector<uint64_t>> idle_;      // by backend, the one that was used last at the end
--- a/system/milford/gateway.cpp
+++ b/system/milford/gateway.cpp
@@ -91,9 +91,11 @@
   events.have = [this](Table table) { return (table == Table::kBackends ? backends_ : configuration_).sums(); };
   events.loans = [this](const std::string& core, const heaphy::Loans& loans) {
     admission_.OnLoans(Now(), core, loans);
+    exchanges_.OnLoans();
     if (admission_.urgent()) Draw();
   };
   events.registry = [this](const std::string& core, bool up) {
+    admission_.OnLenders(followers_->registries().size());
     if (up) ReportTo(core, true, false);
   };
   followers_ = std::make_unique<dart::Followers>(io, settings, std::move(events));
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr auto kGather = std::chrono::milliseconds(8);
 constexpr size_t kPushBytes = 256 * 1024;  // of a list in one message
 constexpr size_t kMostNamed = 200;         // members that are told by name
 
@@ -50,7 +51,7 @@
                      auto it = followers_.find(peer);
                      if (it == followers_.end()) return;
                      it->second.acknowledged = ack->number;
-                     if (it->second.listing && ack->number == it->second.pushed) List(peer, &it->second);
+                     if (it->second.listing && ack->number == it->second.part) List(peer, &it->second);
                      return;
                    }
                    if (const auto* have = std::get_if<heaphy::Have>(&message)) {
@@ -73,6 +74,7 @@
                    events_.follower_down(peer, gone);
                  }}),
       boot_(std::random_device{}()),
+      gather_(io),
       timer_(io) {
   brewster::Disk::Content content;
   if (!settings.data_directory.empty()) {
@@ -169,11 +171,7 @@
     if (!now.applied.empty()) events_.applied(now.applied);
     if (!now.applied.empty() || !now.safe.empty()) shown_sums_.clear();
     const auto& news = options_.show_safe_only ? now.safe : now.applied;
-    if (!news.empty()) {
-      for (auto& [peer, follower] : followers_) {
-        if (follower.listed || follower.listing) PushTo(peer, &follower, news);
-      }
-    }
+    if (!news.empty()) News(news);
     for (auto& [ticket, outcome] : now.done) {
       auto it = waiting_.find(ticket);
       if (it == waiting_.end()) continue;
@@ -216,15 +214,45 @@
   return std::nullopt;
 }
 
-void CoreNode::PushTo(uint64_t peer, Follower* follower, const std::vector<std::string>& keys) {
-  heaphy::Push push;
-  for (const std::string& key : keys) {
-    if (follower->listing && key > follower->cursor) continue;  // it comes with the list
-    if (auto item = Shown(key)) push.items.push_back(std::move(*item));
-  }
+// What comes at about the same time goes out in one change, the same bytes to all.
+void CoreNode::News(const std::vector<std::string>& keys) {
+  bool first = news_.empty();
+  news_.insert(keys.begin(), keys.end());
+  if (!first) return;
+  gather_.expires_after(kGather);
+  gather_.async_wait([this](error_code cancelled) {
+    if (!cancelled) PushNews();
+  });
+}
+
+void CoreNode::PushNews() {
+  std::set<std::string> keys;
+  keys.swap(news_);
+  auto push_of = [&](const std::string* up_to) {
+    heaphy::Push push;
+    for (const std::string& key : keys) {
+      if (up_to && key > *up_to) continue;  // it comes with the list
+      if (auto item = Shown(key)) push.items.push_back(std::move(*item));
+    }
+    push.number = pushed_;
+    return push;
+  };
+  ++pushed_;
+  heaphy::Push push = push_of(nullptr);
   if (push.items.empty()) return;
-  push.number = ++follower->pushed;
-  host_.Send(peer, push);
+  std::string frame = heaphy::Encode(push);
+  for (auto& [peer, follower] : followers_) {
+    if (follower.listed) {
+      host_.SendFrame(peer, frame);
+    } else if (follower.listing) {
+      heaphy::Push part = push_of(&follower.cursor);
+      if (part.items.empty()) continue;
+      host_.Send(peer, part);
+    } else {
+      continue;
+    }
+    follower.pushed = pushed_;
+  }
 }
 
 const std::vector<uint64_t>& CoreNode::ShownSums() {
@@ -253,7 +281,7 @@
     push.items.push_back(std::move(*item));
   }
   if (!push.items.empty()) {
-    push.number = ++follower->pushed;
+    push.number = follower->pushed = follower->part = ++pushed_;
     push.full = true;
     host_.Send(peer, push);
     if (bytes >= kPushBytes) return;  // on with its acknowledgement
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -33,6 +33,7 @@
     std::string node, zone;
     uint64_t boot = 0;
     uint64_t pushed = 0, acknowledged = 0;  // numbers of changes
+    uint64_t part = 0;                      // of its list, the number of the part that is out
     bool listed = false;                    // has been given all that it lacked
     bool asked = false, listing = false;    // it has told what it has; a list is under way
     std::vector<bool> ranges;               // of which it is listed
@@ -65,7 +66,8 @@
   void Run(Replica::Effects effects);
   void Dial(const std::string& core);
   heaphy::Hello Greeting() const;
-  void PushTo(uint64_t peer, Follower* follower, const std::vector<std::string>& keys);
+  void News(const std::vector<std::string>& keys);  // to be pushed, with what else comes in kGather
+  void PushNews();
   // Begins a list, or goes on with it: one part after each acknowledgement, so that none piles up here.
   void List(uint64_t peer, Follower* follower);
   const std::vector<uint64_t>& ShownSums();
@@ -89,6 +91,9 @@
   bool running_ = false;
   uint64_t last_ticket_ = 0, boot_ = 0;
   std::vector<heaphy::Member> gateways_;
+  std::set<std::string> news_;
+  uint64_t pushed_ = 0;  // the number of the last change pushed
+  asio::steady_timer gather_;
   heaphy::State told_;
   std::vector<uint64_t> shown_sums_;  // empty: to be added up anew
 
--- a/system/taranaki/run.cpp
+++ b/system/taranaki/run.cpp
@@ -49,6 +49,14 @@
     for (auto& [pid, name] : children_) kill(pid, SIGKILL);
     for (auto& [pid, name] : children_) waitpid(pid, nullptr, 0);
   }
+  // The first program that has ended; empty: none.
+  std::string Gone() const {
+    for (const auto& [pid, name] : children_) {
+      siginfo_t info{};
+      if (waitid(P_PID, static_cast<id_t>(pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == pid) return name;
+    }
+    return {};
+  }
   // Seconds of processor and megabytes of each process of that program.
   std::vector<std::pair<double, double>> Use(const std::string& program) const {
     std::vector<std::pair<double, double>> out;
@@ -152,9 +160,16 @@
 
 class World {
  public:
-  explicit World(const Plan& plan) : plan_(plan), io_(1), dice_(plan.seed), timer_(io_), tick_(io_), cores_(plan) {}
+  explicit World(const Plan& plan) : plan_(plan), io_(1), dice_(plan.seed), timer_(io_), tick_(io_), signals_(io_, SIGTERM, SIGINT), cores_(plan) {}
 
   Result Play() {
+    // Ended from outside it ends its cores, too.
+    signals_.async_wait([this](error_code error, int) {
+      if (error) return;
+      result_.failed = "stopped";
+      io_.stop();
+    });
+    Look();
     Configure(0);
     auto began = Clock::now();
     End(plan_.seconds * 4 + 30, "the load did not stand in time");
@@ -179,6 +194,13 @@
     return s(use.ru_utime) + s(use.ru_stime);
   }
   double Now() const { return std::chrono::duration<double>(Clock::now().time_since_epoch()).count(); }
+  void Look() {
+    if (std::string gone = cores_.Gone(); !gone.empty()) {
+      result_.failed = gone + " has ended";
+      return io_.stop();
+    }
+    After(0.5, [this] { Look(); });
+  }
   void End(double after, const char* why) {
     timer_.expires_after(Seconds(after));
     timer_.async_wait([this, why](error_code cancelled) {
@@ -402,6 +424,7 @@
   asio::io_context io_;
   std::mt19937_64 dice_;
   asio::steady_timer timer_, tick_;
+  asio::signal_set signals_;
   Cores cores_;
   Result result_;
   std::vector<Gateway> gateways_;
