Waits for safe items are kept by key; what has not moved is told to lenders once a second

Cause: at 15,000 backends a registry stood at 0.98 of a core: each message looked at every write that waited.

--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -12,6 +12,7 @@
 constexpr double kComeBack = 0.05;   // s, at the least
 constexpr double kRound = 0.05;      // s, in which pools are asked one after the other
 constexpr int kDraws = 3;            // at most
+constexpr double kStill = 1;         // s
 constexpr double kDry = 0.05;        // s, for which pools that were empty are not asked for more than is usual
 constexpr double kAnswered = 0.03;   // s, within which a batch that was asked for has come
 
@@ -179,16 +180,23 @@
       continue;
     }
     double lacking = draw && now > bucket.drawn_at + kAnswered ? Lacking(now, bucket) : 0;
-    if (!all && lacking == 0) {
+    double wanted = Demand(now, bucket) / bucket.rate / parts;
+    LentPart& told = bucket.lent[core];
+    // What has not moved is told once a second.
+    bool still = now < told.told_at + kStill && bucket.sent == told.told_sent && std::abs(wanted - told.told_wanted) <= 0.3 * told.told_wanted;
+    if (lacking == 0 && (!all || still)) {
       ++it;
       continue;
     }
+    told.told_at = now;
+    told.told_sent = bucket.sent;
+    told.told_wanted = wanted;
     heaphy::Use use;
     use.tenant = it->first;
     use.rate = static_cast<float>(bucket.rate);
     use.burst = static_cast<float>(bucket.burst);
     use.version = bucket.version;
-    use.wanted = static_cast<float>(Demand(now, bucket) / bucket.rate / parts);
+    use.wanted = static_cast<float>(wanted);
     use.sent = bucket.sent;
     use.lacking = static_cast<float>(lacking);
     if (lacking > 0) {
--- a/system/hollyford/admission.h
+++ b/system/hollyford/admission.h
@@ -73,6 +73,8 @@
     double fraction = 0, until = -1;
     uint64_t total = 0;      // the counter's, at its last word
     bool counted = false;
+    double told_at = -1, told_wanted = 0;  // this gateway's last word on it
+    uint64_t told_sent = 0;
   };
   struct Bucket {
     double rate = 0, burst = 0;              // as lent on: with its part of the slack
--- a/system/luxmore/replica.cpp
+++ b/system/luxmore/replica.cpp
@@ -121,10 +121,16 @@
   pending.until = now + options_.patience_s;
   for (const std::string& key : keys) {
     const Entry& entry = entries_.at(key);
-    pending.marks.push_back({key, entry.item.version, entry.digest, false});
-    if (!entry.safe) winners.push_back(entry.item);
+    if (entry.safe) continue;
+    winners.push_back(entry.item);
+    waiters_[key].insert(ticket);
+    ++pending.waits;
+  }
+  if (pending.waits == 0) {
+    out->done.push_back({ticket, Outcome::kDone});
+  } else {
+    pending_[ticket] = pending;
   }
-  pending_[ticket] = std::move(pending);
   if (!changed.empty()) Keep(std::move(changed), {}, out);
   if (!winners.empty()) {
     for (const std::string& core : up_) SendPut(core, winners, out);
@@ -157,6 +163,19 @@
   entry->has_shown = false;
   entry->shown = Item();
   out->safe.push_back(entry->item.key);
+  Free(entry->item.key, out);
+}
+
+void Replica::Free(const std::string& key, Effects* out) {
+  auto it = waiters_.find(key);
+  if (it == waiters_.end()) return;
+  for (uint64_t ticket : it->second) {
+    auto at = pending_.find(ticket);
+    if (at == pending_.end() || --at->second.waits > 0) continue;
+    out->done.push_back({ticket, Outcome::kDone});
+    pending_.erase(at);
+  }
+  waiters_.erase(it);
 }
 
 void Replica::Hold(Entry* entry, uint32_t bit, std::vector<Mark>* made, Effects* out) {
@@ -194,11 +213,7 @@
   out->sends.push_back({core, Told(round_, false)});
   // What waits for a majority may find it in this one.
   std::vector<Item> winners;
-  std::set<std::string> keys;
-  for (const auto& [ticket, pending] : pending_) {
-    for (const Mark& mark : pending.marks) keys.insert(mark.key);
-  }
-  for (const std::string& key : keys) {
+  for (const auto& [key, tickets] : waiters_) {
     auto it = entries_.find(key);
     if (it != entries_.end() && !it->second.safe) winners.push_back(it->second.item);
   }
@@ -397,19 +412,6 @@
 
 void Replica::Settle(double now, Effects* out) {
   if (!options_.blank && majority() == 1) complete_ = true;
-  for (auto it = pending_.begin(); it != pending_.end();) {
-    bool all = true;
-    for (const Mark& mark : it->second.marks) {
-      auto entry = entries_.find(mark.key);
-      all = all && entry != entries_.end() && entry->second.safe;
-    }
-    if (all || now >= it->second.until) {
-      out->done.push_back({it->first, all ? Outcome::kDone : Outcome::kUnclear});
-      it = pending_.erase(it);
-    } else {
-      ++it;
-    }
-  }
   for (auto it = asked_.begin(); it != asked_.end();) {
     bool enough = it->second.even.size() + (options_.blank ? 0 : 1) >= majority();
     if (enough || now >= it->second.until) {
@@ -422,6 +424,15 @@
 }
 
 void Replica::OnTime(double now, Effects* out) {
+  while (!pending_.empty() && now >= pending_.begin()->second.until) {
+    uint64_t ticket = pending_.begin()->first;
+    pending_.erase(pending_.begin());
+    for (auto it = waiters_.begin(); it != waiters_.end();) {
+      it->second.erase(ticket);
+      it = it->second.empty() ? waiters_.erase(it) : std::next(it);
+    }
+    out->done.push_back({ticket, Outcome::kUnclear});
+  }
   bool ask = now >= digests_due_;
   for (auto& [ticket, asked] : asked_) {
     if (now >= asked.again) {
@@ -454,6 +465,7 @@
   Synced(&it->second);
   unsafe_.erase(key);
   refused_.erase(key);
+  waiters_.erase(key);
   entries_.erase(it);
 }
 
--- a/system/luxmore/replica.h
+++ b/system/luxmore/replica.h
@@ -92,7 +92,7 @@
 
  private:
   struct Pending {
-    std::vector<Mark> marks;
+    size_t waits = 0;   // keys that are not safe yet
     double until = 0;
   };
   struct Asked {
@@ -119,6 +119,7 @@
   void Keep(std::vector<Item> items, std::vector<Word> words, Effects* out);
   void Hold(Entry* entry, uint32_t bit, std::vector<Mark>* made, Effects* out);
   void MakeSafe(Entry* entry, Effects* out);
+  void Free(const std::string& key, Effects* out);
   void Announce(std::vector<Mark> made, Effects* out);
   void SendPut(const std::string& core, const std::vector<Item>& items, Effects* out);
   void Settle(double now, Effects* out);
@@ -132,7 +133,8 @@
   std::vector<uint64_t> sums_;      // by range, of all entries
   std::vector<uint32_t> unsynced_;  // by range, how many entries the disk has not yet
   std::set<std::string> up_, even_once_, even_now_;
-  std::map<uint64_t, Pending> pending_;
+  std::map<uint64_t, Pending> pending_;                // by ticket, so by when they end
+  std::map<std::string, std::set<uint64_t>> waiters_;  // tickets that wait for a key to be safe
   std::map<uint64_t, Asked> asked_;
   std::map<uint64_t, Batch> batches_;
   std::map<uint64_t, std::string> puts_;             // out, to whom
