--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -12,6 +12,8 @@
 constexpr double kComeBack = 0.05;   // s, at the least
 constexpr double kRound = 0.05;      // s, in which pools are asked one after the other
 constexpr int kDraws = 3;            // at most
+constexpr double kHeadroom = 1.15;     // of the demand, as it is asked for
+constexpr double kWorthLending = 1;  // requests a second
 constexpr double kStill = 1;         // s
 constexpr double kDry = 0.05;        // s, for which pools that were empty are not asked for more than is usual
 constexpr double kAnswered = 0.03;   // s, within which a batch that was asked for has come
@@ -74,7 +76,7 @@
   return Alone(now) ? std::max(1.0, store) : store;
 }
 double Admission::Lacking(double now, const Bucket& bucket) const {
-  double want = std::max(Store(now, bucket) + 0.5, static_cast<double>(bucket.wanting));
+  double want = std::max(1.5 * Store(now, bucket), static_cast<double>(bucket.wanting));
   return std::max(0.0, want - bucket.tokens);
 }
 
@@ -180,7 +182,10 @@
       continue;
     }
     double lacking = draw && now > bucket.drawn_at + kAnswered ? Lacking(now, bucket) : 0;
-    double wanted = Demand(now, bucket) / bucket.rate / parts;
+    // A bucket that can't hold a request wastes a small part: what it needs comes from the pools.
+    double demand = Demand(now, bucket);
+    bool pays = options_.slack * kSlackOfBuckets >= static_cast<double>(gateways_) || demand >= kWorthLending;
+    double wanted = pays ? kHeadroom * demand / bucket.rate / parts : 0;
     LentPart& told = bucket.lent[core];
     // What has not moved is told once a second.
     bool still = now < told.told_at + kStill && bucket.sent == told.told_sent && std::abs(wanted - told.told_wanted) <= 0.3 * told.told_wanted;
--- a/system/hollyford/lender.cpp
+++ b/system/hollyford/lender.cpp
@@ -8,6 +8,7 @@
 namespace ivygw::hollyford {
 namespace {
 
+constexpr double kShareEvery = 0.2;  // s
 constexpr double kQuiet = 2;  // s; who has not reported for so long wants nothing more, but keeps what it holds
 
 }  // namespace
@@ -26,17 +27,20 @@
 
 void Lender::Fill(double now, Tenant* tenant, double part) const {
   double most = kPoolStore * tenant->burst * part;
+  // What is not lent; and while holders are awaited, all that may be counts as lent.
+  double lent = Closed(now) ? kLent * part : tenant->lent;
+  double flow = std::max(0.0, (kLent + kPool) * part - lent);
   if (!tenant->begun) {
     tenant->begun = true;
     tenant->pool = first_ ? most : 0;
   } else {
-    tenant->pool = std::min(most, tenant->pool + (now - tenant->filled) * kPool * tenant->rate * part);
+    tenant->pool = std::min(most, tenant->pool + (now - tenant->filled) * flow * tenant->rate);
   }
   tenant->filled = now;
 }
 
-// Max-min fair among those that report: nobody gets more while another that wants more has less; what nobody wants is
-// spread evenly over them.
+// Max-min fair among those that report: nobody gets more while another that wants more has less. What nobody wants stays in
+// the pool.
 double Lender::Fair(const Tenant& tenant, const std::string& gateway, double most, double now) const {
   std::vector<double> wants;
   double mine = tenant.held.at(gateway).wanted;
@@ -51,9 +55,8 @@
     if (want > even) return std::min(mine, even);  // all that want more than this have as much
     left -= want;
     --n;
-    if (want == mine && n == 0) break;
   }
-  return mine + left / static_cast<double>(wants.size());
+  return mine;
 }
 
 heaphy::Loans Lender::OnReport(double now, const std::string& gateway, uint64_t boot, const heaphy::Report& report, size_t lenders) {
@@ -84,17 +87,22 @@
     held.sent = use.sent;
     held.wanted = std::max(0.0f, use.wanted);
     held.told = now;
-    double others = 0;
-    for (const auto& [name, other] : tenant.held) {
-      if (name != gateway && now < other.until) others += other.exposed;
+    // Worked out a few times a second at most: most words only ask for a batch.
+    if (now >= held.shared + kShareEvery) {
+      held.shared = now;
+      double others = 0;
+      for (const auto& [name, other] : tenant.held) {
+        if (name != gateway && now < other.until) others += other.exposed;
+      }
+      double room = std::max(0.0, most - others);
+      held.fraction = std::min(Fair(tenant, gateway, most, now), room);
+      // What was lent before this lender's start is known from those who hold it, and from nobody else.
+      if (Closed(now)) held.fraction = std::min({static_cast<double>(use.held), room, most});
+      held.exposed = std::max(held.fraction, static_cast<double>(use.held));
+      tenant.lent = others + held.exposed;
     }
-    double room = std::max(0.0, most - others);
-    double fraction = std::min(Fair(tenant, gateway, most, now), room);
-    // What was lent before this lender's start is known from those who hold it, and from nobody else.
-    if (Closed(now)) fraction = std::min({static_cast<double>(use.held), room, most});
-    held.fraction = fraction;
-    held.exposed = std::max(fraction, static_cast<double>(use.held));
     held.until = now + kTerm;
+    double fraction = held.fraction;
     double tokens = std::min(tenant.pool, static_cast<double>(std::max(0.0f, use.lacking)));
     tenant.pool -= tokens;
     out.loans.push_back({use.tenant, static_cast<float>(fraction), static_cast<float>(tokens), tenant.total});
--- a/system/hollyford/lender.h
+++ b/system/hollyford/lender.h
@@ -36,6 +36,7 @@
   struct Held {
     double fraction = 0;  // as lent last
     double exposed = 0;   // the most that it may be using: a smaller loan counts once its holder has shown that it has it
+    double shared = -1;   // when its part was worked out last
     double until = 0, wanted = 0, told = 0;  // `told`: when it reported last
     uint64_t boot = 0, sent = 0;
   };
@@ -43,6 +44,7 @@
     std::map<std::string, Held> held;  // by gateway
     double rate = 0, burst = 0;        // of the newest limit that any gateway has told
     uint64_t version = 0;
+    double lent = 0;                   // of the limit, to all, as last worked out
     double pool = 0, filled = 0;       // requests; when it was filled last
     bool begun = false;
     uint64_t total = 0;
--- a/system/hollyford/terms.h
+++ b/system/hollyford/terms.h
@@ -12,8 +12,8 @@
 
 inline constexpr double kTerm = 12;      // s, of a loan, by its lender's clock from when the report came
 inline constexpr double kEarlier = 0.5;  // s, by which its holder ends it before
-inline constexpr double kLent = 0.6;     // of a limit's rate, lent for terms by all cores together
-inline constexpr double kPool = 0.48;    // of a limit's rate, given in batches by all cores together
+inline constexpr double kLent = 0.75;    // of a limit's rate, lent for terms by all cores together, at most
+inline constexpr double kPool = 0.33;    // of a limit's rate, given in batches by all cores together; and what of kLent nobody wants
 inline constexpr double kPoolStore = 0.3;  // of a burst, that the pools hold together
 inline constexpr double kAhead = 0.9;    // s of its demand, that a bucket holds
 inline constexpr double kAlone = 0.5;    // s of its loans, that a gateway adds when no core answers it
--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -272,6 +272,16 @@
   }
 }
 
+TEST(Limits, ManyGatewaysBeforeFewRequestsOfATenant) {
+  Options options;
+  options.gateways = 85;
+  options.cores = 4;
+  options.rate = options.burst = 20;
+  World world(5, options);
+  Fine(world.Run(40));
+  CHECK(static_cast<double>(world.admitted) >= 0.95 * static_cast<double>(world.asked));
+}
+
 TEST(Limits, UnevenShareOfClientsIsFollowed) {
   Options options;
   World world(9, options);
