Backends that are silent for 30 s are dropped, while every core tells what it heard

Cause: a backend that crashed stood in the registry's table for ever. Cores tell each other twice a second whom they heard; nobody is dropped while any known core is silent; a later beat brings a dropped one back.

--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -60,6 +60,9 @@
           const auto* report = std::get_if<heaphy::Report>(&message);
           if (report) Lend(peer, *report);
         };
+        events.core_message = [this](const std::string& core, heaphy::Message message) {
+          if (const auto* heard = std::get_if<heaphy::Heard>(&message)) heard_.OnTold(node_.Now(), core, heard->ids);
+        };
         events.tick = [this] { Tick(); };
         return events;
       }()),
@@ -145,6 +148,7 @@
     Log("beat_refused").Add("backend", id).Add("fault", fault);
     return Reply(connection, 400, "{\"error\":\"" + fault + "\"}");
   }
+  heard_.OnBeat(node_.Now(), id);
   const Replica::Entry* known = Find(kBackends + id);
   Entry entry = OnBeat(told, known ? &known->item : nullptr, known && known->safe);
   if (entry.write && !(known && known->item == entry.item)) {
@@ -212,9 +216,26 @@
   node_.Write({item}, [this, gateway](Replica::Outcome) { noting_.erase(gateway); });
 }
 
+void Registry::DropSilent(double now) {
+  std::vector<std::string> ids;
+  for (const auto& [key, entry] : node_.replica().entries()) {
+    if (key.rfind(kBackends, 0) == 0 && !entry.item.dropped) ids.push_back(key.substr(sizeof(kBackends) - 1));
+  }
+  std::set<std::string> others = node_.replica().cores();
+  others.erase(self_);
+  for (const std::string& id : heard_.Silent(now, ids, others)) {
+    const Replica::Entry* known = Find(kBackends + id);
+    Log("backend_silent").Add("id", id);
+    heard_.Forget(id);
+    node_.Write({OnSilent(known->item)}, [](Replica::Outcome) {});
+  }
+}
+
 void Registry::Tick() {
   double now = node_.Now();
   lender_.OnTime(now);
+  if (++ticks_ % 5 == 0) node_.SendCores(heaphy::Heard{heard_.News()});
+  if (ticks_ % 20 == 0) DropSilent(now);
   if (lending_ != !lender_.Closed(now)) {
     lending_ = !lending_;
     Log(lending_ ? "lending" : "lending_closed").Add("awaited", lender_.awaited()).Add("complete", node_.replica().complete());
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "bodies/body_memory.h"
+#include "angelus/heard.h"
 #include "angelus/roll.h"
 #include "cascade/backend.h"
 #include "hollyford/lender.h"
@@ -32,6 +33,7 @@
   const luxmore::Replica::Entry* Find(const std::string& key) const;
   void Pass(uint64_t connection, const std::string& name, const std::string& body);
   void Tick();
+  void DropSilent(double now);
   void Lend(uint64_t peer, const heaphy::Report& report);
   std::string HolderKey(const std::string& gateway) const;
 
@@ -53,6 +55,8 @@
     double until = 0;
   };
   std::map<std::string, Lease> members_;       // gateways, until when they count as such
+  Heard heard_;
+  uint64_t ticks_ = 0;
   std::map<std::string, double> gone_;         // tombstones, since when
   std::set<std::string> noting_;               // gateways whose note as holders is under way
   bool holders_told_ = false, lending_ = false;
--- a/system/angelus/roll.cpp
+++ b/system/angelus/roll.cpp
@@ -7,10 +7,17 @@
 using cascade::Backend;
 using luxmore::Item;
 
+namespace {
+
+constexpr char kSilent[] = "silent";  // the body of such a tombstone
+
+}  // namespace
+
 Entry OnBeat(const Backend& told, const Item* known, bool safe) {
   Entry out;
   out.wait = told.draining;
-  if (known) {
+  bool back = known && known->dropped && known->body == kSilent && told.sequence > known->version;
+  if (known && !back) {
     Backend before;
     cascade::ReadBackend(known->body, &before);
     // Late, or of one that has said that it goes: what it says stands already, or is out of date.
@@ -31,6 +38,8 @@
   return out;
 }
 
+Item OnSilent(const Item& known) { return {known.key, known.version + 1, true, kSilent}; }
+
 Entry OnDeregister(const std::string& id, uint64_t sequence, const Item* known, bool safe) {
   Entry out;
   out.wait = true;
--- a/system/angelus/roll.h
+++ b/system/angelus/roll.h
@@ -19,6 +19,8 @@
 
 // `known`: what stands under the backend's key; none: null. `safe`: a majority is known to hold it.
 Entry OnBeat(const cascade::Backend& told, const luxmore::Item* known, bool safe);
+// One that has been silent too long: it may come back, with a later beat.
+luxmore::Item OnSilent(const luxmore::Item& known);
 // `sequence`: of the call, 0 where it tells none.
 Entry OnDeregister(const std::string& id, uint64_t sequence, const luxmore::Item* known, bool safe);
 
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "angelus/heard.h"
 #include "angelus/roll.h"
 #include "cascade/copy.h"
 #include "heaphy/codec.h"
@@ -308,6 +309,44 @@
   CHECK(angelus::OnBeat(b, &gone.item, true).item.dropped);
 }
 
+TEST(Roll, WhoIsSilentForLongIsDroppedOnlyWhileEveryCoreTellsAndMayComeBack) {
+  angelus::Heard heard;
+  std::set<std::string> others = {"c2", "c3"};
+  heard.OnBeat(0, "here");
+  bool cut = false;
+  std::vector<std::string> silent;
+  auto until = [&](double from, double to) {
+    for (double now = from; now < to; now += 0.5) {
+      heard.OnTold(now, "c2", {"there"});
+      if (!cut) heard.OnTold(now, "c3", {});
+      for (const std::string& id : heard.Silent(now, {"here", "there", "disk"}, others)) silent.push_back(id);
+    }
+  };
+  until(0, 25);
+  CHECK(silent.empty());
+  cut = true;  // c3 can't be heard: whoever beats there is not silent
+  until(25, 80);
+  CHECK(silent.empty());
+  cut = false;
+  until(80, 109);
+  CHECK(silent.empty());
+  until(109, 111);
+  CHECK(!silent.empty());
+  for (const std::string& id : silent) CHECK(id != "there");
+
+  luxmore::Item item = Backend("i", "s", "z", 7);
+  luxmore::Item gone = angelus::OnSilent(item);
+  CHECK(luxmore::Newer(gone, item) && gone.dropped);
+  cascade::Backend b;
+  cascade::ReadBackend(item.body, &b);
+  b.id = "i";
+  b.sequence = 8;
+  CHECK(!angelus::OnBeat(b, &gone, true).write);  // as late as the word that dropped it
+  b.sequence = 20;
+  angelus::Entry back = angelus::OnBeat(b, &gone, true);
+  CHECK(back.write && luxmore::Newer(back.item, gone) && !back.item.dropped);
+}
+
 TEST(Roll, ABadBeatIsNamedByItsField) {
   cascade::Backend b;
   Has(cascade::ReadBeat("{", &b), "JSON");
