--- a/system/milford/exchanges.cpp
+++ b/system/milford/exchanges.cpp
@@ -19,6 +19,7 @@
 constexpr double kIdleFor = 8;           // s, for which a connection is kept where the backend doesn't tell
 constexpr double kIdleMargin = 1.2;      // s, before the backend ends it
 constexpr double kReserve = 0.004;       // s of the client's time that are kept for the way back
+constexpr double kNotReady = 0.15;       // s, after a refusal while the lists are on their way
 constexpr double kComeBack = 0.1;        // s, after a refusal for want of room
 constexpr size_t kMostCollected = size_t{16} << 20;  // bytes of a body that is held whole
 
@@ -99,7 +100,7 @@
 void Exchanges::Begin(uint64_t id) {
   Request& request = requests_.at(id);
   auto& head = request.message.head;
-  if (!open_) return Refuse(id, 503, 0.5, "not ready");
+  if (!open_) return Refuse(id, 503, kNotReady, "not ready");
   request.attempt_id = View(head["Attempt-Id"]);
   request.route = routes_->Find(View(head[http::field::host]), View(head.target()));
   if (!request.route) return Refuse(id, 404, 0, "no route");
