--- a/system/heaphy/codec.cpp
+++ b/system/heaphy/codec.cpp
@@ -34,7 +34,14 @@
 template <class T>
   requires std::is_arithmetic_v<T>
 void CEREAL_LOAD_FUNCTION_NAME(FrameInput& archive, T& value) {
-  archive.loadBinary(&value, sizeof(value));
+  if constexpr (std::is_same_v<T, bool>) {  // a byte that is neither is no truth
+    uint8_t byte = 0;
+    archive.loadBinary(&byte, 1);
+    if (byte > 1) throw cereal::Exception("truth");
+    value = byte == 1;
+  } else {
+    archive.loadBinary(&value, sizeof(value));
+  }
 }
 template <class T>
 void CEREAL_LOAD_FUNCTION_NAME(FrameInput& archive, cereal::BinaryData<T>& data) {
