--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -1,11 +1,13 @@
 #include "angelus/registry.h"
 
+#include "kepler/json.h"
 #include "net/address.h"
 #include "rakiura/log.h"
 
 namespace ivygw::angelus {
 
 using cascade::Backend;
+using kepler::ErrorBody;
 using luxmore::Item;
 using luxmore::Replica;
 using rakiura::Log;
@@ -91,7 +93,7 @@
     // What was passed on may have been taken.
     auto passed = std::move(passed_);
     passed_.clear();
-    for (auto& [number, call] : passed) Reply(call.connection, 503, "{\"error\":\"may have been taken: the store has gone\"}");
+    for (auto& [number, call] : passed) Reply(call.connection, 503, ErrorBody("may have been taken: the store has gone"));
   };
   events.message = [this](heaphy::Message message) {
     const auto* done = std::get_if<heaphy::CallDone>(&message);
@@ -129,16 +131,16 @@
 
 void Registry::Dispatch(uint64_t connection, const ClientMessage& message) {
   Target target = Split(View(message.head.target()));
-  if (target.segments != std::vector<std::string>{"ivygw", "rpc"}) return Reply(connection, 404, "{\"error\":\"path: is not known\"}");
-  if (message.head.method() != http::verb::post) return Reply(connection, 405, "{\"error\":\"method: POST is wanted\"}");
+  if (target.segments != std::vector<std::string>{"ivygw", "rpc"}) return Reply(connection, 404, ErrorBody("path: is not known"));
+  if (message.head.method() != http::verb::post) return Reply(connection, 405, ErrorBody("method: POST is wanted"));
   const std::string& call = target.query["call"];
   const std::string& id = target.query["of"];
   bool of_backend = call == "backends.heartbeat" || call == "backends.deregister";
-  if (of_backend && id.empty()) return Reply(connection, 400, "{\"error\":\"of: missing\"}");
+  if (of_backend && id.empty()) return Reply(connection, 400, ErrorBody("of: missing"));
   if (call == "backends.heartbeat") return Beat(connection, id, message.body);
   if (call == "backends.deregister") return Deregister(connection, id, message.body);
   if (call == "configuration.modify" || call == "configuration.show") return Pass(connection, call, message.body);
-  Reply(connection, 404, "{\"error\":\"call: is not known\"}");
+  Reply(connection, 404, ErrorBody("call: is not known"));
 }
 
 void Registry::Beat(uint64_t connection, const std::string& id, const std::string& body) {
@@ -146,7 +148,7 @@
   told.id = id;
   if (std::string fault = cascade::ReadBeat(body, &told); !fault.empty()) {
     Log("beat_refused").Add("backend", id).Add("fault", fault);
-    return Reply(connection, 400, "{\"error\":\"" + fault + "\"}");
+    return Reply(connection, 400, ErrorBody(fault));
   }
   heard_.OnBeat(node_.Now(), id);
   const Replica::Entry* known = Find(kBackends + id);
@@ -176,12 +178,12 @@
   node_.Write({entry.item}, [this, connection, wait = entry.wait](Replica::Outcome outcome) {
     if (!wait) return;
     if (outcome == Replica::Outcome::kDone) return Reply(connection, 200, "{}");
-    Reply(connection, 503, "{\"error\":\"not yet on a majority of the core\"}");
+    Reply(connection, 503, ErrorBody("not yet on a majority of the core"));
   });
 }
 
 void Registry::Pass(uint64_t connection, const std::string& name, const std::string& body) {
-  if (!store_->up()) return Reply(connection, 503, "{\"error\":\"the store is not there\"}");
+  if (!store_->up()) return Reply(connection, 503, ErrorBody("the store is not there"));
   uint64_t number = ++last_;
   passed_[number] = {connection, node_.Now() + kPassed};
   store_->Send(heaphy::Call{number, name, body});
@@ -247,7 +249,7 @@
     }
     uint64_t connection = it->second.connection;
     it = passed_.erase(it);
-    Reply(connection, 503, "{\"error\":\"may have been taken: the store is silent\"}");
+    Reply(connection, 503, ErrorBody("may have been taken: the store is silent"));
   }
   for (auto it = members_.begin(); it != members_.end();) {
     it = now >= it->second.until ? members_.erase(it) : std::next(it);
--- a/system/cascade/backend.cpp
+++ b/system/cascade/backend.cpp
@@ -5,15 +5,6 @@
 namespace ivygw::cascade {
 namespace {
 
-std::string Quoted(const std::string& text) {
-  std::string out = "\"";
-  for (char c : text) {
-    if (c == '"' || c == '\\') out += '\\';
-    if (static_cast<unsigned char>(c) >= 0x20) out += c;
-  }
-  return out + "\"";
-}
-
 std::string Read(const kepler::Object& root, Backend* out) {
   std::string state, fault;
   if (!(fault = root.Get("target_service", &out->service)).empty()) return fault;
@@ -44,6 +35,7 @@
 }
 
 std::string WriteBackend(const Backend& b) {
+  using kepler::Quoted;
   return "{\"target_service\":" + Quoted(b.service) + ",\"address\":" + Quoted(b.address) + ",\"zone\":" + Quoted(b.zone) +
          ",\"slot_count\":" + std::to_string(b.slots) + ",\"oper_state\":\"" + (b.draining ? "draining" : "ready") +
          "\",\"warmup_left_ms\":" + std::to_string(b.warm_ms) + "}";
--- a/system/kepler/json.cpp
+++ b/system/kepler/json.cpp
@@ -8,6 +8,16 @@
 namespace dom = simdjson::dom;
 using Fault = Object::Fault;
 
+std::string Quoted(std::string_view text) {
+  std::string out = "\"";
+  for (char c : text) {
+    if (c == '"' || c == '\\') out += '\\';
+    if (static_cast<unsigned char>(c) >= 0x20) out += c;
+  }
+  return out += '"';
+}
+std::string ErrorBody(std::string_view text) { return "{\"error\":" + Quoted(text) + "}"; }
+
 template <typename T, typename Out>
 Fault Object::Read(const char* field, Out* out, bool wanted, const char* kind) const {
   dom::element element;
--- a/system/kepler/json.h
+++ b/system/kepler/json.h
@@ -12,6 +12,11 @@
 
 namespace ivygw::kepler {
 
+// As a JSON text, quotes included; control characters are left out.
+std::string Quoted(std::string_view text);
+// {"error":...}, the body of a refusal.
+std::string ErrorBody(std::string_view text);
+
 // An object of a document, which outlives it, with its place in it for messages.
 class Object {
  public:
--- a/system/mueller/store.cpp
+++ b/system/mueller/store.cpp
@@ -1,26 +1,15 @@
 #include "mueller/store.h"
 
+#include "kepler/json.h"
 #include "kepler/model.h"
 #include "rakiura/log.h"
 
 namespace ivygw::mueller {
 
 using luxmore::Replica;
+using kepler::ErrorBody;
 using rakiura::Log;
 
-namespace {
-
-std::string ErrorBody(const std::string& text) {
-  std::string out = "{\"error\":\"";
-  for (char c : text) {
-    if (c == '"' || c == '\\') out += '\\';
-    if (static_cast<unsigned char>(c) >= 0x20) out += c;
-  }
-  return out + "\"}";
-}
-
-}  // namespace
-
 Store::Store(asio::io_context& io, const rakiura::Settings& settings)
     : node_(io, settings, {"mueller", settings.first_port + 1, true, ""}, [this] {
         rees::CoreNode::Events events;
--- a/system/rakiura/log.cpp
+++ b/system/rakiura/log.cpp
@@ -1,5 +1,7 @@
 #include "rakiura/log.h"
 
+#include "kepler/json.h"
+
 #include <glog/logging.h>
 
 #include <chrono>
@@ -13,23 +15,6 @@
   return &node;
 }
 
-void Quote(std::string_view text, std::string* out) {
-  *out += '"';
-  for (char c : text) {
-    if (c == '"' || c == '\\') {
-      *out += '\\';
-      *out += c;
-    } else if (static_cast<unsigned char>(c) < 0x20) {
-      char hex[8];
-      std::snprintf(hex, sizeof(hex), "\\u%04x", c);
-      *out += hex;
-    } else {
-      *out += c;
-    }
-  }
-  *out += '"';
-}
-
 }  // namespace
 
 void StartLog(const char* program, const std::string& node) {
@@ -45,7 +30,7 @@
   char at[40];
   std::snprintf(at, sizeof(at), "{\"at\":%.3f,\"event\":", now);
   line_ = at;
-  Quote(event, &line_);
+  line_ += kepler::Quoted(event);
   if (!Node()->empty()) Add("node", *Node());
 }
 
@@ -53,9 +38,9 @@
 
 Log& Log::Add(std::string_view name, std::string_view text) {
   line_ += ',';
-  Quote(name, &line_);
+  line_ += kepler::Quoted(name);
   line_ += ':';
-  Quote(text, &line_);
+  line_ += kepler::Quoted(text);
   return *this;
 }
 
@@ -63,7 +48,7 @@
   char text[40];
   std::snprintf(text, sizeof(text), "%.10g", number);
   line_ += ',';
-  Quote(name, &line_);
+  line_ += kepler::Quoted(name);
   line_.append(":").append(text);
   return *this;
 }
