Dead members and settings out; one hash of texts in base; a route's draw with the routes

Cause: read once more: members, accessors and settings that nobody read, the mixing of base/dice.h written again in luxmore, the draw of a service in the proxy, an item's digest used as a hash, a backend's Instance-Id read by net for nobody. Left as they are: the worker threads of brewster/disk.h and shared/threaded_engine.h (members alike, one gathers batches into one sync, the other calls an engine one by one), accept loops that wait for descriptors (four lines of Asio), files' opening.

--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -167,7 +167,6 @@
     auto& head = reader_.head();
     out.status = head.result_int();
     out.attempt_id = View(head["Attempt-Id"]);
-    out.instance_id = View(head["Instance-Id"]);
     out.not_executed = head.find("Not-Executed") != head.end();
     out.sealed = head.find("Server-Seal") != head.end();
     out.encoded = head.find(http::field::content_encoding) != head.end();
--- a/src/net/backend_links.h
+++ b/src/net/backend_links.h
@@ -25,7 +25,7 @@
   std::optional<uint64_t> length;  // of the whole body, where the head tells it
   // Of AnswerStyle::kEvery, for which every whole answer is kOk, whatever its status.
   unsigned status = 0;
-  std::string attempt_id, instance_id;  // as the backend tells them
+  std::string attempt_id;               // as the backend tells it
   bool not_executed = false;            // the backend says that it has not run the request
   bool sealed = false, encoded = false; // has a Server-Seal; has a Content-Encoding
   double keep_alive_s = 0;              // for which it keeps an idle connection; 0: not told
--- a/system/cascade/copy.h
+++ b/system/cascade/copy.h
@@ -47,7 +47,6 @@
     return !cores_.empty() && n >= cores_.size() / 2 + 1;
   }
   const std::vector<uint64_t>& sums() const { return sums_; }
-  bool listed(const std::string& core) const { return listed_.count(core) > 0; }
   const std::set<std::string>& cores() const { return cores_; }
 
  private:
--- a/system/cascade/journal.h
+++ b/system/cascade/journal.h
@@ -31,11 +31,9 @@
         }
       }
     }
-    appended_ = begin_ + events_.size();
-    begin_ = appended_;
+    begin_ += events_.size();
     events_.clear();
   }
-  uint64_t appended() const { return begin_ + events_.size(); }
 
  private:
   struct View {
@@ -44,7 +42,7 @@
   };
   std::deque<Event> events_;
   std::vector<View> views_;
-  uint64_t begin_ = 0, appended_ = 0;
+  uint64_t begin_ = 0;
 };
 
 }  // namespace ivygw::cascade
--- a/system/dart/followers.cpp
+++ b/system/dart/followers.cpp
@@ -20,7 +20,7 @@
 Followers::Followers(asio::io_context& io, const rakiura::Settings& settings, Events events)
     : io_(io), settings_(settings), events_(std::move(events)), boot_(Draw()) {
   std::set<std::string> cores;
-  for (const std::string& seed : settings.seeds) cores.insert(seed.substr(0, seed.rfind(':')));
+  for (const std::string& seed : settings.seeds) cores.insert(rakiura::HostOf(seed));
   Know(cores);
 }
 
@@ -55,7 +55,6 @@
   };
   events.message = [this, key](heaphy::Message message) {
     if (const auto* push = std::get_if<heaphy::Push>(&message)) {
-      ++pushes_;
       events_.push(key.second, key.first, *push);
       dialers_.at(key)->Send(heaphy::PushAck{push->number});
     } else if (const auto* state = std::get_if<heaphy::State>(&message)) {
--- a/system/dart/followers.h
+++ b/system/dart/followers.h
@@ -30,7 +30,6 @@
   // To the registry of that core.
   void Send(const std::string& core, const heaphy::Message& message);
   std::vector<std::string> registries() const;    // those in touch
-  uint64_t pushes() const { return pushes_; }
 
  private:
   void Dial(const std::string& core, cascade::Table table);
@@ -39,7 +38,6 @@
   const rakiura::Settings settings_;
   Events events_;
   const uint64_t boot_;
-  uint64_t pushes_ = 0;
   // Lists are asked for from one core at a time, so that the others need tell only what differs.
   struct Asking {
     std::string core;            // that has been asked and has not ended its list; empty: none
--- a/system/heaphy/links.h
+++ b/system/heaphy/links.h
@@ -64,7 +64,6 @@
   // Lost without a word where the connection isn't up.
   void Send(const Message& message) { if (link_) link_->Send(message); }
   bool up() const { return link_ != nullptr; }
-  const tcp::endpoint& address() const { return address_; }
 
  private:
   void Dial();
@@ -94,7 +93,6 @@
   void Send(uint64_t peer, const Message& message);
   void SendFrame(uint64_t peer, const std::string& frame);
   void Close(uint64_t peer);
-  size_t peers() const { return links_.size(); }
 
  private:
   void Accept();
--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -33,7 +33,6 @@
   std::string node, role, zone;
   uint64_t boot = 0;
   std::vector<std::string> cores;  // IP addresses of the core machines that the sender knows of
-  bool blank = false;              // a core that came back without its disk and has not yet read it all anew
 };
 
 // Core to core, replicated items (luxmore).
@@ -85,7 +84,7 @@
 
 template <class A> void serialize(A& a, Item& m) { a(m.key, m.version, m.dropped, m.body); }
 template <class A> void serialize(A& a, Mark& m) { a(m.key, m.version, m.digest, m.synced); }
-template <class A> void serialize(A& a, Hello& m) { a(m.form, m.node, m.role, m.zone, m.boot, m.cores, m.blank); }
+template <class A> void serialize(A& a, Hello& m) { a(m.form, m.node, m.role, m.zone, m.boot, m.cores); }
 template <class A> void serialize(A& a, Put& m) { a(m.number, m.items); }
 template <class A> void serialize(A& a, PutDone& m) { a(m.number, m.counts); }
 template <class A> void serialize(A& a, Safe& m) { a(m.marks); }
--- a/system/hollyford/admission.cpp
+++ b/system/hollyford/admission.cpp
@@ -28,11 +28,6 @@
   return sum;
 }
 
-double Admission::Lent(double now, const std::string& tenant) const {
-  auto it = buckets_.find(tenant);
-  return it == buckets_.end() ? 0 : Fraction(now, it->second);
-}
-
 // W, and the ends of ticks that all tenants share.
 double Admission::Free(double now) {
   if (now >= tick_ + options_.tick_s) {
@@ -277,9 +272,7 @@
 }
 
 Admission::Figures Admission::figures() const {
-  Figures out = figures_;
-  out.tenants = buckets_.size();
-  return out;
+  return figures_;
 }
 
 }  // namespace ivygw::hollyford
--- a/system/hollyford/admission.h
+++ b/system/hollyford/admission.h
@@ -61,12 +61,9 @@
   bool urgent() const { return urgent_; }
 
   struct Figures {
-    size_t tenants = 0;
     uint64_t admitted = 0, by_bucket = 0, by_counter = 0;
   };
   Figures figures() const;
-  // Of the tenant's limit, what is lent to this gateway now.
-  double Lent(double now, const std::string& tenant) const;
 
  private:
   struct LentPart {
--- a/system/hollyford/lender.cpp
+++ b/system/hollyford/lender.cpp
@@ -120,14 +120,4 @@
   }
 }
 
-double Lender::Lent(double now, const std::string& name) const {
-  auto it = tenants_.find(name);
-  if (it == tenants_.end()) return 0;
-  double sum = 0;
-  for (const auto& [gateway, held] : it->second.held) {
-    if (now < held.until) sum += held.exposed;
-  }
-  return sum;
-}
-
 }  // namespace ivygw::hollyford
--- a/system/hollyford/lender.h
+++ b/system/hollyford/lender.h
@@ -28,9 +28,6 @@
   // Lends on only what gateways show that they hold.
   bool Closed(double now) const;
   size_t awaited() const { return awaited_.size(); }
-  // Of a tenant's limit, what may be in use by this lender's word now.
-  double Lent(double now, const std::string& tenant) const;
-  size_t tenants() const { return tenants_.size(); }
 
  private:
   struct Held {
--- a/system/kepler/json.cpp
+++ b/system/kepler/json.cpp
@@ -102,19 +102,6 @@
   return {};
 }
 
-Fault Object::Pairs(const char* field, std::vector<std::pair<std::string, std::string>>* out) const {
-  dom::object object;
-  simdjson::error_code error = object_.at_key(field).get(object);
-  if (error == simdjson::NO_SUCH_FIELD) return {};
-  if (error) return Name(field) + ": an object is wanted";
-  for (auto pair : object) {
-    std::string_view text;
-    if (pair.value.get(text)) return Name(field) + "." + std::string(pair.key) + ": a text is wanted";
-    out->emplace_back(std::string(pair.key), std::string(text));
-  }
-  return {};
-}
-
 Fault Object::Only(std::initializer_list<std::string_view> fields) const {
   for (auto pair : object_) {
     if (std::find(fields.begin(), fields.end(), pair.key) == fields.end()) return Name(pair.key) + ": is not known";
--- a/system/kepler/json.h
+++ b/system/kepler/json.h
@@ -34,7 +34,6 @@
   Fault Numbers(const char* field, std::vector<int>* out, bool wanted = true) const;
   Fault Sub(const char* field, Object* out, bool* there) const;
   Fault Each(const char* field, bool wanted, const std::function<Fault(const Object&)>& take) const;
-  Fault Pairs(const char* field, std::vector<std::pair<std::string, std::string>>* out) const;  // an object of strings
   Fault Only(std::initializer_list<std::string_view> fields) const;  // no other field is there
   std::string Text() const { return simdjson::minify(object_); }
 
--- a/system/luxmore/replica.cpp
+++ b/system/luxmore/replica.cpp
@@ -4,29 +4,14 @@
 #include <bit>
 #include <tuple>
 
-namespace ivygw::luxmore {
-namespace {
-
-uint64_t Mix(uint64_t x) {
-  x ^= x >> 30;
-  x *= 0xbf58476d1ce4e5b9ULL;
-  x ^= x >> 27;
-  x *= 0x94d049bb133111ebULL;
-  return x ^ x >> 31;
-}
-uint64_t Fnv(const std::string& text, uint64_t seed) {
-  uint64_t h = 0xcbf29ce484222325ULL ^ seed;
-  for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
-  return h;
-}
+#include "base/text_hash.h"
 
-}  // namespace
-
-size_t RangeOf(const std::string& key, size_t ranges) { return Mix(Fnv(key, 0)) % ranges; }
+namespace ivygw::luxmore {
+size_t RangeOf(const std::string& key, size_t ranges) { return micadock::TextHash(key) % ranges; }
 
 uint64_t DigestOf(const Item& item) {
-  uint64_t h = Mix(Fnv(item.key, 1)) + Mix(item.version + 0x9e3779b97f4a7c15ULL);
-  return Mix(h ^ Mix(Fnv(item.body, item.dropped ? 7 : 3)));
+  uint64_t body = micadock::TextHash(item.body, item.dropped ? 7 : 3);
+  return micadock::Mix(micadock::TextHash(item.key, 1) ^ micadock::Mix(item.version) ^ micadock::Mix(body));
 }
 
 bool Newer(const Item& a, const Item& b) {
@@ -58,8 +43,6 @@
   return it == options_.cores.end() ? 0 : uint32_t{1} << std::distance(options_.cores.begin(), it);
 }
 
-bool Replica::quorate() const { return up_.size() + (options_.blank ? 0 : 1) >= majority(); }
-
 void Replica::Synced(Entry* entry) {
   if (entry->synced) return;
   entry->synced = true;
--- a/system/luxmore/replica.h
+++ b/system/luxmore/replica.h
@@ -87,8 +87,6 @@
   bool complete() const { return complete_; }
   const std::set<std::string>& cores() const { return options_.cores; }
   size_t majority() const { return options_.cores.size() / 2 + 1; }
-  // In touch with enough of the others for a majority, as far as connections tell.
-  bool quorate() const;
 
  private:
   struct Pending {
--- a/system/milford/exchanges.cpp
+++ b/system/milford/exchanges.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <cmath>
 
-#include "luxmore/replica.h"
 #include "net/address.h"
 
 namespace ivygw::milford {
@@ -30,13 +29,6 @@
   return false;
 }
 
-// 0 to 1, the same for the same id on every gateway.
-double Dice(const std::string& id) {
-  heaphy::Item item;
-  item.key = id;
-  return static_cast<double>(luxmore::DigestOf(item) >> 11) * 0x1.0p-53;
-}
-
 }  // namespace
 
 Exchanges::Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routeburn::Routes* routes,
@@ -90,7 +82,7 @@
   // What may run only once goes on to its end; what may be asked again frees its place at once.
   if (request.connection != 0 && !request.course.idempotent && !request.replying) return;
   if (request.connection != 0) {
-    pool_->OnMet(Now(), request.backend, Met::kLeft, 0);
+    pool_->OnMet(Now(), request.backend, Met::kLeft);
     Drop(request.connection);
   }
   requests_.erase(at);
@@ -156,7 +148,7 @@
 
 void Exchanges::Admitted(uint64_t id) {
   Request& request = requests_.at(id);
-  request.service = routeburn::Routes::Pick(*request.route, Dice(request.attempt_id));
+  request.service = routeburn::Routes::Pick(*request.route, request.attempt_id);
   request.course.idempotent = request.route->idempotent;
   request.course.most_sent = request.route->max_attempts;
   budget_->OnRequest(request.arrived, request.service);
@@ -178,10 +170,8 @@
     return Refuse(id, 503, kComeBack, "no backend");
   }
   request.tried.insert(backend);
-  request.backend = request.instance = backend;
-  request.written = false;
+  request.backend = backend;
   pool_->OnSent(backend);
-  request.sent_at = now;
   auto& idle = idle_[backend];
   while (!idle.empty()) {
     uint64_t connection = idle.back();
@@ -198,7 +188,7 @@
     return Write(id);
   }
   uint64_t connection = ++last_connection_;
-  connections_[connection] = {backend, id, 0, now, false, false};
+  connections_[connection] = {backend, id, 0, false, false};
   request.connection = connection;
   ++figures_.connections;
   request.connect_timer = std::make_unique<asio::steady_timer>(io_);
@@ -228,7 +218,7 @@
   out.append(View(head.method_string())).append(" ").append(View(head.target())).append(" HTTP/1.1\r\n");
   AppendEndToEnd(head, &out, [](const auto& field) { return Own(View(field.name_string())); });
   out += "Deadline-Remaining: " + std::to_string(static_cast<long>(std::max(1.0, (request.deadline - now) * 1000))) + "\r\n";
-  out += "Expected-Instance: " + request.instance + "\r\n";
+  out += "Expected-Instance: " + request.backend + "\r\n";
   if (request.tenant) out += "Tenant-Name: " + request.tenant->name + "\r\n";
   if (!request.message.body.empty() || head.method() == http::verb::post || head.method() == http::verb::put) {
     out += "Content-Length: " + std::to_string(request.message.body.size()) + "\r\n";
@@ -251,13 +241,6 @@
   Write(it->second.request);
 }
 
-void Exchanges::OnWritten(uint64_t connection) {
-  auto it = connections_.find(connection);
-  if (it == connections_.end() || it->second.request == 0) return;
-  Request& request = requests_.at(it->second.request);
-  request.written = true;
-}
-
 tongariro::Reading Exchanges::Read(const Request& request, const BackendAnswer& answer) {
   tongariro::AnswerFacts facts;
   facts.status = answer.status;
@@ -303,7 +286,7 @@
                budget_->May(Now(), request.service);
   if (again) return Ended(id, Told::kUnknown, reading.met);
   double now = Now();
-  pool_->OnMet(now, request.backend, reading.met, now - request.sent_at);
+  pool_->OnMet(now, request.backend, reading.met);
   request.connection = 0;
   if (reading.met == Met::kServed) Served(request, now);
   Answer out;
@@ -353,7 +336,7 @@
   Request& request = requests_.at(id);
   uint64_t client = request.client;
   double now = Now();
-  pool_->OnMet(now, request.backend, Met::kServed, now - request.sent_at);
+  pool_->OnMet(now, request.backend, Met::kServed);
   Release(connection, keep, 0);
   Served(request, now);
   of_client_.erase(client);
@@ -371,7 +354,7 @@
   Request& request = requests_.at(id);
   if (request.replying) {
     uint64_t client = request.client;
-    pool_->OnMet(Now(), request.backend, Met::kBroken, 0);
+    pool_->OnMet(Now(), request.backend, Met::kBroken);
     of_client_.erase(client);
     requests_.erase(id);
     return front_->Abort(client);
@@ -396,7 +379,7 @@
 void Exchanges::Ended(uint64_t id, Told told, Met met) {
   Request& request = requests_.at(id);
   double now = Now();
-  pool_->OnMet(now, request.backend, met, now - request.sent_at);
+  pool_->OnMet(now, request.backend, met);
   request.connection = 0;
   request.connect_timer.reset();
   if (told == Told::kNotSent) {
@@ -429,7 +412,7 @@
   if (request.connection != 0) {
     Link& link = connections_.at(request.connection);
     sent = sent || link.up;
-    pool_->OnMet(Now(), request.backend, link.up ? Met::kSilent : Met::kRefusedConnection, 0);
+    pool_->OnMet(Now(), request.backend, link.up ? Met::kSilent : Met::kRefusedConnection);
     Drop(request.connection);
     request.connection = 0;
   }
--- a/system/milford/exchanges.h
+++ b/system/milford/exchanges.h
@@ -44,7 +44,7 @@
   const Figures& figures() const { return figures_; }
 
   void OnConnected(uint64_t connection) override;
-  void OnWritten(uint64_t connection) override;
+  void OnWritten(uint64_t) override {}
   void OnAnswer(uint64_t connection, BackendAnswer answer) override;
   void OnLost(uint64_t connection) override;
   void OnStale(uint64_t connection) override;
@@ -63,16 +63,14 @@
     tongariro::Course course;
     std::set<std::string> tried;
     uint64_t connection = 0;  // of the attempt that is out; 0: none
-    std::string backend, instance;
-    double sent_at = 0;
-    bool written = false, replying = false, client_gone = false;
+    std::string backend;  // its id: what it must answer as, too
+    bool replying = false, client_gone = false;
     std::unique_ptr<asio::steady_timer> timer, connect_timer;
   };
   struct Link {
     std::string backend;
     uint64_t request = 0;  // 0: idle
     double until = 0;      // for which it is kept idle
-    double since = 0;
     bool kept = false, up = false;
   };
 
--- a/system/rakiura/settings.cpp
+++ b/system/rakiura/settings.cpp
@@ -14,16 +14,11 @@
   kepler::Object root;
   if (std::string fault = document.Read(json, &root); !fault.empty()) return {fault};
   note(root.Get("node_name", &out->node));
-  note(root.Get("machine_class", &out->machine_class, false));
   note(root.Get("ip_address", &out->ip));
   note(root.Get("zone", &out->zone));
-  note(root.Get("region", &out->region, false));
-  note(root.Pairs("zones", &out->zones));
   note(root.Get("initial_boot", &out->initial_boot, false));
   note(root.Get("data_directory", &out->data_directory, false));
-  note(root.Get("heartbeat_ms", &out->heartbeat_ms, false));
   note(root.Strings("seed_nodes", &out->seeds));
-  note(root.Strings("contract_list", &out->contracts, false));
   kepler::Object part;
   bool there = false;
   note(root.Sub("listen_addresses", &part, &there));
@@ -39,7 +34,6 @@
     note("internal_port_range: two ports are wanted, the first below the second");
   } else {
     out->first_port = range[0];
-    out->last_port = range[1];
   }
   note(root.Sub("limits", &part, &there));
   if (there) {
@@ -48,10 +42,7 @@
   }
   note(root.Sub("timing_bounds", &part, &there));
   if (there) {
-    note(part.Get("drain_ms", &out->drain_ms, false));
-    note(part.Get("address_reuse_s", &out->address_reuse_s, false));
     note(part.Get("grace_s", &out->grace_s, false));
-    note(part.Get("contact_ms", &out->contact_ms, false));
     note(part.Get("retry_budget_ratio", &out->retry_ratio, false));
     note(part.Get("retry_window_s", &out->retry_window_s, false));
     note(part.Get("retry_slack", &out->retry_slack, false));
--- a/system/rakiura/settings.h
+++ b/system/rakiura/settings.h
@@ -8,22 +8,22 @@
 namespace ivygw::rakiura {
 
 struct Settings {
-  std::string node, machine_class, ip, zone, region;
+  std::string node, ip, zone;
   std::string front_http, readiness, control_plane;  // IP:port; empty where not served
-  int first_port = 0, last_port = 0;                  // of the internal range
+  int first_port = 0;                                 // of the internal range, which holds two at least
   std::vector<std::string> seeds;                     // control_plane addresses
-  std::vector<std::pair<std::string, std::string>> zones;  // zone, region
   bool initial_boot = false;
   std::string data_directory;  // empty: no disk
-  int heartbeat_ms = 1500;
-  std::vector<std::string> contracts;
   int memory_mb = 256, descriptors = 1024;
   // Bounds that decisions go by.
-  int drain_ms = 2500, address_reuse_s = 2, grace_s = 6, contact_ms = 3000;
+  int grace_s = 6;
   double retry_ratio = 0.2, retry_window_s = 10, retry_slack = 20;
   double quota_window_s = 5, quota_overrun = 0.1, quota_slack = 20;
 };
 
+// The host of a host:port text.
+inline std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
 // All faults, each naming its field; none: the settings are sound.
 std::vector<std::string> ReadSettings(const std::string& json, Settings* out);
 
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -10,14 +10,13 @@
 
 namespace {
 
+constexpr uint64_t kFiguresEvery = 50;     // ticks
 constexpr auto kGather = std::chrono::milliseconds(8);
 constexpr size_t kPushBytes = 256 * 1024;  // of a list in one message
 constexpr size_t kMostNamed = 200;         // members that are told by name
 
 }  // namespace
 
-std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
-
 CoreNode::CoreNode(asio::io_context& io, const rakiura::Settings& settings, Options options, Events events)
     : io_(io),
       settings_(settings),
@@ -90,7 +89,7 @@
   own.self = settings.ip;
   own.life = static_cast<uint32_t>(boot_) | 1;
   own.cores = content.cores;
-  for (const std::string& seed : settings.seeds) own.cores.insert(HostOf(seed));
+  for (const std::string& seed : settings.seeds) own.cores.insert(rakiura::HostOf(seed));
   own.cores.insert(settings.ip);
   // What can't be read is as good as lost: this copy reads all anew before it counts.
   own.blank = (!content.counts && !settings.initial_boot) || !content.unreadable.empty();
@@ -114,7 +113,6 @@
   hello.zone = settings_.zone;
   hello.boot = boot_;
   hello.cores.assign(replica_->cores().begin(), replica_->cores().end());
-  hello.blank = replica_->blank();
   return hello;
 }
 
@@ -309,6 +307,14 @@
   }
 }
 
+// How far gateways are with what was pushed to them, by their acknowledgements.
+void CoreNode::Figures() const {
+  size_t behind = 0;
+  for (const auto& [peer, follower] : followers_) behind += follower.acknowledged < follower.pushed;
+  Log("figures").Add("role", options_.role).Add("items", replica_->entries().size()).Add("cores", cores_in_.size() + 1)
+      .Add("gateways", followers_.size()).Add("pushed", pushed_).Add("behind", behind);
+}
+
 void CoreNode::Tick() {
   Replica::Effects effects;
   replica_->OnTime(Now(), &effects);
@@ -318,6 +324,7 @@
   }
   events_.tick();
   TellState();
+  if (++ticks_ % kFiguresEvery == 0) Figures();
   timer_.expires_after(std::chrono::milliseconds(100));
   timer_.async_wait([this](error_code cancelled) {
     if (!cancelled) Tick();
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -74,6 +74,7 @@
   void TellState();
   heaphy::State StateNow() const;
   void Tick();
+  void Figures() const;
   std::optional<luxmore::Item> Shown(const std::string& key) const;
 
   asio::io_context& io_;
@@ -89,7 +90,7 @@
   std::map<uint64_t, Outcome> waiting_;
   std::deque<Replica::Effects> effects_;
   bool running_ = false;
-  uint64_t last_ticket_ = 0, boot_ = 0;
+  uint64_t last_ticket_ = 0, boot_ = 0, ticks_ = 0;
   std::vector<heaphy::Member> gateways_;
   std::set<std::string> news_;
   uint64_t pushed_ = 0;  // the number of the last change pushed
@@ -100,9 +101,6 @@
   asio::steady_timer timer_;
 };
 
-// Address of a host:port text, its host alone.
-std::string HostOf(const std::string& address);
-
 }  // namespace ivygw::rees
 
 #endif  // IVYGW_SYSTEM_REES_CORE_NODE_H_
--- a/system/routeburn/routes.cpp
+++ b/system/routeburn/routes.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/text_hash.h"
+
 namespace ivygw::routeburn {
 namespace {
 
@@ -50,14 +52,6 @@
     auto made = std::make_shared<const kepler::Tenant>(std::move(tenant));
     tenants_[name] = made;
     for (const std::string& key : made->keys) keys_[key][name] = made;
-  } else if (table == kepler::kServices) {
-    kepler::Service service;
-    if (!item.dropped) {
-      if (kepler::Fault fault = kepler::ReadService(item.body, &service); !fault.empty()) return fault;
-      services_[name] = std::move(service);
-    } else {
-      services_.erase(name);
-    }
   } else if (table == kepler::kLimits && !item.dropped) {
     return kepler::ReadLimits(item.body, &limits_);
   }
@@ -94,10 +88,10 @@
   return it == keys_.end() ? nullptr : it->second.begin()->second;
 }
 
-const std::string& Routes::Pick(const kepler::Route& route, double dice) {
+const std::string& Routes::Pick(const kepler::Route& route, const std::string& id) {
   double sum = 0;
   for (const auto& [service, weight] : route.targets) sum += weight;
-  double at = dice * sum;
+  double at = micadock::Dice(micadock::TextHash(id)).Unit() * sum;
   const std::string* last = &route.targets.front().first;
   for (const auto& [service, weight] : route.targets) {
     if (weight <= 0) continue;
--- a/system/routeburn/routes.h
+++ b/system/routeburn/routes.h
@@ -28,11 +28,9 @@
   bool any() const { return !routes_.empty(); }
   bool has_tenants() const { return tenants_seen_; }
   const kepler::Limits& limits() const { return limits_; }
-  const std::map<std::string, Tenant>& tenants() const { return tenants_; }
-  const std::map<std::string, kepler::Service>& services() const { return services_; }
 
-  // A service of the route by weight; the same for the same dice (0 to 1).
-  static const std::string& Pick(const kepler::Route& route, double dice);
+  // A service of the route by weight; the same for the same request's id on every gateway.
+  static const std::string& Pick(const kepler::Route& route, const std::string& id);
 
  private:
   void Unlink(const std::string& name);
@@ -41,7 +39,6 @@
   std::unordered_map<std::string, std::map<std::string, std::map<std::string, Route>>> hosts_;
   std::map<std::string, Tenant> tenants_;
   std::unordered_map<std::string, std::map<std::string, Tenant>> keys_;  // holders of each key by name
-  std::map<std::string, kepler::Service> services_;
   kepler::Limits limits_;
   bool tenants_seen_ = false;
 };
--- a/system/taranaki/run.cpp
+++ b/system/taranaki/run.cpp
@@ -17,7 +17,6 @@
 
 #include "luxmore/replica.h"
 #include "heaphy/links.h"
-#include "kepler/model.h"
 #include "net/message_reader.h"
 
 extern char** environ;
--- a/system/tongariro/pool.cpp
+++ b/system/tongariro/pool.cpp
@@ -112,7 +112,7 @@
   if (it != seen_.end()) ++it->second.out;
 }
 
-void Pool::OnMet(double now, const std::string& id, Met met, double took_s) {
+void Pool::OnMet(double now, const std::string& id, Met met) {
   auto it = seen_.find(id);
   if (it == seen_.end()) return;
   Seen& seen = it->second;
@@ -121,7 +121,6 @@
     case Met::kServed:
       seen.failures = 0;
       seen.avoid_until = 0;
-      seen.latency = seen.latency == 0 ? took_s : 0.8 * seen.latency + 0.2 * took_s;
       break;
     case Met::kFailed:
     case Met::kLeft: break;
@@ -143,10 +142,6 @@
   auto it = seen_.find(id);
   return it == seen_.end() ? nullptr : &it->second;
 }
-size_t Pool::of(const std::string& service) const {
-  auto it = services_.find(service);
-  return it == services_.end() ? 0 : it->second.size();
-}
 bool Pool::Idle(const std::string& id) const {
   auto it = seen_.find(id);
   return it == seen_.end() || (it->second.out == 0 && (it->second.gone || it->second.backend.draining));
--- a/system/tongariro/pool.h
+++ b/system/tongariro/pool.h
@@ -30,7 +30,6 @@
   double full_until = 0;     // it said that it had no room
   int failures = 0;          // in a row
   bool gone = false;         // another backend answers at its address, or none
-  double latency = 0;        // s, of late
   int own = 0;               // slots dealt to this gateway
 };
 
@@ -45,10 +44,9 @@
   // Where a request for the service should go now; empty where nobody can take it. `tried` are left out.
   std::string Choose(double now, const std::string& service, const std::set<std::string>& tried);
   void OnSent(const std::string& id);
-  void OnMet(double now, const std::string& id, Met met, double took_s);
+  void OnMet(double now, const std::string& id, Met met);
 
   const Seen* Find(const std::string& id) const;
-  size_t of(const std::string& service) const;
   // Those that are no longer sent anything, with nothing out: their connections may go.
   bool Idle(const std::string& id) const;
 
