--- /dev/null
+++ b/system/messages/replication.h
@@ -0,0 +1,151 @@
+// The messages between the cores of one replicated table, and the values that they carry. Plain data; serialised by cereal.
+// docs/design/control-state.md describes the protocol.
+#ifndef IVYGW_SYSTEM_MESSAGES_REPLICATION_H_
+#define IVYGW_SYSTEM_MESSAGES_REPLICATION_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "messages/item.h"
+
+namespace ivygw::messages {
+
+// Orders the attempts to decide one revision. `proposer` is the proposer's incarnation, drawn at random at each process
+// start, so that no two proposals ever share a ballot.
+struct Ballot {
+  uint64_t round = 0;
+  uint64_t proposer = 0;
+  auto operator<=>(const Ballot&) const = default;
+};
+
+// One voting core. `store_id` is drawn when the store on disk is created, so a machine that lost its disk is another member.
+struct Member {
+  std::string address;  // IP
+  uint64_t store_id = 0;
+  std::string zone;
+  bool SameStore(const Member& other) const { return address == other.address && store_id == other.store_id; }
+  bool operator==(const Member&) const = default;
+};
+
+// The voting cores of an epoch. Epoch 0: not known yet.
+struct Membership {
+  uint64_t epoch = 0;
+  std::vector<Member> members;
+  size_t Quorum() const { return members.size() / 2 + 1; }
+  bool operator==(const Membership&) const = default;
+};
+
+// An earlier version of an item that was confirmed to a caller.
+struct PastVersion {
+  uint64_t version = 0;
+  uint64_t digest = 0;
+  bool operator==(const PastVersion&) const = default;
+};
+
+// An item as it stands in a table.
+struct Record {
+  Item item;
+  uint64_t revision = 0;          // of the change that wrote it last
+  std::vector<PastVersion> past;  // oldest first; of tables whose callers choose versions freely
+  bool operator==(const Record&) const = default;
+};
+
+// Names an order for ever: the incarnation of the core that took it, and a number within that.
+struct OrderId {
+  uint64_t incarnation = 0;
+  uint64_t number = 0;
+  auto operator<=>(const OrderId&) const = default;
+};
+
+// What is decided for one revision of a table: all of it or nothing.
+struct Change {
+  uint64_t revision = 0;
+  std::vector<OrderId> orders;  // whose effects these are
+  std::vector<Record> records;
+  std::vector<std::string> pruned;       // keys of tombstones that end
+  std::optional<Membership> membership;  // the epoch that begins after this revision
+  bool operator==(const Change&) const = default;
+};
+
+// A change that an acceptor has accepted and that is not known to be decided.
+struct AcceptedChange {
+  Ballot ballot;
+  Change change;
+};
+
+// What every message between cores begins with.
+struct PeerHeader {
+  uint64_t epoch = 0;        // of the sender's membership
+  uint64_t store_id = 0;
+  uint64_t incarnation = 0;  // of the sender's process
+  uint64_t revision = 0;     // decided and applied by the sender
+  uint64_t durable = 0;      // the highest revision that the sender's disk holds
+  std::string zone;
+};
+
+// Phase 1: asks for a promise to accept nothing below `ballot`, for `revision` and all that follow in this epoch.
+struct Prepare { uint64_t revision = 0; Ballot ballot; };
+struct Promise { uint64_t revision = 0; Ballot ballot; std::optional<AcceptedChange> accepted; };
+// Phase 2.
+struct Accept { uint64_t revision = 0; Ballot ballot; Change change; };
+struct Accepted { uint64_t revision = 0; Ballot ballot; };
+// To Prepare or Accept: a higher ballot has been promised.
+struct Rejected { uint64_t revision = 0; Ballot ballot, promised; };
+struct Commit { uint64_t revision = 0; Ballot ballot; };
+
+// Asks for what has changed after `from`. The answer is one part; the receiver asks on from `to` until `to` is `end`.
+struct DeltaRequest { uint64_t from = 0; };
+struct PrunedKey { std::string key; uint64_t revision = 0; };
+struct Delta {
+  uint64_t from = 0, to = 0;
+  uint64_t end = 0;        // the sender's revision
+  bool reset = false;      // begins anew from an empty table: the sender no longer knows what ended since `from`
+  Membership membership;   // at `end`
+  std::vector<Record> records;  // by revision
+  std::vector<PrunedKey> pruned;
+};
+
+struct Heartbeat { uint64_t number = 0; };
+struct HeartbeatReply { uint64_t number = 0; };
+// A read asks members how far they are; `undecided`: a change after the header's revision has been accepted there.
+struct ReadQuery { uint64_t number = 0; };
+struct ReadReply { uint64_t number = 0; bool undecided = false; };
+// The sender of an older epoch is told the current one; its message counted toward nothing.
+struct EpochNotice { Membership membership; };
+
+using PeerBody = std::variant<Prepare, Promise, Accept, Accepted, Rejected, Commit, DeltaRequest, Delta, Heartbeat, HeartbeatReply,
+                              ReadQuery, ReadReply, EpochNotice>;
+struct PeerMessage { PeerHeader header; PeerBody body; };
+
+template <class A> void serialize(A& a, Ballot& m) { a(m.round, m.proposer); }
+template <class A> void serialize(A& a, Member& m) { a(m.address, m.store_id, m.zone); }
+template <class A> void serialize(A& a, Membership& m) { a(m.epoch, m.members); }
+template <class A> void serialize(A& a, PastVersion& m) { a(m.version, m.digest); }
+template <class A> void serialize(A& a, Record& m) { a(m.item, m.revision, m.past); }
+template <class A> void serialize(A& a, OrderId& m) { a(m.incarnation, m.number); }
+template <class A> void serialize(A& a, Change& m) { a(m.revision, m.orders, m.records, m.pruned, m.membership); }
+template <class A> void serialize(A& a, AcceptedChange& m) { a(m.ballot, m.change); }
+template <class A> void serialize(A& a, PeerHeader& m) { a(m.epoch, m.store_id, m.incarnation, m.revision, m.durable, m.zone); }
+template <class A> void serialize(A& a, Prepare& m) { a(m.revision, m.ballot); }
+template <class A> void serialize(A& a, Promise& m) { a(m.revision, m.ballot, m.accepted); }
+template <class A> void serialize(A& a, Accept& m) { a(m.revision, m.ballot, m.change); }
+template <class A> void serialize(A& a, Accepted& m) { a(m.revision, m.ballot); }
+template <class A> void serialize(A& a, Rejected& m) { a(m.revision, m.ballot, m.promised); }
+template <class A> void serialize(A& a, Commit& m) { a(m.revision, m.ballot); }
+template <class A> void serialize(A& a, DeltaRequest& m) { a(m.from); }
+template <class A> void serialize(A& a, PrunedKey& m) { a(m.key, m.revision); }
+template <class A> void serialize(A& a, Delta& m) { a(m.from, m.to, m.end, m.reset, m.membership, m.records, m.pruned); }
+template <class A> void serialize(A& a, Heartbeat& m) { a(m.number); }
+template <class A> void serialize(A& a, HeartbeatReply& m) { a(m.number); }
+template <class A> void serialize(A& a, ReadQuery& m) { a(m.number); }
+template <class A> void serialize(A& a, ReadReply& m) { a(m.number, m.undecided); }
+template <class A> void serialize(A& a, EpochNotice& m) { a(m.membership); }
+template <class A> void serialize(A& a, PeerMessage& m) { a(m.header, m.body); }
+
+}  // namespace ivygw::messages
+
+#endif  // IVYGW_SYSTEM_MESSAGES_REPLICATION_H_
