Changes of a replicated table are decided in two phases, one revision after the other

Cause: copies merged by version and digest can't tell which of two contents of one number was confirmed. Change: acceptor, proposer, reads by a majority's revisions, contact by heartbeats, members as decided changes, catching up by revision. Measured: compiles; the simulated network that drives it is not there yet, so nothing is shown.

--- a/system/messages/item.h
+++ b/system/messages/item.h
@@ -1,4 +1,5 @@
-// A versioned item of a replicated table: the unit that callers write, that cores agree on and that gateways are sent.
+// A versioned item of a replicated table: the unit that callers write, that cores agree on and that gateways
+// are sent.
 #ifndef IVYGW_SYSTEM_MESSAGES_ITEM_H_
 #define IVYGW_SYSTEM_MESSAGES_ITEM_H_
 
--- a/system/messages/replication.h
+++ b/system/messages/replication.h
@@ -1,5 +1,5 @@
-// The messages between the cores of one replicated table, and the values that they carry. Plain data; serialised by cereal.
-// docs/design/control-state.md describes the protocol.
+// The messages between the cores of one replicated table, and the values that they carry. Plain data;
+// serialised by cereal. docs/design/control-state.md describes the protocol.
 #ifndef IVYGW_SYSTEM_MESSAGES_REPLICATION_H_
 #define IVYGW_SYSTEM_MESSAGES_REPLICATION_H_
 
@@ -14,15 +14,16 @@
 
 namespace ivygw::messages {
 
-// Orders the attempts to decide one revision. `proposer` is the proposer's incarnation, drawn at random at each process
-// start, so that no two proposals ever share a ballot.
+// Orders the attempts to decide one revision. `proposer` is the proposer's incarnation, drawn at random at
+// each process start, so that no two proposals ever share a ballot.
 struct Ballot {
   uint64_t round = 0;
   uint64_t proposer = 0;
   auto operator<=>(const Ballot&) const = default;
 };
 
-// One voting core. `store_id` is drawn when the store on disk is created, so a machine that lost its disk is another member.
+// One voting core. `store_id` is drawn when the store on disk is created, so a machine that lost its disk is
+// another member.
 struct Member {
   std::string address;  // IP
   uint64_t store_id = 0;
@@ -79,7 +80,7 @@
 
 // What every message between cores begins with.
 struct PeerHeader {
-  uint64_t epoch = 0;        // of the sender's membership
+  uint64_t epoch = 0;  // of the sender's membership
   uint64_t store_id = 0;
   uint64_t incarnation = 0;  // of the sender's process
   uint64_t revision = 0;     // decided and applied by the sender
@@ -87,64 +88,178 @@
   std::string zone;
 };
 
-// Phase 1: asks for a promise to accept nothing below `ballot`, for `revision` and all that follow in this epoch.
-struct Prepare { uint64_t revision = 0; Ballot ballot; };
-struct Promise { uint64_t revision = 0; Ballot ballot; std::optional<AcceptedChange> accepted; };
+// Phase 1: asks for a promise to accept nothing below `ballot`, for `revision` and all that follow in this
+// epoch.
+struct Prepare {
+  uint64_t revision = 0;
+  Ballot ballot;
+};
+struct Promise {
+  uint64_t revision = 0;
+  Ballot ballot;
+  std::optional<AcceptedChange> accepted;
+};
 // Phase 2.
-struct Accept { uint64_t revision = 0; Ballot ballot; Change change; };
-struct Accepted { uint64_t revision = 0; Ballot ballot; };
+struct Accept {
+  uint64_t revision = 0;
+  Ballot ballot;
+  Change change;
+};
+struct Accepted {
+  uint64_t revision = 0;
+  Ballot ballot;
+};
 // To Prepare or Accept: a higher ballot has been promised.
-struct Rejected { uint64_t revision = 0; Ballot ballot, promised; };
-struct Commit { uint64_t revision = 0; Ballot ballot; };
+struct Rejected {
+  uint64_t revision = 0;
+  Ballot ballot, promised;
+};
+struct Commit {
+  uint64_t revision = 0;
+  Ballot ballot;
+};
 
-// Asks for what has changed after `from`. The answer is one part; the receiver asks on from `to` until `to` is `end`.
-struct DeltaRequest { uint64_t from = 0; };
-struct PrunedKey { std::string key; uint64_t revision = 0; };
+// Asks for what has changed after `from`. The answer is one part; the receiver asks on from `to` until `to`
+// is `end`. Tombstones that ended up to `pruned_known` don't matter to it.
+struct DeltaRequest {
+  uint64_t from = 0, pruned_known = 0;
+};
+struct PrunedKey {
+  std::string key;
+  uint64_t revision = 0;
+};
 struct Delta {
   uint64_t from = 0, to = 0;
-  uint64_t end = 0;        // the sender's revision
-  bool reset = false;      // begins anew from an empty table: the sender no longer knows what ended since `from`
-  Membership membership;   // at `end`
-  std::vector<Record> records;  // by revision
-  std::vector<PrunedKey> pruned;
-};
-
-struct Heartbeat { uint64_t number = 0; };
-struct HeartbeatReply { uint64_t number = 0; };
-// A read asks members how far they are; `undecided`: a change after the header's revision has been accepted there.
-struct ReadQuery { uint64_t number = 0; };
-struct ReadReply { uint64_t number = 0; bool undecided = false; };
+  uint64_t end = 0;       // the sender's revision
+  bool reset = false;     // begins anew from an empty table: the sender no longer knows all ends that matter
+  Membership membership;  // at `end`
+  std::vector<Record> records;    // by revision
+  std::vector<PrunedKey> pruned;  // of the last part: all ends of tombstones that matter
+};
+
+struct Heartbeat {
+  uint64_t number = 0;
+};
+struct HeartbeatReply {
+  uint64_t number = 0;
+};
+// A read asks members how far they are; `undecided`: a change after the header's revision has been accepted
+// there.
+struct ReadQuery {
+  uint64_t number = 0;
+};
+struct ReadReply {
+  uint64_t number = 0;
+  bool undecided = false;
+};
 // The sender of an older epoch is told the current one; its message counted toward nothing.
-struct EpochNotice { Membership membership; };
-
-using PeerBody = std::variant<Prepare, Promise, Accept, Accepted, Rejected, Commit, DeltaRequest, Delta, Heartbeat, HeartbeatReply,
-                              ReadQuery, ReadReply, EpochNotice>;
-struct PeerMessage { PeerHeader header; PeerBody body; };
-
-template <class A> void serialize(A& a, Ballot& m) { a(m.round, m.proposer); }
-template <class A> void serialize(A& a, Member& m) { a(m.address, m.store_id, m.zone); }
-template <class A> void serialize(A& a, Membership& m) { a(m.epoch, m.members); }
-template <class A> void serialize(A& a, PastVersion& m) { a(m.version, m.digest); }
-template <class A> void serialize(A& a, Record& m) { a(m.item, m.revision, m.past); }
-template <class A> void serialize(A& a, OrderId& m) { a(m.incarnation, m.number); }
-template <class A> void serialize(A& a, Change& m) { a(m.revision, m.orders, m.records, m.pruned, m.membership); }
-template <class A> void serialize(A& a, AcceptedChange& m) { a(m.ballot, m.change); }
-template <class A> void serialize(A& a, PeerHeader& m) { a(m.epoch, m.store_id, m.incarnation, m.revision, m.durable, m.zone); }
-template <class A> void serialize(A& a, Prepare& m) { a(m.revision, m.ballot); }
-template <class A> void serialize(A& a, Promise& m) { a(m.revision, m.ballot, m.accepted); }
-template <class A> void serialize(A& a, Accept& m) { a(m.revision, m.ballot, m.change); }
-template <class A> void serialize(A& a, Accepted& m) { a(m.revision, m.ballot); }
-template <class A> void serialize(A& a, Rejected& m) { a(m.revision, m.ballot, m.promised); }
-template <class A> void serialize(A& a, Commit& m) { a(m.revision, m.ballot); }
-template <class A> void serialize(A& a, DeltaRequest& m) { a(m.from); }
-template <class A> void serialize(A& a, PrunedKey& m) { a(m.key, m.revision); }
-template <class A> void serialize(A& a, Delta& m) { a(m.from, m.to, m.end, m.reset, m.membership, m.records, m.pruned); }
-template <class A> void serialize(A& a, Heartbeat& m) { a(m.number); }
-template <class A> void serialize(A& a, HeartbeatReply& m) { a(m.number); }
-template <class A> void serialize(A& a, ReadQuery& m) { a(m.number); }
-template <class A> void serialize(A& a, ReadReply& m) { a(m.number, m.undecided); }
-template <class A> void serialize(A& a, EpochNotice& m) { a(m.membership); }
-template <class A> void serialize(A& a, PeerMessage& m) { a(m.header, m.body); }
+struct EpochNotice {
+  Membership membership;
+};
+
+using PeerBody = std::variant<Prepare, Promise, Accept, Accepted, Rejected, Commit, DeltaRequest, Delta,
+                              Heartbeat, HeartbeatReply, ReadQuery, ReadReply, EpochNotice>;
+struct PeerMessage {
+  PeerHeader header;
+  PeerBody body;
+};
+
+template <class A>
+void serialize(A& a, Ballot& m) {
+  a(m.round, m.proposer);
+}
+template <class A>
+void serialize(A& a, Member& m) {
+  a(m.address, m.store_id, m.zone);
+}
+template <class A>
+void serialize(A& a, Membership& m) {
+  a(m.epoch, m.members);
+}
+template <class A>
+void serialize(A& a, PastVersion& m) {
+  a(m.version, m.digest);
+}
+template <class A>
+void serialize(A& a, Record& m) {
+  a(m.item, m.revision, m.past);
+}
+template <class A>
+void serialize(A& a, OrderId& m) {
+  a(m.incarnation, m.number);
+}
+template <class A>
+void serialize(A& a, Change& m) {
+  a(m.revision, m.orders, m.records, m.pruned, m.membership);
+}
+template <class A>
+void serialize(A& a, AcceptedChange& m) {
+  a(m.ballot, m.change);
+}
+template <class A>
+void serialize(A& a, PeerHeader& m) {
+  a(m.epoch, m.store_id, m.incarnation, m.revision, m.durable, m.zone);
+}
+template <class A>
+void serialize(A& a, Prepare& m) {
+  a(m.revision, m.ballot);
+}
+template <class A>
+void serialize(A& a, Promise& m) {
+  a(m.revision, m.ballot, m.accepted);
+}
+template <class A>
+void serialize(A& a, Accept& m) {
+  a(m.revision, m.ballot, m.change);
+}
+template <class A>
+void serialize(A& a, Accepted& m) {
+  a(m.revision, m.ballot);
+}
+template <class A>
+void serialize(A& a, Rejected& m) {
+  a(m.revision, m.ballot, m.promised);
+}
+template <class A>
+void serialize(A& a, Commit& m) {
+  a(m.revision, m.ballot);
+}
+template <class A>
+void serialize(A& a, DeltaRequest& m) {
+  a(m.from, m.pruned_known);
+}
+template <class A>
+void serialize(A& a, PrunedKey& m) {
+  a(m.key, m.revision);
+}
+template <class A>
+void serialize(A& a, Delta& m) {
+  a(m.from, m.to, m.end, m.reset, m.membership, m.records, m.pruned);
+}
+template <class A>
+void serialize(A& a, Heartbeat& m) {
+  a(m.number);
+}
+template <class A>
+void serialize(A& a, HeartbeatReply& m) {
+  a(m.number);
+}
+template <class A>
+void serialize(A& a, ReadQuery& m) {
+  a(m.number);
+}
+template <class A>
+void serialize(A& a, ReadReply& m) {
+  a(m.number, m.undecided);
+}
+template <class A>
+void serialize(A& a, EpochNotice& m) {
+  a(m.membership);
+}
+template <class A>
+void serialize(A& a, PeerMessage& m) {
+  a(m.header, m.body);
+}
 
 }  // namespace ivygw::messages
 
--- /dev/null
+++ b/system/replication/catch_up.cpp
@@ -0,0 +1,55 @@
+#include "replication/catch_up.h"
+
+#include <algorithm>
+
+namespace ivygw::replication {
+
+messages::DeltaRequest CatchUp::Ask(double now, const std::string& sender, uint64_t revision) {
+  if (!active_) {
+    active_ = true;
+    cursor_ = revision;
+    pruned_known_ = revision;
+    furthest_end_ = revision;
+  }
+  sender_ = sender;
+  asked_at_ = now;
+  return {cursor_, pruned_known_};
+}
+
+CatchUp::Step CatchUp::OnDelta(const std::string& from, const messages::Delta& delta) {
+  if (!active_ || from != sender_ || delta.from != cursor_) return Step::kIgnored;
+  // A sender that is behind one before it doesn't know all that its parts left out.
+  if (delta.end < furthest_end_) {
+    sender_.clear();
+    return Step::kIgnored;
+  }
+  furthest_end_ = delta.end;
+  if (delta.reset) {
+    reset_ = true;
+    pruned_known_ = delta.end;
+    records_.clear();
+    pruned_.clear();
+  }
+  for (const Record& record : delta.records) Gather(record);
+  for (const messages::PrunedKey& pruned : delta.pruned) GatherPruned(pruned);
+  cursor_ = delta.to;
+  if (delta.to < delta.end) return Step::kAskOn;
+  end_ = delta.end;
+  membership_ = delta.membership;
+  return Step::kComplete;
+}
+
+void CatchUp::Gather(const Record& record) {
+  auto pruned = pruned_.find(record.item.key);
+  if (pruned != pruned_.end() && pruned->second < record.revision) pruned_.erase(pruned);
+  records_[record.item.key] = record;
+}
+
+void CatchUp::GatherPruned(const messages::PrunedKey& pruned) {
+  auto it = records_.find(pruned.key);
+  if (it != records_.end() && it->second.revision > pruned.revision) return;
+  if (it != records_.end()) records_.erase(it);
+  pruned_[pruned.key] = pruned.revision;
+}
+
+}  // namespace ivygw::replication
--- a/system/replication/catch_up.h
+++ b/system/replication/catch_up.h
@@ -1,4 +1,5 @@
-// Gathers the parts of what a copy has missed, from one sender or several in turn, until they make up one revision. Pure.
+// Gathers the parts of what a copy has missed, from one sender or several in turn, until they make up one
+// revision. Pure.
 #ifndef IVYGW_SYSTEM_REPLICATION_CATCH_UP_H_
 #define IVYGW_SYSTEM_REPLICATION_CATCH_UP_H_
 
@@ -37,10 +38,14 @@
   const std::map<std::string, uint64_t>& pruned() const { return pruned_; }
 
  private:
+  void Gather(const Record& record);
+  void GatherPruned(const messages::PrunedKey& pruned);
+
   bool active_ = false, reset_ = false;
   std::string sender_;
   double asked_at_ = 0;
-  uint64_t cursor_ = 0;
+  uint64_t cursor_ = 0;        // all changes up to here have been gathered
+  uint64_t pruned_known_ = 0;  // ends of tombstones up to here don't matter
   uint64_t end_ = 0, furthest_end_ = 0;
   Membership membership_;
   std::map<std::string, Record> records_;
--- a/system/replication/durable_state.h
+++ b/system/replication/durable_state.h
@@ -1,4 +1,5 @@
-// What a core keeps on disk of one replicated table, as values: what is loaded at the start and what is stored in batches.
+// What a core keeps on disk of one replicated table, as values: what is loaded at the start and what is
+// stored in batches.
 #ifndef IVYGW_SYSTEM_REPLICATION_DURABLE_STATE_H_
 #define IVYGW_SYSTEM_REPLICATION_DURABLE_STATE_H_
 
@@ -18,6 +19,7 @@
 using messages::Member;
 using messages::Membership;
 using messages::OrderId;
+using messages::PeerHeader;
 using messages::PeerMessage;
 using messages::Record;
 
@@ -39,8 +41,9 @@
   std::vector<Record> records;
 };
 
-// Written atomically, in the order in which batches are given; a later batch is never on disk without all earlier ones.
-// OnStored follows for each, once it and all before it would survive a loss of power (`sync`), or have been written.
+// Written atomically, in the order in which batches are given; a later batch is never on disk without all
+// earlier ones. OnStored follows for each, once it and all before it would survive a loss of power (`sync`),
+// or have been written.
 struct StoreBatch {
   uint64_t number = 0;
   bool sync = false;
--- a/system/replication/membership.h
+++ b/system/replication/membership.h
@@ -21,9 +21,6 @@
   double silent_for = 0;  // s since it last answered; 0 for oneself
 };
 
-// For how long a member must not have answered before a learner at another address takes its place.
-inline constexpr double kGoneAfter = 2.0;  // s
-
 // The next membership, one member replaced or added; none where nothing is due.
 std::optional<Membership> NextMembership(uint64_t epoch, const std::vector<MemberView>& members,
                                          const std::vector<Candidate>& candidates, size_t voters);
--- a/system/replication/order_policy.h
+++ b/system/replication/order_policy.h
@@ -1,4 +1,5 @@
-// What an order changes in a table, or why it is refused: decided by the owner of the table. Pure; one thread.
+// What an order changes in a table, or why it is refused: decided by the owner of the table. Pure; one
+// thread.
 #ifndef IVYGW_SYSTEM_REPLICATION_ORDER_POLICY_H_
 #define IVYGW_SYSTEM_REPLICATION_ORDER_POLICY_H_
 
@@ -23,10 +24,10 @@
 
 struct Judgement {
   enum class Kind {
-    kChanges,    // `records` are to be written
-    kStands,     // nothing is to be written: all of it has been confirmed before
+    kChanges,  // `records` are to be written
+    kStands,   // nothing is to be written: all of it has been confirmed before
     kRefused,
-    kUnknowable, // whether it was confirmed can no longer be told
+    kUnknowable,  // whether it was confirmed can no longer be told
   };
   Kind kind = Kind::kStands;
   std::vector<Record> records;
@@ -47,8 +48,8 @@
   virtual size_t MostOrdersInChange() const = 0;
 };
 
-// The version rules that all tables share, for one item on top of what stands under its key (null: nothing). kChanges: `record`
-// is what is to stand.
+// The version rules that all tables share, for one item on top of what stands under its key (null: nothing).
+// kChanges: `record` is what is to stand.
 struct ItemJudgement {
   Judgement::Kind kind = Judgement::Kind::kStands;
   bool replaces = false;  // the item's content takes effect, not only its number
--- a/system/replication/replica.h
+++ b/system/replication/replica.h
@@ -1,7 +1,9 @@
-// One core's copy of a replicated table, and its part in deciding what changes it. See docs/design/control-state.md.
+// One core's copy of a replicated table, and its part in deciding what changes it. See
+// docs/design/control-state.md.
 //
-// Pure: events in, effects out; no I/O and no clock. Times are seconds of one steady clock. One thread. Messages to one peer are
-// delivered in order while a connection stands, and may be lost with it; they never survive a restart of either side.
+// Pure: events in, effects out; no I/O and no clock. Times are seconds of one steady clock. One thread.
+// Messages to one peer are delivered in order while a connection stands, and may be lost with it; they never
+// survive a restart of either side.
 #ifndef IVYGW_SYSTEM_REPLICATION_REPLICA_H_
 #define IVYGW_SYSTEM_REPLICATION_REPLICA_H_
 
@@ -19,19 +21,21 @@
 #include "replication/membership.h"
 #include "replication/order_policy.h"
 #include "replication/table.h"
+#include "replication/timing.h"
 
 namespace ivygw::replication {
 
 struct ReplicaOptions {
-  std::string address;         // IP of this core
+  std::string address;  // IP of this core
   std::string zone;
-  uint64_t incarnation = 0;    // random, drawn at each start
-  size_t voters = 3;           // how many members an epoch should have
-  double order_patience = 0.9; // s, for an order or a read to end
+  uint64_t incarnation = 0;     // random, drawn at each start
+  size_t voters = 3;            // how many members an epoch should have
+  double order_patience = 0.9;  // s, for an order or a read to end
 };
 
 enum class Outcome {
-  kDone,      // of an order: decided, or it stood already. Of a read: this copy holds all that was decided before the call
+  kDone,  // of an order: decided, or it stood already. Of a read: this copy holds all that was decided before
+          // the call
   kRefused,   // not in force anywhere and never will be; see Ended::refusal
   kNotTaken,  // not done: no part of it was ever proposed, or what it was proposed for was decided otherwise
   kUnclear,   // may have been done
@@ -47,8 +51,8 @@
   std::vector<std::pair<std::string, PeerMessage>> sends;  // to the core at that address
   std::vector<StoreBatch> stores;                          // in order; each is answered by OnStored
   std::vector<Ended> ended;                                // each ticket once
-  std::vector<std::string> changed;                        // keys of which this copy holds another record, or none, now
-  bool reset = false;                                      // all records were replaced; `changed` names those that there are now
+  std::vector<std::string> changed;  // keys of which this copy holds another record, or none, now
+  bool reset = false;                // all records were replaced; `changed` names those that there are now
   bool membership_changed = false;
 };
 
@@ -62,12 +66,15 @@
   void OnMessage(double now, const std::string& from, const PeerMessage& message, Effects* out);
   // A batch, and all before it, is on disk.
   void OnStored(double now, uint64_t batch, Effects* out);
-  // To be called every 50 ms or oftener.
+  // To be called every 50 ms or oftener, and at WakeAt.
   void OnTime(double now, Effects* out);
+  // When a proposal that pauses goes on; none where none does.
+  std::optional<double> WakeAt() const;
 
   // An order for these items, all of it or nothing. Ends within `order_patience`.
   void Write(double now, uint64_t ticket, std::vector<Item> items, Effects* out);
-  // Ends these tombstones on all copies, as far as they still stand at these versions. Best effort, no outcome.
+  // Ends these tombstones on all copies, as far as they still stand at these versions. Best effort, no
+  // outcome.
   void Prune(double now, const std::vector<Item>& tombstones, Effects* out);
   // Ends kDone when this copy holds all that was decided before the call.
   void Read(double now, uint64_t ticket, Effects* out);
@@ -93,26 +100,25 @@
     std::vector<Item> prunes;
     std::optional<Membership> membership;
     double until = 0;
-    bool in_doubt = false;  // part of a proposal that may be accepted somewhere, at the revision after the current one
-    bool confirming = false;  // a refusal that waits for a majority to confirm the revision it was judged at
-    uint64_t judged_at = 0;
-    Refusal refusal;
+    bool in_doubt = false;         // part of a proposal that may still be decided
+    uint64_t confirming_read = 0;  // the read that is to confirm its refusal; 0: none
   };
   enum class Phase { kIdle, kPreparing, kAccepting };
   struct Proposal {
     Phase phase = Phase::kIdle;
     Ballot ballot;
     uint64_t revision = 0;
-    double started = 0;
-    std::set<std::string> answered;  // addresses of members that have promised or accepted
+    double started = 0, patience = 0;
+    std::set<std::string> answered;  // addresses that have promised or accepted
     std::optional<AcceptedChange> adopted;
     Change change;
   };
   struct PendingRead {
     double until = 0;
-    uint64_t round = 0;  // the first round that was started after the call; 0: none yet
-    std::optional<uint64_t> point;
-    bool probe = false;  // for a refusal, not for a caller
+    uint64_t round = 0;             // the first that was begun after the call; 0: none yet
+    std::optional<uint64_t> point;  // the revision that this copy must reach
+    bool undecided = false;         // the point is that of a change that may not be decided
+    double point_at = 0;            // when the point was known
   };
   struct ReadRound {
     uint64_t number = 0;
@@ -125,55 +131,70 @@
   struct Peer {
     bool up = false;
     PeerHeader header;
-    double heard = -1;      // when its last message came
-    double contact = -1;    // when the last heartbeat that it answered was sent
+    double heard = -1;        // when its last message came; -1: never
+    double contact = -1;      // when the last heartbeat that it answered was sent; -1: never
+    double ahead_since = -1;  // for how long it has been ahead of this copy; -1: it isn't
   };
+  // What happens once a batch is on disk.
   struct AfterStore {
     std::vector<std::pair<std::string, messages::PeerBody>> sends;
-    std::optional<std::pair<uint64_t, Ballot>> own_promise, own_accept;
-    uint64_t revision = 0;
+    std::optional<uint64_t> durable;  // the revision that is durable then
   };
 
+  // replica.cpp: messages, the table, contact, members.
   PeerHeader Header() const;
-  void Send(const std::string& to, messages::PeerBody body, Effects* out) const;
-  void SendMembers(const messages::PeerBody& body, Effects* out) const;
-  StoreBatch* Store(bool sync, AfterStore after, Effects* out);
+  void Send(const std::string& to, messages::PeerBody body, Effects* out);
+  void SendPeers(const messages::PeerBody& body, Effects* out);
+  void DeliverToSelf(double now, Effects* out);
+  void Dispatch(double now, const std::string& from, const PeerMessage& message, Effects* out);
+  bool PassesEpoch(double now, const std::string& from, const PeerMessage& message, Effects* out);
   bool MemberAt(const std::string& address, uint64_t store_id) const;
+  void Store(bool sync, StoreBatch batch, AfterStore after, Effects* out);
+  void Apply(double now, const Change& change, Effects* out);
+  void BeginEpoch(const Membership& membership, Effects* out);
+  void SettleOrdersOf(const Change& change, Effects* out);
+  void SettleDoubt(Effects* out);
+  void AfterAdvance(double now, Effects* out);
+  void AskForDelta(double now, const std::string& from, Effects* out);
+  void OnDelta(double now, const std::string& from, const messages::Delta& delta, Effects* out);
+  void FoldDelta(double now, Effects* out);
+  void CatchUpOnTime(double now, Effects* out);
+  void HeartbeatOnTime(double now, Effects* out);
+  void ContactOnTime(double now, Effects* out);
+  bool MajorityAnswers(double now) const;
+  void ConsiderMembership(double now, Effects* out);
+  std::optional<Membership> DueMembership(double now) const;
 
-  // Acceptor.
+  // replica_consensus.cpp: acceptor and proposer.
   void OnPrepare(double now, const std::string& from, const messages::Prepare& prepare, Effects* out);
   void OnAccept(double now, const std::string& from, const messages::Accept& accept, Effects* out);
   void OnCommit(double now, const std::string& from, const messages::Commit& commit, Effects* out);
   bool MayAccept(const Change& change) const;
-
-  // Proposer.
   void Propose(double now, Effects* out);
   void BeginPrepare(double now, Effects* out);
   void BeginAccept(double now, Change change, Effects* out);
-  Change BuildChange(double now, Effects* out);
+  std::optional<Change> BuildChange(double now, Effects* out);
+  bool AddOrder(double now, Order* order, Change* change, TableOverlay* overlay, Effects* out);
   void OnPromise(double now, const std::string& from, const messages::Promise& promise, Effects* out);
   void OnAccepted(double now, const std::string& from, const messages::Accepted& accepted, Effects* out);
-  void OnRejected(double now, const messages::Rejected& rejected, Effects* out);
+  void OnRejected(double now, const std::string& from, const messages::Rejected& rejected, Effects* out);
   void DecideIfAccepted(double now, Effects* out);
-  void AbandonProposal(double now, bool back_off);
+  void AbandonProposal(double now);
+  void ProposalOnTime(double now, Effects* out);
   void SeeBallot(const Ballot& ballot);
+  std::set<std::string> AcceptorsOf(const Change& change) const;
+  void End(const Order& order, Outcome outcome, Refusal refusal, Effects* out);
+  void OrdersOnTime(double now, Effects* out);
 
-  // The table.
-  void Apply(double now, const Change& change, Effects* out);
-  void FoldDelta(double now, Effects* out);
-  void AfterAdvance(double now, Effects* out);
-  void OnDelta(double now, const std::string& from, const messages::Delta& delta, Effects* out);
-  void AskForDelta(double now, const std::string& from, Effects* out);
-  void LearnEpoch(double now, const std::string& from, Effects* out);
-
-  // Reads, orders, members.
+  // replica_reads.cpp
+  void AddRead(double now, uint64_t ticket, Effects* out);
   void StartReadRound(double now, Effects* out);
-  void OnReadReply(double now, const std::string& from, uint64_t revision, const messages::ReadReply& reply, Effects* out);
+  void OnReadReply(double now, const std::string& from, uint64_t revision, bool undecided, Effects* out);
+  void CloseReadRound(double now, Effects* out);
   void SettleReads(double now, Effects* out);
-  void FinishRead(uint64_t ticket, Outcome outcome, Effects* out);
-  void End(const Order& order, Outcome outcome, Effects* out);
-  void ExpireOrders(double now, Effects* out);
-  void ConsiderMembership(double now, Effects* out);
+  void NothingUndecided(double now, Effects* out);
+  void EndRead(double now, uint64_t ticket, Outcome outcome, Effects* out);
+  void ReadsOnTime(double now, Effects* out);
 
   const ReplicaOptions options_;
   OrderPolicy* const policy_;
@@ -183,27 +204,35 @@
   std::optional<AcceptedChange> accepted_;
   uint64_t durable_ = 0;
   std::map<std::string, Peer> peers_;
+  std::deque<messages::PeerBody> to_self_;
 
   std::deque<Order> orders_;
   Proposal proposal_;
   bool prepared_ = false;       // a majority of this epoch has promised proposal_.ballot
   uint64_t highest_round_ = 0;  // of any ballot seen
   double propose_at_ = 0, back_off_ = 0;
+  double phase_patience_ = 0;
   uint64_t last_order_ = 0;
-  bool resolve_ = false;        // a read waits for an undecided change to be finished
+  bool resolve_ = false;  // an undecided change is to be finished, or shown not to be
 
+  // Tickets of callers are even here, those of this class's own reads odd.
   std::map<uint64_t, PendingRead> reads_;
   ReadRound read_round_;
-  uint64_t last_probe_ = 0;
+  uint64_t last_own_read_ = 0, contact_read_ = 0;
 
   CatchUp catch_up_;
-  std::optional<std::pair<std::string, messages::Accept>> early_accept_;  // for a revision that is not reached yet
+  double delta_patience_ = 0;
+  std::optional<std::pair<std::string, messages::Accept>>
+      early_accept_;  // for a revision that is not reached yet
 
   std::map<uint64_t, AfterStore> after_store_;
   uint64_t last_batch_ = 0;
   uint64_t heartbeat_ = 0;
   std::map<uint64_t, double> heartbeat_sent_;
-  double heartbeat_due_ = 0, membership_due_ = 0;
+  double heartbeat_due_ = 0;
+  double contact_since_ = -1;         // for how long a majority has answered; -1: it doesn't
+  bool fresh_since_contact_ = false;  // a read has ended since: what was missed meanwhile is here
+  double membership_due_ = 0, membership_wanted_since_ = -1;
 };
 
 }  // namespace ivygw::replication
--- /dev/null
+++ b/system/replication/replica_consensus.cpp
@@ -0,0 +1,323 @@
+// The acceptor and the proposer of Replica: how one change is decided for each revision.
+#include <algorithm>
+
+#include "replication/replica.h"
+
+namespace ivygw::replication {
+namespace {
+
+constexpr size_t kMostBytesInChange = size_t{1} << 20;  // of several orders; a single one may be larger
+
+size_t SizeOf(const std::vector<Item>& items) {
+  size_t bytes = 0;
+  for (const Item& item : items) bytes += item.key.size() + item.body.size();
+  return bytes;
+}
+
+size_t SizeOf(const Change& change) {
+  size_t bytes = 0;
+  for (const Record& record : change.records) bytes += record.item.key.size() + record.item.body.size();
+  return bytes;
+}
+
+}  // namespace
+
+void Replica::SeeBallot(const Ballot& ballot) { highest_round_ = std::max(highest_round_, ballot.round); }
+
+// Acceptor.
+
+void Replica::OnPrepare(double now, const std::string& from, const messages::Prepare& prepare, Effects* out) {
+  SeeBallot(prepare.ballot);
+  if (!IsMember()) return;
+  if (prepare.revision > state_.revision + 1) return AskForDelta(now, from, out);
+  bool late = prepare.revision <= state_.revision || prepare.ballot < state_.promised;
+  if (late) return Send(from, messages::Rejected{prepare.revision, prepare.ballot, state_.promised}, out);
+  state_.promised = prepare.ballot;
+  AfterStore after;
+  after.sends.push_back({from, messages::Promise{prepare.revision, prepare.ballot, accepted_}});
+  Store(true, {}, std::move(after), out);
+}
+
+bool Replica::MayAccept(const Change& change) const {
+  if (IsMember()) return true;
+  if (!change.membership) return false;
+  const auto& joining = change.membership->members;
+  return std::any_of(joining.begin(), joining.end(), [&](const Member& member) {
+    return member.address == options_.address && member.store_id == state_.store_id;
+  });
+}
+
+void Replica::OnAccept(double now, const std::string& from, const messages::Accept& accept, Effects* out) {
+  SeeBallot(accept.ballot);
+  if (!MayAccept(accept.change)) return;
+  if (accept.revision > state_.revision + 1) {
+    early_accept_ = {from, accept};
+    return AskForDelta(now, from, out);
+  }
+  bool late = accept.revision <= state_.revision || accept.ballot < state_.promised;
+  if (late) return Send(from, messages::Rejected{accept.revision, accept.ballot, state_.promised}, out);
+  state_.promised = accept.ballot;
+  accepted_ = AcceptedChange{accept.ballot, accept.change};
+  StoreBatch batch;
+  batch.accepted_changed = true;
+  batch.accepted = accepted_;
+  AfterStore after;
+  after.durable = state_.revision;
+  after.sends.push_back({from, messages::Accepted{accept.revision, accept.ballot}});
+  Store(true, std::move(batch), std::move(after), out);
+}
+
+void Replica::OnCommit(double now, const std::string& from, const messages::Commit& commit, Effects* out) {
+  if (commit.revision <= state_.revision) return;
+  bool held =
+      accepted_ && accepted_->change.revision == commit.revision && accepted_->ballot == commit.ballot;
+  if (!held) return AskForDelta(now, from, out);
+  Change change = accepted_->change;
+  Apply(now, change, out);
+}
+
+// Proposer.
+
+void Replica::Write(double now, uint64_t ticket, std::vector<Item> items, Effects* out) {
+  Order order;
+  order.id = {options_.incarnation, ++last_order_};
+  order.ticket = ticket;
+  order.until = now + options_.order_patience + kPerByte * static_cast<double>(SizeOf(items));
+  order.items = std::move(items);
+  orders_.push_back(std::move(order));
+  Propose(now, out);
+  DeliverToSelf(now, out);
+}
+
+void Replica::Prune(double now, const std::vector<Item>& tombstones, Effects* out) {
+  Order order;
+  order.id = {options_.incarnation, ++last_order_};
+  order.until = now + options_.order_patience;
+  order.prunes = tombstones;
+  orders_.push_back(std::move(order));
+  Propose(now, out);
+  DeliverToSelf(now, out);
+}
+
+void Replica::Propose(double now, Effects* out) {
+  bool wanted = resolve_ || std::any_of(orders_.begin(), orders_.end(),
+                                        [](const Order& order) { return order.confirming_read == 0; });
+  // To finish what others left is part of learning what was missed, and comes before orders are taken.
+  bool may = resolve_ ? MajorityAnswers(now) : InContact(now);
+  if (!wanted || !may || proposal_.phase != Phase::kIdle || now < propose_at_) return;
+  if (!prepared_ || resolve_) return BeginPrepare(now, out);
+  std::optional<Change> change = BuildChange(now, out);
+  if (change) BeginAccept(now, std::move(*change), out);
+}
+
+void Replica::BeginPrepare(double now, Effects* out) {
+  prepared_ = false;
+  proposal_ = Proposal();
+  proposal_.phase = Phase::kPreparing;
+  proposal_.ballot = {++highest_round_, options_.incarnation};
+  proposal_.revision = state_.revision + 1;
+  proposal_.started = now;
+  proposal_.patience = phase_patience_;
+  for (const Member& member : state_.membership.members) {
+    Send(member.address, messages::Prepare{proposal_.revision, proposal_.ballot}, out);
+  }
+}
+
+void Replica::OnPromise(double now, const std::string& from, const messages::Promise& promise, Effects* out) {
+  bool awaited = proposal_.phase == Phase::kPreparing && promise.ballot == proposal_.ballot &&
+                 promise.revision == proposal_.revision;
+  if (!awaited) return;
+  proposal_.answered.insert(from);
+  bool newer = promise.accepted && promise.accepted->change.revision == proposal_.revision &&
+               (!proposal_.adopted || proposal_.adopted->ballot < promise.accepted->ballot);
+  if (newer) proposal_.adopted = promise.accepted;
+  if (proposal_.answered.size() < state_.membership.Quorum()) return;
+  prepared_ = true;
+  proposal_.phase = Phase::kIdle;
+  phase_patience_ = kPhasePatience;
+  resolve_ = false;
+  // What may have been decided is proposed again; everything else waits for it.
+  if (proposal_.adopted) {
+    Change change = std::move(proposal_.adopted->change);
+    return BeginAccept(now, std::move(change), out);
+  }
+  for (Order& order : orders_) order.in_doubt = false;
+  NothingUndecided(now, out);
+  std::optional<Change> change = BuildChange(now, out);
+  if (change) BeginAccept(now, std::move(*change), out);
+}
+
+// The change that the waiting orders make on top of this revision; none where they make none.
+std::optional<Change> Replica::BuildChange(double now, Effects* out) {
+  Change change;
+  change.revision = state_.revision + 1;
+  TableOverlay overlay(table_);
+  size_t bytes = 0;
+  std::deque<Order> waiting;
+  std::swap(waiting, orders_);
+  for (Order& order : waiting) {
+    bytes += SizeOf(order.items);
+    bool room = change.orders.empty() ||
+                (change.orders.size() < policy_->MostOrdersInChange() && bytes <= kMostBytesInChange);
+    bool stays = order.confirming_read > 0 || !room || AddOrder(now, &order, &change, &overlay, out);
+    if (stays) orders_.push_back(std::move(order));
+  }
+  for (const auto& [key, record] : overlay.written()) {
+    change.records.push_back(record);
+    change.records.back().revision = change.revision;
+  }
+  if (change.orders.empty()) return std::nullopt;
+  return change;
+}
+
+// Whether the order goes on waiting, as part of the change or for another reason; otherwise it has ended.
+bool Replica::AddOrder(double now, Order* order, Change* change, TableOverlay* overlay, Effects* out) {
+  if (order->membership) {
+    bool due = order->membership->epoch == state_.membership.epoch + 1;
+    if (!due) return false;
+    if (!change->orders.empty()) return true;  // it goes alone
+    change->membership = order->membership;
+    change->orders.push_back(order->id);
+    return true;
+  }
+  if (change->membership) return true;
+  if (!order->prunes.empty()) {
+    bool any = false;
+    for (const Item& tombstone : order->prunes) {
+      const Record* standing = overlay->Find(tombstone.key);
+      bool stands = standing && standing->item.dropped && standing->item.version == tombstone.version &&
+                    overlay->written().count(tombstone.key) == 0;
+      if (stands) change->pruned.push_back(tombstone.key);
+      any = any || stands;
+    }
+    if (any) change->orders.push_back(order->id);
+    return any;
+  }
+  Judgement judgement = policy_->Judge(order->items, *overlay);
+  if (judgement.kind == Judgement::Kind::kUnknowable) {
+    End(*order, Outcome::kUnclear, {}, out);
+    return false;
+  }
+  if (judgement.kind == Judgement::Kind::kRefused) {
+    // Told only once a majority confirms that nothing newer stands.
+    last_own_read_ += 2;
+    order->confirming_read = last_own_read_ + 1;
+    AddRead(now, order->confirming_read, out);
+    return true;
+  }
+  bool stands_already = judgement.kind == Judgement::Kind::kStands && overlay->written().empty();
+  if (stands_already) {
+    End(*order, Outcome::kDone, {}, out);
+    return false;
+  }
+  for (const Record& record : judgement.records) {
+    overlay->Put(record);
+    std::erase(change->pruned, record.item.key);
+  }
+  change->orders.push_back(order->id);
+  return true;
+}
+
+std::set<std::string> Replica::AcceptorsOf(const Change& change) const {
+  std::set<std::string> acceptors;
+  for (const Member& member : state_.membership.members) acceptors.insert(member.address);
+  if (!change.membership) return acceptors;
+  for (const Member& member : change.membership->members) acceptors.insert(member.address);
+  return acceptors;
+}
+
+void Replica::BeginAccept(double now, Change change, Effects* out) {
+  proposal_.phase = Phase::kAccepting;
+  proposal_.revision = change.revision;
+  proposal_.started = now;
+  proposal_.patience = phase_patience_ + kPerByte * static_cast<double>(SizeOf(change));
+  proposal_.answered.clear();
+  for (Order& order : orders_) {
+    bool proposed = std::find(change.orders.begin(), change.orders.end(), order.id) != change.orders.end();
+    order.in_doubt = order.in_doubt || proposed;
+  }
+  proposal_.change = std::move(change);
+  for (const std::string& address : AcceptorsOf(proposal_.change)) {
+    Send(address, messages::Accept{proposal_.revision, proposal_.ballot, proposal_.change}, out);
+  }
+}
+
+void Replica::OnAccepted(double now, const std::string& from, const messages::Accepted& accepted,
+                         Effects* out) {
+  bool awaited = proposal_.phase == Phase::kAccepting && accepted.ballot == proposal_.ballot &&
+                 accepted.revision == proposal_.revision;
+  if (!awaited) return;
+  proposal_.answered.insert(from);
+  DecideIfAccepted(now, out);
+}
+
+void Replica::DecideIfAccepted(double now, Effects* out) {
+  auto has_accepted = [&](const Member& member) {
+    bool self = member.address == options_.address;
+    uint64_t store_id = self ? state_.store_id : peers_[member.address].header.store_id;
+    return store_id == member.store_id && proposal_.answered.count(member.address) > 0;
+  };
+  auto majority = [&](const Membership& membership) {
+    auto count = std::count_if(membership.members.begin(), membership.members.end(), has_accepted);
+    return static_cast<size_t>(count) >= membership.Quorum();
+  };
+  if (!majority(state_.membership)) return;
+  const std::optional<Membership>& next = proposal_.change.membership;
+  if (next && !majority(*next)) return;
+  // Who joins should hold all of it first, but one that falls silent holds up nothing.
+  bool joined = !next || std::all_of(next->members.begin(), next->members.end(), [&](const Member& member) {
+    return MemberAt(member.address, member.store_id) || has_accepted(member);
+  });
+  if (!joined && now < proposal_.started + kJoinPatience) return;
+  Change change = std::move(proposal_.change);
+  messages::Commit commit{proposal_.revision, proposal_.ballot};
+  proposal_.phase = Phase::kIdle;
+  phase_patience_ = kPhasePatience;
+  SendPeers(commit, out);
+  Apply(now, change, out);
+}
+
+void Replica::OnRejected(double now, const std::string& from, const messages::Rejected& rejected,
+                         Effects* out) {
+  SeeBallot(rejected.promised);
+  bool awaited = proposal_.phase != Phase::kIdle && rejected.ballot == proposal_.ballot &&
+                 rejected.revision == proposal_.revision;
+  if (!awaited) return;
+  bool behind = from != options_.address && peers_[from].header.revision >= proposal_.revision;
+  if (behind) AskForDelta(now, from, out);
+  AbandonProposal(now);
+}
+
+// What was proposed may still be decided by whoever finds it accepted.
+void Replica::AbandonProposal(double now) {
+  proposal_.phase = Phase::kIdle;
+  prepared_ = false;
+  back_off_ = std::clamp(2 * back_off_, kShortestBackOff, kLongestBackOff);
+  propose_at_ = now + back_off_ * std::uniform_real_distribution<double>(1.0 / 3, 1)(random_);
+}
+
+void Replica::ProposalOnTime(double now, Effects* out) {
+  if (proposal_.phase == Phase::kAccepting && proposal_.change.membership) DecideIfAccepted(now, out);
+  if (proposal_.phase != Phase::kIdle && now >= proposal_.started + proposal_.patience) {
+    phase_patience_ = std::min(2 * phase_patience_, kContactBound);
+    AbandonProposal(now);
+  }
+  Propose(now, out);
+}
+
+void Replica::End(const Order& order, Outcome outcome, Refusal refusal, Effects* out) {
+  if (order.ticket > 0) out->ended.push_back({order.ticket, outcome, std::move(refusal)});
+}
+
+void Replica::OrdersOnTime(double now, Effects* out) {
+  for (auto it = orders_.begin(); it != orders_.end();) {
+    if (now < it->until) {
+      ++it;
+      continue;
+    }
+    End(*it, it->in_doubt ? Outcome::kUnclear : Outcome::kNotTaken, {}, out);
+    it = orders_.erase(it);
+  }
+}
+
+}  // namespace ivygw::replication
--- a/system/replication/table.h
+++ b/system/replication/table.h
@@ -1,5 +1,5 @@
-// The records of one replicated table at one revision, with what catching up needs: the records by the revision that wrote them
-// last, and the tombstones that ended lately. Pure; one thread.
+// The records of one replicated table at one revision, with what catching up needs: the records by the
+// revision that wrote them last, and the tombstones that ended lately. Pure; one thread.
 #ifndef IVYGW_SYSTEM_REPLICATION_TABLE_H_
 #define IVYGW_SYSTEM_REPLICATION_TABLE_H_
 
@@ -27,12 +27,14 @@
   // What ended at or before `revision` is not known.
   void ForgetPruned(uint64_t revision);
 
-  // One part of what has changed after `from`, of about `bytes`, at revisions up to `end`, the revision of this table.
-  messages::Delta DeltaAfter(uint64_t from, uint64_t end, size_t bytes) const;
+  // One part of what was asked for, of about `bytes`, at revisions up to `end`, the revision of this table.
+  messages::Delta DeltaFor(const messages::DeltaRequest& request, uint64_t end, size_t bytes) const;
 
  private:
   static constexpr size_t kMostPruned = 8192;  // ends of tombstones that are remembered
 
+  void Unindex(const Record& record);
+
   std::map<std::string, Record> records_;
   std::map<uint64_t, std::set<std::string>> by_revision_;
   std::deque<messages::PrunedKey> pruned_;  // by revision
