Rival proposers take turns; who joins holds everything on disk before it counts

Change: courtesy and yield between rivals, lost turns raise the ballot; a learner's disk must have reached what a member stood at 0.25 s before, and its Accept is awaited for 1 s; out of contact an order ends at once as not taken.

--- a/system/replication/replica.cpp
+++ b/system/replication/replica.cpp
@@ -232,6 +232,7 @@
     if (peer.header.revision <= state_.revision) peer.ahead_since = -1;
   }
   back_off_ = 0;
+  rival_until_ = 0;
   if (early_accept_ && early_accept_->second.revision <= state_.revision + 1) {
     auto [from, accept] = std::move(*early_accept_);
     early_accept_.reset();
@@ -391,7 +392,15 @@
   return learners;
 }
 
-std::optional<Membership> Replica::DueMembership(double now) const {
+// The revision at which this copy stood kJoinLag ago: a point that a learner's disk reaches under any load,
+// unless it hangs.
+uint64_t Replica::JoinPoint(double now) {
+  stood_at_.push_back({now, state_.revision});
+  while (stood_at_.size() > 1 && stood_at_[1].first <= now - kJoinLag) stood_at_.pop_front();
+  return stood_at_.front().second;
+}
+
+std::optional<Membership> Replica::DueMembership(double now, uint64_t join_point) const {
   std::vector<MemberView> members;
   for (const Member& member : state_.membership.members) {
     bool self = member.address == options_.address && member.store_id == state_.store_id;
@@ -404,22 +413,21 @@
   for (const auto& [address, peer] : peers_) {
     bool there = peer.up && peer.heard >= 0 && now < peer.heard + kLearnerHeard && peer.header.store_id != 0;
     if (!there || MemberAt(address, peer.header.store_id)) continue;
-    // Its Accept of the change itself shows that it stands at the revision before; here it need only be near.
-    constexpr uint64_t kNear = 4;
-    bool caught_up =
-        peer.header.epoch == state_.membership.epoch && peer.header.durable + kNear >= state_.revision;
+    bool caught_up = peer.header.epoch == state_.membership.epoch && peer.header.durable >= join_point;
     candidates.push_back({{address, peer.header.store_id, peer.header.zone}, caught_up});
   }
   return NextMembership(state_.membership.epoch, members, candidates, options_.voters);
 }
 
 void Replica::ConsiderMembership(double now, Effects* out) {
+  if (!IsMember() || !InContact(now)) stood_at_.clear();
   if (now < membership_due_ || !IsMember() || !InContact(now)) return;
   membership_due_ = now + kMembershipEvery;
+  uint64_t join_point = JoinPoint(now);
   bool under_way = std::any_of(orders_.begin(), orders_.end(),
                                [](const Order& order) { return order.membership.has_value(); });
   if (under_way) return;
-  std::optional<Membership> next = DueMembership(now);
+  std::optional<Membership> next = DueMembership(now, join_point);
   if (!next) {
     membership_wanted_since_ = -1;
     return;
@@ -441,7 +449,7 @@
 
 std::optional<double> Replica::WakeAt() const {
   bool paused = proposal_.phase == Phase::kIdle && (resolve_ || !orders_.empty());
-  return paused ? std::optional<double>(propose_at_) : std::nullopt;
+  return paused ? std::optional<double>(std::max(propose_at_, rival_until_)) : std::nullopt;
 }
 
 void Replica::OnTime(double now, Effects* out) {
--- a/system/replication/replica.h
+++ b/system/replication/replica.h
@@ -76,7 +76,8 @@
   // Ends these tombstones on all copies, as far as they still stand at these versions. Best effort, no
   // outcome.
   void Prune(double now, const std::vector<Item>& tombstones, Effects* out);
-  // Ends kDone when this copy holds all that was decided before the call.
+  // Ends kDone when this copy holds all that was decided before the call; kNotTaken at once where this core
+  // is out of contact.
   void Read(double now, uint64_t ticket, Effects* out);
 
   // A majority of the members has answered within kContactBound, and this copy is exact: calls may be taken.
@@ -163,7 +164,8 @@
   void ContactOnTime(double now, Effects* out);
   bool MajorityAnswers(double now) const;
   void ConsiderMembership(double now, Effects* out);
-  std::optional<Membership> DueMembership(double now) const;
+  std::optional<Membership> DueMembership(double now, uint64_t join_point) const;
+  uint64_t JoinPoint(double now);
 
   // replica_consensus.cpp: acceptor and proposer.
   void OnPrepare(double now, const std::string& from, const messages::Prepare& prepare, Effects* out);
@@ -179,9 +181,12 @@
   void OnAccepted(double now, const std::string& from, const messages::Accepted& accepted, Effects* out);
   void OnRejected(double now, const std::string& from, const messages::Rejected& rejected, Effects* out);
   void DecideIfAccepted(double now, Effects* out);
+  bool HasAccepted(const Member& member) const;
+  bool MayPassOver(double now, const Member& joining) const;
   void AbandonProposal(double now);
   void ProposalOnTime(double now, Effects* out);
   void SeeBallot(const Ballot& ballot);
+  void SeeRival(double now, const std::string& proposer);
   std::set<std::string> AcceptorsOf(const Change& change) const;
   void End(const Order& order, Outcome outcome, Refusal refusal, Effects* out);
   void OrdersOnTime(double now, Effects* out);
@@ -211,7 +216,10 @@
   bool prepared_ = false;       // a majority of this epoch has promised proposal_.ballot
   uint64_t highest_round_ = 0;  // of any ballot seen
   double propose_at_ = 0, back_off_ = 0;
+  double rival_until_ = 0;  // another's proposal is left until then
+  double rival_seen_ = -1;  // when another proposed last; -1: never
   double phase_patience_ = 0;
+  uint64_t lost_in_turn_ = 0;  // proposals of this core that others got ahead of, since one was decided
   uint64_t last_order_ = 0;
   bool resolve_ = false;  // an undecided change is to be finished, or shown not to be
 
@@ -233,6 +241,9 @@
   double contact_since_ = -1;         // for how long a majority has answered; -1: it doesn't
   bool fresh_since_contact_ = false;  // a read has ended since: what was missed meanwhile is here
   double membership_due_ = 0, membership_wanted_since_ = -1;
+  std::deque<std::pair<double, uint64_t>> stood_at_;  // this copy's revisions of late, by time
+  uint64_t joining_epoch_ = 0;                        // that this core has proposed last,
+  double joining_since_ = 0;                          // and since when
 };
 
 }  // namespace ivygw::replication
--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -6,6 +6,7 @@
 namespace ivygw::replication {
 namespace {
 
+constexpr uint64_t kMostLostCounted = 16;
 constexpr size_t kMostBytesInChange = size_t{1} << 20;  // of several orders; a single one may be larger
 
 size_t SizeOf(const std::vector<Item>& items) {
@@ -24,6 +25,13 @@
 
 void Replica::SeeBallot(const Ballot& ballot) { highest_round_ = std::max(highest_round_, ballot.round); }
 
+// Two proposals at once would only stop each other.
+void Replica::SeeRival(double now, const std::string& proposer) {
+  if (proposer == options_.address) return;
+  rival_seen_ = now;
+  rival_until_ = now + kRivalCourtesy;
+}
+
 // Acceptor.
 
 void Replica::OnPrepare(double now, const std::string& from, const messages::Prepare& prepare, Effects* out) {
@@ -32,6 +40,7 @@
   if (prepare.revision > state_.revision + 1) return AskForDelta(now, from, out);
   bool late = prepare.revision <= state_.revision || prepare.ballot < state_.promised;
   if (late) return Send(from, messages::Rejected{prepare.revision, prepare.ballot, state_.promised}, out);
+  SeeRival(now, from);
   state_.promised = prepare.ballot;
   AfterStore after;
   after.sends.push_back({from, messages::Promise{prepare.revision, prepare.ballot, accepted_}});
@@ -56,6 +65,7 @@
   }
   bool late = accept.revision <= state_.revision || accept.ballot < state_.promised;
   if (late) return Send(from, messages::Rejected{accept.revision, accept.ballot, state_.promised}, out);
+  SeeRival(now, from);
   state_.promised = accept.ballot;
   accepted_ = AcceptedChange{accept.ballot, accept.change};
   StoreBatch batch;
@@ -79,6 +89,10 @@
 // Proposer.
 
 void Replica::Write(double now, uint64_t ticket, std::vector<Item> items, Effects* out) {
+  if (!InContact(now)) {
+    out->ended.push_back({ticket, Outcome::kNotTaken, {}});
+    return;
+  }
   Order order;
   order.id = {options_.incarnation, ++last_order_};
   order.ticket = ticket;
@@ -105,7 +119,9 @@
   // To finish what others left is part of learning what was missed, and comes before orders are taken.
   bool may = resolve_ ? MajorityAnswers(now) : InContact(now);
   if (!wanted || !may || proposal_.phase != Phase::kIdle || now < propose_at_) return;
-  if (!prepared_ || resolve_) return BeginPrepare(now, out);
+  bool prepares = !prepared_ || resolve_;
+  if (prepares && now < rival_until_) return;
+  if (prepares) return BeginPrepare(now, out);
   std::optional<Change> change = BuildChange(now, out);
   if (change) BeginAccept(now, std::move(*change), out);
 }
@@ -114,7 +130,9 @@
   prepared_ = false;
   proposal_ = Proposal();
   proposal_.phase = Phase::kPreparing;
-  proposal_.ballot = {++highest_round_, options_.incarnation};
+  // Who has lost to others goes before them next time.
+  highest_round_ += 1 + lost_in_turn_;
+  proposal_.ballot = {highest_round_, options_.incarnation};
   proposal_.revision = state_.revision + 1;
   proposal_.started = now;
   proposal_.patience = phase_patience_;
@@ -237,6 +255,11 @@
     order.in_doubt = order.in_doubt || proposed;
   }
   proposal_.change = std::move(change);
+  uint64_t joining_epoch = proposal_.change.membership ? proposal_.change.membership->epoch : 0;
+  if (joining_epoch > joining_epoch_) {
+    joining_epoch_ = joining_epoch;
+    joining_since_ = now;
+  }
   for (const std::string& address : AcceptorsOf(proposal_.change)) {
     Send(address, messages::Accept{proposal_.revision, proposal_.ballot, proposal_.change}, out);
   }
@@ -251,28 +274,41 @@
   DecideIfAccepted(now, out);
 }
 
+bool Replica::HasAccepted(const Member& member) const {
+  if (proposal_.answered.count(member.address) == 0) return false;
+  if (member.address == options_.address) return member.store_id == state_.store_id;
+  auto peer = peers_.find(member.address);
+  return peer != peers_.end() && peer->second.header.store_id == member.store_id;
+}
+
+// Who joins should hold all of it first, but one that is silent, or whose disk hangs, doesn't stop the
+// members.
+bool Replica::MayPassOver(double now, const Member& joining) const {
+  auto peer = peers_.find(joining.address);
+  bool silent = peer == peers_.end() || now >= peer->second.heard + kJoinSilence;
+  return silent || now >= joining_since_ + kJoinPatience;
+}
+
 void Replica::DecideIfAccepted(double now, Effects* out) {
-  auto has_accepted = [&](const Member& member) {
-    bool self = member.address == options_.address;
-    uint64_t store_id = self ? state_.store_id : peers_[member.address].header.store_id;
-    return store_id == member.store_id && proposal_.answered.count(member.address) > 0;
-  };
   auto majority = [&](const Membership& membership) {
-    auto count = std::count_if(membership.members.begin(), membership.members.end(), has_accepted);
+    auto count = std::count_if(membership.members.begin(), membership.members.end(),
+                               [&](const Member& member) { return HasAccepted(member); });
     return static_cast<size_t>(count) >= membership.Quorum();
   };
   if (!majority(state_.membership)) return;
-  const std::optional<Membership>& next = proposal_.change.membership;
-  if (next && !majority(*next)) return;
-  // Who joins should hold all of it first, but one that falls silent holds up nothing.
-  bool joined = !next || std::all_of(next->members.begin(), next->members.end(), [&](const Member& member) {
-    return MemberAt(member.address, member.store_id) || has_accepted(member);
-  });
-  if (!joined && now < proposal_.started + kJoinPatience) return;
+  if (const std::optional<Membership>& next = proposal_.change.membership) {
+    bool joined = std::all_of(next->members.begin(), next->members.end(), [&](const Member& member) {
+      return MemberAt(member.address, member.store_id) || HasAccepted(member) || MayPassOver(now, member);
+    });
+    if (!majority(*next) || !joined) return;
+  }
+  lost_in_turn_ = 0;
   Change change = std::move(proposal_.change);
   messages::Commit commit{proposal_.revision, proposal_.ballot};
   proposal_.phase = Phase::kIdle;
   phase_patience_ = kPhasePatience;
+  bool contended = rival_seen_ >= 0 && now < rival_seen_ + kRivalSeen;
+  if (contended) propose_at_ = now + kYield;
   SendPeers(commit, out);
   Apply(now, change, out);
 }
@@ -292,6 +328,7 @@
 void Replica::AbandonProposal(double now) {
   proposal_.phase = Phase::kIdle;
   prepared_ = false;
+  lost_in_turn_ = std::min(lost_in_turn_ + 1, kMostLostCounted);
   back_off_ = std::clamp(2 * back_off_, kShortestBackOff, kLongestBackOff);
   propose_at_ = now + back_off_ * std::uniform_real_distribution<double>(1.0 / 3, 1)(random_);
 }
--- a/system/replication/replica_reads.cpp
+++ b/system/replication/replica_reads.cpp
@@ -7,6 +7,10 @@
 
 // Tickets of callers are doubled, so that those of this class's own reads, which are odd, differ from them.
 void Replica::Read(double now, uint64_t ticket, Effects* out) {
+  if (!InContact(now)) {
+    out->ended.push_back({ticket, Outcome::kNotTaken, {}});
+    return;
+  }
   AddRead(now, 2 * ticket, out);
   DeliverToSelf(now, out);
 }
--- a/system/replication/timing.h
+++ b/system/replication/timing.h
@@ -15,12 +15,22 @@
 // Within which a phase of a proposal ends, or is given up; and more for each byte of the change.
 inline constexpr double kPhasePatience = 0.25;
 inline constexpr double kPerByte = 1e-7;
-// A change of members waits so long for those that join, once majorities have accepted it.
-inline constexpr double kJoinPatience = 0.15;
+// A learner is caught up once its disk holds what a member stood at so long before.
+inline constexpr double kJoinLag = 0.25;
+// A change of members waits for those that join, unless one says nothing for so long, or its disk takes
+// nothing for so long.
+inline constexpr double kJoinSilence = 0.3;
+inline constexpr double kJoinPatience = 1.0;
 // Pauses after a proposal that others got ahead of: drawn between a third and the whole of a bound that
 // doubles.
 inline constexpr double kShortestBackOff = 0.010;
 inline constexpr double kLongestBackOff = 0.160;
+// Who has just promised or accepted another's proposal leaves it so long to be decided before making one of
+// its own.
+inline constexpr double kRivalCourtesy = 0.030;
+// While others propose, too, a proposer whose change has been decided leaves them so long to go first.
+inline constexpr double kRivalSeen = 0.300;
+inline constexpr double kYield = 0.006;
 // A round of questions for a read is asked anew after this.
 inline constexpr double kReadRoundPatience = 0.1;
 // An undecided change that a read has met is left so long to whoever proposed it.
