--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -285,7 +285,8 @@
 // members.
 bool Replica::MayPassOver(double now, const Member& joining) const {
   auto peer = peers_.find(joining.address);
-  bool silent = peer == peers_.end() || now >= peer->second.heard + kJoinSilence;
+  bool self = joining.address == options_.address;
+  bool silent = !self && (peer == peers_.end() || now >= peer->second.heard + kJoinSilence);
   return silent || now >= joining_since_ + kJoinPatience;
 }
 
