--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -220,6 +220,38 @@
   world->For(6);
 }
 
+// A member is replaced since one other doesn't reach it, though a third does. Just then it and the third are cut from the others, who
+// go on: what it reads from the third is of the epoch before.
+void ReplacedAndStillReached(World* world) {
+  for (int round = 0; round < 3 && world->broken().empty(); ++round) {
+    std::vector<std::string> names;
+    for (const Member& member : world->rules().newest_membership().members) names.push_back(member.address);
+    std::shuffle(names.begin(), names.end(), std::mt19937_64(world->Pick(1000000)));
+    std::string replaced = names[0], third = names[1], proposer = names[2];
+    std::string added = world->AddMachine(world->Machines());
+    world->Start(added);
+    world->Cut(replaced, proposer);
+    uint64_t epoch = world->rules().newest_membership().epoch;
+    double until = world->now() + 6;
+    while (world->now() < until && world->broken().empty() && world->rules().newest_membership().epoch == epoch) world->For(0.0005);
+    while (world->now() < until && world->broken().empty() && world->replica(third).membership().epoch == epoch) world->For(0.0002);
+    for (const std::string& other : world->Machines()) {
+      if (other == replaced || other == third) continue;
+      world->Cut(other, replaced);
+      world->Cut(other, third);
+    }
+    for (int i = 0; i < 60; ++i) {
+      world->Write(proposer, "behind/a", static_cast<uint64_t>(60 * round + i + 1));
+      for (int j = 0; j < 3; ++j) {
+        world->For(0.001);
+        world->Read(replaced);
+      }
+    }
+    world->HealAll();
+    world->For(1.5);
+  }
+}
+
 // A new machine whose seeds are gone, or cut off with it.
 void SeedsThatAreGone(World* world) {
   std::string gone = world->Any();
@@ -338,6 +370,7 @@
 TEST(Control, SecondLossAfterReplacement) { RunDays("second loss", SecondLossAfterReplacement, Seeds(8)); }
 TEST(Control, AReplacedMemberReturns) { RunDays("a replaced member returns", ReplacedMemberReturns, Seeds(10)); }
 TEST(Control, TwoReplacedMembersMeet) { RunDays("two replaced members meet", TwoReplacedMembersMeet, Seeds(10)); }
+TEST(Control, ReplacedAndStillReached) { RunDays("replaced and still reached", ReplacedAndStillReached, Seeds(10)); }
 TEST(Control, SeedsThatAreGone) { RunDays("seeds that are gone", SeedsThatAreGone, Seeds(10)); }
 TEST(Control, AllKilledWhileMembersChange) { RunDays("all killed while members change", AllKilledWhileMembersChange, Seeds(8)); }
 TEST(Control, ProposersDie) { RunDays("proposers die", ProposersDie, Seeds(8)); }
@@ -559,10 +592,19 @@
     options->tamper = [epochs = std::map<std::string, uint64_t>()](const std::string& from, const std::string& to,
                                                                     PeerMessage* message) mutable {
       epochs[from] = message->header.epoch;
-      if (epochs[to] > message->header.epoch) message->header.epoch = epochs[to];
+      if (epochs[to] > 0) message->header.epoch = epochs[to];
+    };
+  };
+  ExpectFound("an older epoch believed", plant, {ReplacedAndStillReached});
+}
+
+TEST(ControlMistakes, AWipedMachineIsBelievedToBeTheMember) {
+  Plant plant = [](WorldOptions* options) {
+    options->tamper = [](const std::string&, const std::string&, PeerMessage* message) {
+      message->header.store_id = replication::kFounderStoreId;
     };
   };
-  ExpectFound("an older epoch believed", plant, {TwoReplacedMembersMeet, AllKilledWhileMembersChange, MixedTroubles});
+  ExpectFound("a wiped machine counts as the member it was", plant, {MixedTroubles, WipedAfterAnAcknowledgement});
 }
 
 TEST(ControlMistakes, ACommitForAnotherBallot) {
