--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -68,6 +68,7 @@
   SeeRival(now, from);
   state_.promised = accept.ballot;
   accepted_ = AcceptedChange{accept.ballot, accept.change};
+  accepted_at_ = now;
   StoreBatch batch;
   batch.accepted_changed = true;
   batch.accepted = accepted_;
@@ -340,6 +341,9 @@
     phase_patience_ = std::min(2 * phase_patience_, kContactBound);
     AbandonProposal(now);
   }
+  if (accepted_ && accepted_at_ < 0) accepted_at_ = now;
+  bool orphaned = accepted_ && proposal_.phase == Phase::kIdle && now >= accepted_at_ + kOrphanPatience;
+  resolve_ = resolve_ || orphaned;
   Propose(now, out);
 }
 
--- a/system/replication/timing.h
+++ b/system/replication/timing.h
@@ -35,6 +35,9 @@
 inline constexpr double kReadRoundPatience = 0.1;
 // An undecided change that a read has met is left so long to whoever proposed it.
 inline constexpr double kUndecidedPatience = 0.04;
+// One that stands accepted here for so long has been left by whoever proposed it, and is finished by whoever
+// holds it.
+inline constexpr double kOrphanPatience = 0.3;
 // For a part of what a copy has missed to come, before another sender is asked; doubles up to the longest.
 inline constexpr double kDeltaPatience = 0.5;
 inline constexpr double kLongestDeltaPatience = 8.0;
