What has been decided need not be finished again

Cause: a wish to finish an undecided change outlived it and cost a needless Prepare. Change: dropped with each advance; reads that still want it say so again.

--- a/system/replication/replica.cpp
+++ b/system/replication/replica.cpp
@@ -233,6 +233,7 @@
   }
   back_off_ = 0;
   rival_until_ = 0;
+  resolve_ = false;
   if (early_accept_ && early_accept_->second.revision <= state_.revision + 1) {
     auto [from, accept] = std::move(*early_accept_);
     early_accept_.reset();
