--- a/system/replication/replica.h
+++ b/system/replication/replica.h
@@ -243,8 +243,8 @@
   bool fresh_since_contact_ = false;  // a read has ended since: what was missed meanwhile is here
   double membership_due_ = 0, membership_wanted_since_ = -1;
   std::deque<std::pair<double, uint64_t>> stood_at_;  // this copy's revisions of late, by time
-  uint64_t joining_epoch_ = 0;                        // that this core has proposed last,
-  double joining_since_ = 0;                          // and since when
+  uint64_t joining_revision_ = 0;  // of the change of members that this core has proposed last,
+  double joining_since_ = 0;       // and since when
 };
 
 }  // namespace ivygw::replication
--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -256,9 +256,8 @@
     order.in_doubt = order.in_doubt || proposed;
   }
   proposal_.change = std::move(change);
-  uint64_t joining_epoch = proposal_.change.membership ? proposal_.change.membership->epoch : 0;
-  if (joining_epoch > joining_epoch_) {
-    joining_epoch_ = joining_epoch;
+  if (proposal_.change.membership && proposal_.revision > joining_revision_) {
+    joining_revision_ = proposal_.revision;
     joining_since_ = now;
   }
   for (const std::string& address : AcceptorsOf(proposal_.change)) {
