--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -68,6 +68,7 @@
   SeeRival(now, from);
   state_.promised = accept.ballot;
   accepted_ = AcceptedChange{accept.ballot, accept.change};
+  accepted_at_ = now;
   StoreBatch batch;
   batch.accepted_changed = true;
   batch.accepted = accepted_;
@@ -255,9 +256,8 @@
     order.in_doubt = order.in_doubt || proposed;
   }
   proposal_.change = std::move(change);
-  uint64_t joining_epoch = proposal_.change.membership ? proposal_.change.membership->epoch : 0;
-  if (joining_epoch > joining_epoch_) {
-    joining_epoch_ = joining_epoch;
+  if (proposal_.change.membership && proposal_.revision > joining_revision_) {
+    joining_revision_ = proposal_.revision;
     joining_since_ = now;
   }
   for (const std::string& address : AcceptorsOf(proposal_.change)) {
@@ -340,6 +340,9 @@
     phase_patience_ = std::min(2 * phase_patience_, kContactBound);
     AbandonProposal(now);
   }
+  if (accepted_ && accepted_at_ < 0) accepted_at_ = now;
+  bool orphaned = accepted_ && proposal_.phase == Phase::kIdle && now >= accepted_at_ + kOrphanPatience;
+  resolve_ = resolve_ || orphaned;
   Propose(now, out);
 }
 
