Table store: format 2 on disk, written in order, tried again when the disk refuses

Cause: the store on disk told a failed write to its caller and went on with what came after it, with the same LevelDB handle, whose log may end in half a record; a later batch could be on disk without an earlier one. There was no format version.

Change: system/storage. After a failed write the database is opened anew, with paranoid checks, and the same batches come first. Another format is refused with one line; a damaged store is put aside and the new one is a learner's.

--- /dev/null
+++ b/system/storage/table_disk.cpp
@@ -0,0 +1,322 @@
+#include "storage/table_disk.h"
+
+#include <fcntl.h>
+#include <leveldb/db.h>
+#include <leveldb/env.h>
+#include <leveldb/write_batch.h>
+#include <unistd.h>
+
+#include <charconv>
+#include <filesystem>
+#include <optional>
+#include <random>
+#include <stdexcept>
+#include <string_view>
+
+#include "messages/bounded_archive.h"
+
+namespace ivygw::storage {
+namespace {
+
+using messages::AcceptedChange;
+using messages::Deserialize;
+using messages::Record;
+using messages::Serialize;
+using replication::DurableState;
+using replication::LoadedState;
+using replication::StoreBatch;
+
+constexpr char kFormatKey[] = "!format";
+constexpr char kStateKey[] = "!state";
+constexpr char kAcceptedKey[] = "!accepted";
+constexpr std::string_view kRecordPrefix = "r/";
+
+constexpr size_t kWriteBuffer = size_t{1} << 20;  // bytes
+constexpr int kMostOpenFiles = 64;
+
+// DurableState as it is serialised here.
+struct StoredState {
+  DurableState state;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(state.store_id, state.membership, state.revision, state.promised);
+  }
+};
+
+std::string RecordKey(const std::string& key) { return std::string(kRecordPrefix) + key; }
+
+void PutState(const DurableState& state, leveldb::WriteBatch* out) {
+  out->Put(kStateKey, Serialize(StoredState{state}));
+}
+
+void PutAccepted(const std::optional<AcceptedChange>& accepted, leveldb::WriteBatch* out) {
+  if (accepted) {
+    out->Put(kAcceptedKey, Serialize(*accepted));
+  } else {
+    out->Delete(kAcceptedKey);
+  }
+}
+
+void PutRecord(const Record& record, leveldb::WriteBatch* out) {
+  out->Put(RecordKey(record.item.key), Serialize(record));
+}
+
+leveldb::Status WriteSynced(leveldb::DB* database, leveldb::WriteBatch* batch) {
+  leveldb::WriteOptions options;
+  options.sync = true;
+  return database->Write(options, batch);
+}
+
+leveldb::Status WriteWhole(const LoadedState& content, leveldb::DB* database) {
+  leveldb::WriteBatch batch;
+  batch.Put(kFormatKey, std::to_string(kFormatVersion));
+  PutState(content.state, &batch);
+  PutAccepted(content.accepted, &batch);
+  for (const Record& record : content.records) PutRecord(record, &batch);
+  return WriteSynced(database, &batch);
+}
+
+leveldb::Options DatabaseOptions(leveldb::Env* env) {
+  leveldb::Options options;
+  options.create_if_missing = true;
+  options.paranoid_checks = true;
+  options.write_buffer_size = kWriteBuffer;
+  options.max_open_files = kMostOpenFiles;
+  options.env = env;
+  return options;
+}
+
+leveldb::ReadOptions CheckedRead() {
+  leveldb::ReadOptions options;
+  options.verify_checksums = true;
+  options.fill_cache = false;
+  return options;
+}
+
+std::runtime_error FolderError(const std::string& folder, const std::string& what) {
+  return std::runtime_error("data_directory " + folder + ": " + what);
+}
+
+std::runtime_error FormatError(const std::string& folder, const std::string& found) {
+  return FolderError(folder, "holds a store of format " + found + ", and format " +
+                                 std::to_string(kFormatVersion) +
+                                 " is wanted: move it away, or start the build that made it");
+}
+
+// A store's first file besides its lock and log is MANIFEST-000001, then comes CURRENT, then all others.
+// Without CURRENT, LevelDB would take the folder for a new one and delete the rest.
+bool LostItsCurrentFile(const std::string& folder, leveldb::Env* env) {
+  if (env->FileExists(folder + "/CURRENT")) return false;
+  std::vector<std::string> names;
+  if (!env->GetChildren(folder, &names).ok()) return false;
+  for (const std::string& name : names) {
+    std::string extension = std::filesystem::path(name).extension();
+    if (extension == ".log" || extension == ".ldb" || extension == ".sst") return true;
+    if (name.starts_with("MANIFEST-") && name != "MANIFEST-000001") return true;
+  }
+  return false;
+}
+
+// Random, and neither 0 nor the founders'.
+uint64_t DrawStoreId() {
+  std::random_device device;
+  std::uniform_int_distribution<uint64_t> any(replication::kFounderStoreId + 1);
+  return any(device);
+}
+
+std::string ParentOf(const std::string& folder) {
+  std::filesystem::path path = std::filesystem::absolute(folder).lexically_normal();
+  if (!path.has_filename()) path = path.parent_path();
+  return path.parent_path();
+}
+
+}  // namespace
+
+bool SyncFolder(const std::string& folder) {
+  int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0) return false;
+  bool synced = fsync(descriptor) == 0;
+  close(descriptor);
+  return synced;
+}
+
+TableDisk::TableDisk(const std::string& folder, const OpenOptions& options)
+    : folder_(folder), options_(options), env_(options.env ? options.env : leveldb::Env::Default()) {
+  std::error_code failed;
+  std::filesystem::create_directories(folder_, failed);
+  if (failed) throw FolderError(folder_, failed.message());
+  Found found = OpenAndLoad();
+  if (!found.damage.empty()) {
+    opened_.unreadable = found.damage;
+    PutAside();
+    found = OpenAndLoad();
+    if (!found.damage.empty()) throw FolderError(folder_, found.damage);
+  }
+  opened_.created = found.empty;
+  opened_.loaded = std::move(found.loaded);
+  if (found.empty) MakeNew();
+}
+
+TableDisk::~TableDisk() = default;
+
+TableDisk::Found TableDisk::OpenAndLoad() {
+  if (LostItsCurrentFile(folder_, env_)) return {.damage = "no CURRENT file"};
+  leveldb::DB* database = nullptr;
+  leveldb::Status status = leveldb::DB::Open(DatabaseOptions(env_), folder_, &database);
+  database_.reset(database);
+  if (status.IsCorruption()) return {.damage = status.ToString()};
+  if (!status.ok()) throw FolderError(folder_, status.ToString());
+  Found found = Load();
+  if (!found.damage.empty()) database_.reset();
+  return found;
+}
+
+// Why the store is damaged, or nothing. Throws where it is of another format.
+std::string TableDisk::CheckFormat() {
+  std::string text, ignored;
+  leveldb::Status status = database_->Get(CheckedRead(), kFormatKey, &text);
+  if (status.IsNotFound()) {
+    status = database_->Get(CheckedRead(), kStateKey, &ignored);
+    if (status.IsNotFound()) throw FormatError(folder_, "1");
+    return status.ok() ? "no format" : status.ToString();
+  }
+  if (status.IsCorruption()) return status.ToString();
+  if (!status.ok()) throw FolderError(folder_, status.ToString());
+  int format = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), format);
+  if (error != std::errc() || end != text.data() + text.size() || format < 1) return "format is no number";
+  if (format != kFormatVersion) throw FormatError(folder_, text);
+  return {};
+}
+
+TableDisk::Found TableDisk::Load() {
+  std::unique_ptr<leveldb::Iterator> it(database_->NewIterator(CheckedRead()));
+  it->SeekToFirst();
+  if (it->status().IsCorruption()) return {.damage = it->status().ToString()};
+  if (!it->status().ok()) throw FolderError(folder_, it->status().ToString());
+  if (!it->Valid()) return {.empty = true};
+  if (std::string damage = CheckFormat(); !damage.empty()) return {.damage = damage};
+
+  Found found;
+  bool has_state = false;
+  for (; it->Valid(); it->Next()) {
+    std::string_view key(it->key().data(), it->key().size());
+    std::string_view value(it->value().data(), it->value().size());
+    bool good = false;
+    if (key == kFormatKey) {
+      good = true;
+    } else if (key == kStateKey) {
+      std::optional<StoredState> stored = Deserialize<StoredState>(value);
+      good = has_state = stored.has_value() && stored->state.store_id != 0;
+      if (good) found.loaded.state = std::move(stored->state);
+    } else if (key == kAcceptedKey) {
+      found.loaded.accepted = Deserialize<AcceptedChange>(value);
+      good = found.loaded.accepted.has_value();
+    } else if (key.starts_with(kRecordPrefix)) {
+      std::optional<Record> record = Deserialize<Record>(value);
+      good = record && record->item.key == key.substr(kRecordPrefix.size());
+      if (good) found.loaded.records.push_back(std::move(*record));
+    }
+    if (!good) return {.damage = "can't be decoded: " + std::string(key)};
+  }
+  if (it->status().IsCorruption()) return {.damage = it->status().ToString()};
+  if (!it->status().ok()) throw FolderError(folder_, it->status().ToString());
+  if (!has_state) return {.damage = "no state"};
+  return found;
+}
+
+void TableDisk::PutAside() {
+  database_.reset();
+  std::string aside = folder_ + ".unreadable";
+  std::error_code failed;
+  std::filesystem::remove_all(aside, failed);
+  if (!failed) std::filesystem::rename(folder_, aside, failed);
+  if (!failed) std::filesystem::create_directories(folder_, failed);
+  if (failed) throw FolderError(folder_, "is damaged and can't be put aside: " + failed.message());
+}
+
+void TableDisk::MakeNew() {
+  DurableState& state = opened_.loaded.state;
+  bool founder = options_.founder && opened_.unreadable.empty();
+  state.store_id = founder ? replication::kFounderStoreId : DrawStoreId();
+  if (founder) state.membership = options_.first_membership;
+  leveldb::Status status = WriteWhole(opened_.loaded, database_.get());
+  if (!status.ok()) throw FolderError(folder_, status.ToString());
+  if (!SyncFolder(folder_) || !SyncFolder(ParentOf(folder_))) throw FolderError(folder_, "can't be synced");
+}
+
+std::string TableDisk::Reopen() {
+  leveldb::Options options = DatabaseOptions(env_);
+  options.create_if_missing = false;
+  leveldb::DB* database = nullptr;
+  leveldb::Status status = leveldb::DB::Open(options, folder_, &database);
+  database_.reset(database);
+  return status.ok() ? std::string() : status.ToString();
+}
+
+std::string TableDisk::Write(const std::vector<StoreBatch>& batches) {
+  if (!database_) {
+    if (std::string error = Reopen(); !error.empty()) return error;
+  }
+  leveldb::WriteBatch write;
+  std::string error = AddBatches(batches, &write);
+  if (error.empty()) {
+    leveldb::Status status = WriteSynced(database_.get(), &write);
+    if (!status.ok()) error = status.ToString();
+  }
+  // A database that has failed may refuse for ever, and its log may end in half a record.
+  if (!error.empty()) database_.reset();
+  return error;
+}
+
+std::string TableDisk::AddBatches(const std::vector<StoreBatch>& batches, leveldb::WriteBatch* out) {
+  const StoreBatch* last_accepted = nullptr;
+  for (const StoreBatch& batch : batches) {
+    if (batch.replace_all) {
+      out->Clear();  // records of the batches before
+      if (std::string error = EraseAllRecords(out); !error.empty()) return error;
+    }
+    for (const Record& record : batch.records) PutRecord(record, out);
+    for (const std::string& key : batch.erased) out->Delete(RecordKey(key));
+    if (batch.accepted_changed) last_accepted = &batch;
+  }
+  if (last_accepted) PutAccepted(last_accepted->accepted, out);
+  if (!batches.empty()) PutState(batches.back().state, out);
+  return {};
+}
+
+std::string TableDisk::EraseAllRecords(leveldb::WriteBatch* out) {
+  std::unique_ptr<leveldb::Iterator> it(database_->NewIterator(CheckedRead()));
+  leveldb::Slice prefix(kRecordPrefix.data(), kRecordPrefix.size());
+  for (it->Seek(prefix); it->Valid() && it->key().starts_with(prefix); it->Next()) out->Delete(it->key());
+  return it->status().ok() ? std::string() : it->status().ToString();
+}
+
+void TableDisk::Create(const std::string& folder, const LoadedState& content) {
+  std::string parent = ParentOf(folder), name = std::filesystem::path(folder).lexically_normal();
+  while (name.size() > 1 && name.back() == '/') name.pop_back();
+  std::string unfinished = name + ".unfinished";
+  std::error_code failed;
+  std::filesystem::create_directories(parent, failed);
+  if (failed) throw FolderError(folder, failed.message());
+  bool exists = std::filesystem::exists(folder, failed);
+  if (failed || (exists && (!std::filesystem::is_empty(folder, failed) || failed))) {
+    throw FolderError(folder, "exists and isn't empty: a store is made in a new folder only");
+  }
+  std::filesystem::remove_all(unfinished, failed);
+  if (failed) throw FolderError(unfinished, failed.message());
+  {
+    leveldb::Options options = DatabaseOptions(leveldb::Env::Default());
+    leveldb::DB* opened = nullptr;
+    leveldb::Status status = leveldb::DB::Open(options, unfinished, &opened);
+    std::unique_ptr<leveldb::DB> database(opened);
+    if (status.ok()) status = WriteWhole(content, database.get());
+    if (!status.ok()) throw FolderError(unfinished, status.ToString());
+  }
+  if (!SyncFolder(unfinished)) throw FolderError(unfinished, "can't be synced");
+  std::filesystem::rename(unfinished, folder, failed);
+  if (failed) throw FolderError(folder, failed.message());
+  if (!SyncFolder(parent)) throw FolderError(folder, "can't be synced");
+}
+
+}  // namespace ivygw::storage
--- /dev/null
+++ b/system/storage/table_disk.h
@@ -0,0 +1,88 @@
+// The records and the state of one replicated table in a LevelDB folder: format version 2, opened, checked
+// and written. All calls block on the disk. Used by one thread at a time.
+//
+// Keys: "!format" (its version as text), "!state" (DurableState), "!accepted" (AcceptedChange, where there is
+// one) and "r/" + key (Record); values by cereal's portable binary form.
+#ifndef IVYGW_SYSTEM_STORAGE_TABLE_DISK_H_
+#define IVYGW_SYSTEM_STORAGE_TABLE_DISK_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "replication/durable_state.h"
+
+namespace leveldb {
+class DB;
+class Env;
+class WriteBatch;
+}  // namespace leveldb
+
+namespace ivygw::storage {
+
+inline constexpr int kFormatVersion = 2;
+
+struct OpenOptions {
+  // A store that is made is that of a member of the first epoch, `first_membership`; else that of a learner.
+  bool founder = false;
+  replication::Membership first_membership;
+  leveldb::Env* env = nullptr;  // null: the machine's; not owned
+  int retry_pause_ms = 100;     // between the tries to write to a disk that refuses
+};
+
+// What a folder held when it was opened.
+struct OpenedTable {
+  replication::LoadedState loaded;
+  bool created = false;    // it held no store, or one that was put aside: this one is new
+  std::string unreadable;  // why a damaged store was put aside as `<folder>.unreadable`; empty: none was
+};
+
+class TableDisk {
+ public:
+  // Opens `folder`, or makes a store in it; a new one is on disk when this returns. Throws
+  // std::runtime_error, with one line, where the folder holds a store of another format, or can't be read or
+  // written.
+  TableDisk(const std::string& folder, const OpenOptions& options);
+  ~TableDisk();
+
+  // Of the time of the constructor; to be taken once.
+  OpenedTable TakeOpened() { return std::move(opened_); }
+
+  // Writes the batches in order, all or none, and syncs. Returns why it failed; empty: all would survive a
+  // loss of power. After a failure the database is opened anew by the next call, which must bring the same
+  // batches first: what has become of these isn't known.
+  std::string Write(const std::vector<replication::StoreBatch>& batches);
+
+  // Makes a store that holds this. Throws std::runtime_error where the folder exists and isn't empty. Nothing
+  // half is left under the folder's name.
+  static void Create(const std::string& folder, const replication::LoadedState& content);
+
+ private:
+  // What was found; where `damage` is not empty it is why the store can't be read.
+  struct Found {
+    std::string damage = {};
+    bool empty = false;
+    replication::LoadedState loaded = {};
+  };
+  Found OpenAndLoad();
+  Found Load();
+  std::string CheckFormat();
+  void PutAside();
+  void MakeNew();
+  std::string Reopen();
+  std::string AddBatches(const std::vector<replication::StoreBatch>& batches, leveldb::WriteBatch* out);
+  std::string EraseAllRecords(leveldb::WriteBatch* out);
+
+  const std::string folder_;
+  const OpenOptions options_;
+  leveldb::Env* const env_;
+  std::unique_ptr<leveldb::DB> database_;  // null after a failure
+  OpenedTable opened_;
+};
+
+// Makes the entries of a folder survive a loss of power. False where the folder can't be synced.
+bool SyncFolder(const std::string& folder);
+
+}  // namespace ivygw::storage
+
+#endif  // IVYGW_SYSTEM_STORAGE_TABLE_DISK_H_
