Calm of the simulated network lasts until contact cannot lapse any more

Cause: a world that paused a moment ago may still lose contact, so a check right after the troubles judged too early; a healed cut is silence, too. Change: the check waits two contact bounds, and healed cuts count.

--- a/tests/system/control_sim.cpp
+++ b/tests/system/control_sim.cpp
@@ -467,6 +467,7 @@
   ++ConnectionOf(a, b).cut_number;
   for (auto [from, to] : {std::make_pair(a, b), std::make_pair(b, a)}) {
     Direction& direction = directions_[{from, to}];
+    if (direction.cut) direction.healed_at = now_;
     direction.cut = false;
     direction.delay = 0;
     auto held = std::move(direction.held);
@@ -561,6 +562,9 @@
   bool connected = core == member.address;
   if (auto it = connections_.find(PairOf(core, member.address)); it != connections_.end()) {
     connected = connected || (it->second.Up() && it->second.since < since);
+    for (const auto& ends : {std::make_pair(core, member.address), std::make_pair(member.address, core)}) {
+      connected = connected && directions_.at(ends).healed_at < since;
+    }
   }
   bool hangs = target.writing && now_ > target.writing_since + replication::kContactBound;
   bool paused = now_ < std::max(target.paused_until, decider.paused_until) + kHeardWithin;
@@ -675,6 +679,10 @@
   while (broken_.empty() && !(Even() && MembersRun()) && now_ < deadline) For(kTick);
   if (broken_.empty() && !Even())
     return Broken("the copies are not even " + std::to_string(patience) + " s after the troubles");
+  // Whoever paused a moment ago may still lose contact for as long.
+  double calm = now_ + 2 * replication::kContactBound;
+  while (broken_.empty() && (now_ < calm - replication::kContactBound || (!Even() && now_ < calm)))
+    For(kTick);
   if (broken_.empty() && !MembersRun())
     return Broken("members are missing " + std::to_string(patience) + " s after the troubles");
   for (const std::string& name : Machines()) {
--- a/tests/system/control_sim.h
+++ b/tests/system/control_sim.h
@@ -174,7 +174,7 @@
   };
   struct Direction {
     bool cut = false;
-    double delay = 0, free_at = 0;
+    double delay = 0, free_at = 0, healed_at = -1;
     std::deque<std::shared_ptr<const PeerMessage>> held;
   };
 
