--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr double kSyncTime = 4;  // s, for a new machine to be a member
+constexpr double kSettled = 3;   // s, for all to be even once troubles are over
 
 struct Tally {
   size_t confirmed = 0, refused = 0, unclear = 0, not_taken = 0, reads = 0, revisions = 0;
@@ -33,7 +34,7 @@
   troubles(&world);
   operators.Stop();
   world.HealAll();
-  world.CheckSettles(5);
+  world.CheckSettles(kSettled);
   if (tally) {
     const Rules& rules = world.rules();
     tally->confirmed += rules.confirmed;
