Formatter: test framework's headers go last

Cause: the formatter sorted CppUTest, which names new anew, before the standard library, and the tests didn't compile.

--- a/tests/system/catch_up_test.cpp
+++ b/tests/system/catch_up_test.cpp
@@ -1,13 +1,13 @@
 // That a core which was away catches up: under any load, in parts, from one sender or several, across ends of
 // tombstones and changes of members; on a simulated network.
 
-#include <CppUTest/TestHarness.h>  // after all others: it names new anew
-
 #include <algorithm>
 #include <cstdio>
 
 #include "system/control_operators.h"
 
+#include <CppUTest/TestHarness.h>  // after all others: it names new anew
+
 using namespace ivygw;
 using namespace ivygw::control_sim;
 
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -1,13 +1,13 @@
 // A replicated table under the operators' worst days: orders, members and contact, on a simulated network;
 // and that the rules find the mistakes that they are for.
 
-#include <CppUTest/TestHarness.h>  // after all others: it names new anew
-
 #include <cstdio>
 
 #include "replication/timing.h"
 #include "system/control_operators.h"
 
+#include <CppUTest/TestHarness.h>  // after all others: it names new anew
+
 using namespace ivygw;
 using namespace ivygw::control_sim;
 
