Items and their order move to messages; core messages of the replicated table on the wire

The wire's form is 2: PeerMessage joins the messages between processes. Newer, RangeOf and the number of ranges stand beside Item, where gateways, cores and tools find them without the table's code.

--- a/system/angelus/roll.cpp
+++ b/system/angelus/roll.cpp
@@ -5,7 +5,7 @@
 namespace ivygw::angelus {
 
 using cascade::Backend;
-using luxmore::Item;
+using messages::Item;
 
 namespace {
 
--- a/system/cascade/copy.h
+++ b/system/cascade/copy.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cascade/journal.h"
-#include "luxmore/replica.h"
+#include "messages/item.h"
 
 namespace ivygw::cascade {
 
@@ -22,16 +22,16 @@
 
 class Copy {
  public:
-  Copy(Table table, Journal<Changed>* journal) : table_(table), journal_(journal), sums_(luxmore::kListRanges, 0) {}
+  Copy(Table table, Journal<Changed>* journal) : table_(table), journal_(journal), sums_(messages::kListRanges, 0) {}
 
   void OnPush(double now, const heaphy::Push& push) {
     for (const heaphy::Item& item : push.items) {
       auto [it, fresh] = items_.try_emplace(item.key, item);
-      if (!fresh && !luxmore::Newer(item, it->second)) continue;
-      uint64_t& sum = sums_[luxmore::RangeOf(item.key, sums_.size())];
-      if (!fresh) sum ^= luxmore::DigestOf(it->second);
+      if (!fresh && !messages::Newer(item, it->second)) continue;
+      uint64_t& sum = sums_[messages::RangeOf(item.key, sums_.size())];
+      if (!fresh) sum ^= messages::DigestOf(it->second);
       it->second = item;
-      sum ^= luxmore::DigestOf(item);
+      sum ^= messages::DigestOf(item);
       journal_->Append({table_, item, now});
     }
   }
--- a/system/heaphy/codec.cpp
+++ b/system/heaphy/codec.cpp
@@ -1,6 +1,7 @@
 #include "heaphy/codec.h"
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -8,18 +8,16 @@
 #include <variant>
 #include <vector>
 
+#include "messages/item.h"
+#include "messages/replication.h"
+
 namespace ivygw::heaphy {
 
-inline constexpr uint16_t kForm = 1;
+using messages::Item;
+using messages::PeerMessage;
+
+inline constexpr uint16_t kForm = 2;
 
-// A versioned item of any replicated table; `key` is table/name.
-struct Item {
-  std::string key;
-  uint64_t version = 0;
-  bool dropped = false;
-  std::string body;
-  bool operator==(const Item&) const = default;
-};
 // An item by what tells it from every other: enough to compare copies.
 struct Mark {
   std::string key;
@@ -80,9 +78,8 @@
 struct CallDone { uint64_t number = 0; uint32_t status = 0; std::string body; };
 
 using Message = std::variant<Hello, Put, PutDone, Safe, Digests, RangeMarks, Pull, Heard, Have, Push, PushAck, State, Report, Loans,
-                             Ping, Pong, Call, CallDone>;
+                             Ping, Pong, Call, CallDone, PeerMessage>;
 
-template <class A> void serialize(A& a, Item& m) { a(m.key, m.version, m.dropped, m.body); }
 template <class A> void serialize(A& a, Mark& m) { a(m.key, m.version, m.digest, m.synced); }
 template <class A> void serialize(A& a, Hello& m) { a(m.form, m.node, m.role, m.zone, m.boot, m.cores); }
 template <class A> void serialize(A& a, Put& m) { a(m.number, m.items); }
--- a/system/luxmore/replica.cpp
+++ b/system/luxmore/replica.cpp
@@ -7,19 +7,6 @@
 #include "base/text_hash.h"
 
 namespace ivygw::luxmore {
-size_t RangeOf(const std::string& key, size_t ranges) { return micadock::TextHash(key) % ranges; }
-
-uint64_t DigestOf(const Item& item) {
-  uint64_t body = micadock::TextHash(item.body, item.dropped ? 7 : 3);
-  return micadock::Mix(micadock::TextHash(item.key, 1) ^ micadock::Mix(item.version) ^ micadock::Mix(body));
-}
-
-bool Newer(const Item& a, const Item& b) {
-  if (a.version != b.version) return a.version > b.version;
-  uint64_t da = DigestOf(a), db = DigestOf(b);
-  return std::tie(da, a.dropped, a.body) > std::tie(db, b.dropped, b.body);
-}
-
 Replica::Replica(ReplicaOptions options, std::vector<Item> from_disk) : options_(std::move(options)) {
   options_.cores.insert(options_.self);
   round_ = put_ = uint64_t{options_.life} << 32;
--- a/system/luxmore/replica.h
+++ b/system/luxmore/replica.h
@@ -23,12 +23,9 @@
 using heaphy::Mark;
 using heaphy::Message;
 
-uint64_t DigestOf(const Item& item);
-// The range of a key among so many.
-size_t RangeOf(const std::string& key, size_t ranges);
-inline constexpr size_t kListRanges = 64;  // by which gateways tell what they have
-// One total order over the contents that a key may have, the same on every copy: version, then digest, then bytes.
-bool Newer(const Item& a, const Item& b);
+using messages::DigestOf;
+using messages::Newer;
+using messages::RangeOf;
 
 struct ReplicaOptions {
   std::string self;              // IP address
--- a/system/messages/item.h
+++ b/system/messages/item.h
@@ -2,8 +2,10 @@
 #ifndef IVYGW_SYSTEM_MESSAGES_ITEM_H_
 #define IVYGW_SYSTEM_MESSAGES_ITEM_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "base/text_hash.h"
 
@@ -23,6 +25,17 @@
   return micadock::Mix(micadock::TextHash(item.key, 1) ^ micadock::Mix(item.version) ^ micadock::Mix(body));
 }
 
+// One total order over the contents that a key may have, the same on every machine: version, then digest, then bytes.
+inline bool Newer(const Item& a, const Item& b) {
+  if (a.version != b.version) return a.version > b.version;
+  uint64_t digest_a = DigestOf(a), digest_b = DigestOf(b);
+  return std::tie(digest_a, a.dropped, a.body) > std::tie(digest_b, b.dropped, b.body);
+}
+
+// By ranges of keys gateways tell what they have of a table: one digest for each.
+inline constexpr size_t kListRanges = 64;
+inline size_t RangeOf(const std::string& key, size_t ranges) { return micadock::TextHash(key) % ranges; }
+
 template <class Archive>
 void serialize(Archive& archive, Item& item) {
   archive(item.key, item.version, item.dropped, item.body);
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -55,9 +55,9 @@
                    }
                    if (const auto* have = std::get_if<heaphy::Have>(&message)) {
                      auto it = followers_.find(peer);
-                     if (it == followers_.end() || have->ranges.size() != luxmore::kListRanges) return;
+                     if (it == followers_.end() || have->ranges.size() != messages::kListRanges) return;
                      it->second.asked = true;
-                     it->second.ranges.assign(luxmore::kListRanges, false);
+                     it->second.ranges.assign(messages::kListRanges, false);
                      const std::vector<uint64_t>& sums = ShownSums();
                      for (size_t i = 0; i < sums.size(); ++i) it->second.ranges[i] = sums[i] != have->ranges[i];
                      return List(peer, &it->second);
@@ -255,9 +255,9 @@
 
 const std::vector<uint64_t>& CoreNode::ShownSums() {
   if (shown_sums_.empty()) {
-    shown_sums_.assign(luxmore::kListRanges, 0);
+    shown_sums_.assign(messages::kListRanges, 0);
     for (const auto& [key, entry] : replica_->entries()) {
-      if (auto item = Shown(key)) shown_sums_[luxmore::RangeOf(key, shown_sums_.size())] ^= luxmore::DigestOf(*item);
+      if (auto item = Shown(key)) shown_sums_[messages::RangeOf(key, shown_sums_.size())] ^= messages::DigestOf(*item);
     }
   }
   return shown_sums_;
@@ -272,7 +272,7 @@
   const auto& entries = replica_->entries();
   for (auto it = entries.upper_bound(follower->cursor); it != entries.end() && bytes < kPushBytes; ++it) {
     follower->cursor = it->first;
-    if (!follower->ranges[luxmore::RangeOf(it->first, follower->ranges.size())]) continue;
+    if (!follower->ranges[messages::RangeOf(it->first, follower->ranges.size())]) continue;
     auto item = Shown(it->first);
     if (!item) continue;
     bytes += it->first.size() + item->body.size() + 32;
--- a/system/taranaki/run.cpp
+++ b/system/taranaki/run.cpp
@@ -15,7 +15,7 @@
 #include <random>
 #include <sstream>
 
-#include "luxmore/replica.h"
+#include "messages/item.h"
 #include "heaphy/links.h"
 #include "net/message_reader.h"
 
@@ -262,7 +262,7 @@
     gateway.ready = false;
     ++gateway.boot;
     for (int t : {0, 1}) {
-      gateway.sums[t].assign(luxmore::kListRanges, 0);
+      gateway.sums[t].assign(messages::kListRanges, 0);
       gateway.asked[t] = false;
     }
     gateway.listed.assign(static_cast<size_t>(2 * plan_.cores), false);
@@ -301,7 +301,7 @@
     if (const auto* push = std::get_if<heaphy::Push>(&message)) {
       Send(g, i, heaphy::PushAck{push->number});
       for (const auto& item : push->items) {
-        if (!gateway.ready && push->full) gateway.sums[i % 2][luxmore::RangeOf(item.key, luxmore::kListRanges)] ^= luxmore::DigestOf(item);
+        if (!gateway.ready && push->full) gateway.sums[i % 2][messages::RangeOf(item.key, messages::kListRanges)] ^= messages::DigestOf(item);
       }
       for (const auto& item : push->items) {
         auto it = spreading_.find(item.key);
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -298,7 +298,7 @@
   b.sequence = 6;
   angelus::Entry drain = angelus::OnBeat(b, &ready.item, true);
   CHECK(drain.write && drain.wait);
-  CHECK(luxmore::Newer(drain.item, ready.item));
+  CHECK(messages::Newer(drain.item, ready.item));
   // Said again where it is not safe yet: still not acknowledged without a majority.
   CHECK(angelus::OnBeat(b, &drain.item, false).write && angelus::OnBeat(b, &drain.item, false).wait);
   CHECK(!angelus::OnBeat(b, &drain.item, true).write);
@@ -306,7 +306,7 @@
   b.sequence = 9;  // late in the network, or confused
   CHECK(angelus::OnBeat(b, &drain.item, true).item == drain.item);
   angelus::Entry gone = angelus::OnDeregister("i1", 0, &drain.item, true);
-  CHECK(gone.write && gone.wait && gone.item.dropped && luxmore::Newer(gone.item, drain.item));
+  CHECK(gone.write && gone.wait && gone.item.dropped && messages::Newer(gone.item, drain.item));
   CHECK(angelus::OnBeat(b, &gone.item, true).item.dropped);
 }
 
@@ -335,9 +335,9 @@
   CHECK(!silent.empty());
   for (const std::string& id : silent) CHECK(id != "there");
 
-  luxmore::Item item = Backend("i", "s", "z", 7);
-  luxmore::Item gone = angelus::OnSilent(item);
-  CHECK(luxmore::Newer(gone, item) && gone.dropped);
+  heaphy::Item item = Backend("i", "s", "z", 7);
+  heaphy::Item gone = angelus::OnSilent(item);
+  CHECK(messages::Newer(gone, item) && gone.dropped);
   cascade::Backend b;
   cascade::ReadBackend(item.body, &b);
   b.id = "i";
@@ -345,7 +345,7 @@
   CHECK(!angelus::OnBeat(b, &gone, true).write);  // as late as the word that dropped it
   b.sequence = 20;
   angelus::Entry back = angelus::OnBeat(b, &gone, true);
-  CHECK(back.write && luxmore::Newer(back.item, gone) && !back.item.dropped);
+  CHECK(back.write && messages::Newer(back.item, gone) && !back.item.dropped);
 }
 
 TEST(Roll, ABadBeatIsNamedByItsField) {
