--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -286,7 +286,7 @@
 bool Replica::MayPassOver(double now, const Member& joining) const {
   auto peer = peers_.find(joining.address);
   bool self = joining.address == options_.address;
-  bool silent = !self && (peer == peers_.end() || now >= peer->second.heard + kJoinSilence);
+  bool silent = !self && (peer == peers_.end() || now >= std::max(peer->second.heard, joining_since_) + kJoinSilence);
   return silent || now >= joining_since_ + kJoinPatience;
 }
 
