Requests and their attempts as a pure state machine; the proxy is its adapter

Cause: the life of a request stood among socket callbacks, without a test of its own; a 421 or Not-Executed without an id was believed on a connection that had carried other requests; a loss after a refused write counted as one that may have run.

Change: request_lifecycle holds identities that are never used again, the evidence of each end and its outcome (done, not done, may have been done; only evidence that proves it makes a NotDone, which every promise to a client needs), and the state machine; milford/exchanges turns callbacks into events and effects into calls. A refusal without an id counts only where one request was ever written to its connection. The links tell whether a byte of a message may have left, look for an ended connection before each first write too, and keep no connection on which a message is still being written.

--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -40,7 +40,7 @@
     reader_.Next();
     body_ = std::string();
     busy_ = true;
-    begun_ = wanted_ = false;
+    begun_ = wanted_ = any_written_ = false;
     ++exchange_;
     Send(std::move(message), !more);
     Read();
@@ -56,6 +56,8 @@
     Read();
   }
 
+  bool any_written() const { return any_written_; }
+
   void Close() {
     closed_ = true;
     timer_.cancel();
@@ -70,13 +72,23 @@
     message_ = std::move(text);
     Account();
     uint64_t mine = exchange_;
-    WriteAll(socket_, message_, [self = shared_from_this(), this, mine, last](error_code error) {
-      if (closed_ || !busy_ || exchange_ != mine) return;
+    sending_ = true;
+    error_code refused;
+    size_t taken = socket_.send(asio::buffer(message_), 0, refused);
+    any_written_ = any_written_ || taken > 0 || refused == asio::error::would_block;
+    if (refused == asio::error::would_block) refused = {};
+    auto sent = [self = shared_from_this(), this, mine, last](error_code error) {
+      if (closed_ || exchange_ != mine) return;
+      sending_ = false;
+      if (!busy_) return;
       if (error) return Lost();
       message_ = std::string();
       Account();
       last ? links_->events_->OnWritten(id_) : links_->events_->OnDrained(id_);
-    });
+    };
+    if (refused || taken == message_.size()) return sent(refused);
+    asio::async_write(socket_, asio::buffer(message_.data() + taken, message_.size() - taken),
+                      [sent = std::move(sent)](error_code error, size_t) { sent(error); });
   }
 
   void Read() {
@@ -109,7 +121,9 @@
       body_.clear();
       if (reader_.unread() == 0) return false;
     }
-    return Further(reader_.keep_alive() && reader_.unread() == 0 && !eof_);
+    // Nothing after the answer's end, and nothing of its request left to write.
+    bool clean = reader_.unread() == 0 && !eof_ && !sending_;
+    return Further(reader_.keep_alive() && clean);
   }
 
   void End() {
@@ -227,6 +241,8 @@
   uint64_t exchange_ = 0;
   int interim_ = 0;
   bool closed_ = false, busy_ = false, reading_ = false;
+  bool sending_ = false;      // of the message, something is still to be written
+  bool any_written_ = false;  // of the message, the system may have taken a byte
   bool begun_ = false;   // the answer is long, and told of in parts
   bool wanted_ = false;  // the next of it has been asked for
   bool eof_ = false;     // the backend has ended its sending
@@ -260,6 +276,11 @@
   if (auto c = Find(connection)) c->ReadMore();
 }
 
+bool BackendLinks::AnyWritten(uint64_t connection) const {
+  auto c = Find(connection);
+  return !c || c->any_written();
+}
+
 void BackendLinks::Close(uint64_t connection) {
   auto it = connections_.find(connection);
   if (it == connections_.end()) return;
--- a/src/net/backend_links.h
+++ b/src/net/backend_links.h
@@ -44,7 +44,8 @@
   virtual void OnWritten(uint64_t connection) = 0;  // the message's last byte has gone to the system
   virtual void OnAnswer(uint64_t connection, BackendAnswer answer) = 0;
   virtual void OnLost(uint64_t connection) = 0;   // could not connect, or it ended, or what came is no answer
-  virtual void OnStale(uint64_t connection) = 0;  // a kept one had ended before anything was written to it
+  // Before anything of the message was written, the connection was found ended, or with bytes that nobody asked for.
+  virtual void OnStale(uint64_t connection) = 0;
   // Of messages and answers that are not whole at once.
   virtual void OnDrained(uint64_t /*connection*/) {}  // what was written so far has gone: there is room for more
   virtual void OnAnswerBegun(uint64_t /*connection*/, BackendAnswer /*answer*/) {}
@@ -61,13 +62,16 @@
   ~BackendLinks();
 
   void Connect(uint64_t connection, const tcp::endpoint& address);
-  // `kept`: it is looked at first whether the backend has ended it. `more`: the rest follows by WriteMore, one part
+  // `kept`: it is looked at first whether the backend has ended it, or has sent what nobody asked for. `more`: the rest follows by WriteMore, one part
   // after OnDrained.
   void Write(uint64_t connection, std::string message, bool kept, bool more = false);
   void WriteMore(uint64_t connection, std::string bytes, bool last);
   void ReadMore(uint64_t connection);  // of a begun answer: the next part
   void Close(uint64_t connection);
 
+  // Whether the system may have taken a byte of the connection's last message. False is certain: the first write of it
+  // failed with nothing taken. True where the connection has been closed.
+  bool AnyWritten(uint64_t connection) const;
   size_t connections() const { return connections_.size(); }
 
  private:
--- a/system/milford/exchanges.h
+++ b/system/milford/exchanges.h
@@ -1,10 +1,11 @@
-// Milford (requests in the proxy): each request from its arrival to its one answer, between the sockets of clients and of
-// backends. Who may pass, where to, and whether again is decided by routeburn, hollyford and tongariro.
+// Milford (requests in the proxy): joins the sockets of clients and of backends to the state machine of
+// requests (request_lifecycle). Callbacks of sockets and timers become its events, its effects become calls.
+// Who may pass and where to is decided by routeburn and hollyford before a request is admitted. One thread,
+// that of the event loop.
 #ifndef IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
 #define IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
 
 #include <deque>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -13,22 +14,23 @@
 #include "hollyford/admission.h"
 #include "net/backend_links.h"
 #include "net/client_server.h"
+#include "request_lifecycle/lifecycle.h"
 #include "routeburn/routes.h"
-#include "tongariro/answers.h"
+#include "tongariro/budget.h"
 #include "tongariro/pool.h"
-#include "tongariro/tries.h"
 
 namespace ivygw::milford {
 
 struct Figures {
-  uint64_t requests = 0, served = 0, refused = 0, limited = 0, failed = 0, late = 0, tries = 0, not_sent = 0, full = 0,
-           unknown = 0, broken = 0, connections = 0, denied = 0;
+  uint64_t requests = 0, served = 0, refused = 0, limited = 0, failed = 0, late = 0, tries = 0, not_sent = 0,
+           full = 0, unknown = 0, broken = 0, connections = 0, denied = 0, ended = 0;
 };
 
-class Exchanges : public BackendEvents {
+class Exchanges : private BackendEvents, private request_lifecycle::BackendPolicy {
  public:
-  Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routeburn::Routes* routes, hollyford::Admission* admission,
-            tongariro::Pool* pool, tongariro::Budget* budget);
+  // Everything given outlives this.
+  Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routeburn::Routes* routes,
+            hollyford::Admission* admission, tongariro::Pool* pool, tongariro::Budget* budget);
   void Serve(ClientServer* front) { front_ = front; }
 
   void OnRequest(uint64_t client, ClientMessage message);
@@ -40,9 +42,24 @@
   // Loans have come: requests whose tokens were on their way are looked at again.
   void OnLoans();
   void Sweep();  // connections to backends that are no longer wanted
-  size_t held() const { return requests_.size(); }
-  const Figures& figures() const { return figures_; }
+  size_t held() const { return lifecycle_.requests().size(); }
+  Figures figures() const;
 
+ private:
+  using RequestId = request_lifecycle::RequestId;
+  // What a request consists of, and the timers of its stages.
+  struct Held {
+    ClientMessage message;
+    routeburn::Routes::Route route;
+    routeburn::Routes::Tenant tenant;
+    std::string attempt_id;  // as the client told it
+    double arrived = 0, deadline = 0;
+    bool pending = false;                               // its token is on its way
+    std::unique_ptr<asio::steady_timer> timer;          // of the token, then of the deadline
+    std::unique_ptr<asio::steady_timer> connect_timer;  // of the attempt that is out
+  };
+
+  // Of BackendLinks.
   void OnConnected(uint64_t connection) override;
   void OnWritten(uint64_t) override {}
   void OnAnswer(uint64_t connection, BackendAnswer answer) override;
@@ -52,43 +69,42 @@
   void OnAnswerPart(uint64_t connection, std::string bytes) override;
   void OnAnswerEnded(uint64_t connection, bool keep) override;
 
- private:
-  struct Request {
-    uint64_t client = 0;
-    ClientMessage message;
-    routeburn::Routes::Route route;
-    routeburn::Routes::Tenant tenant;
-    std::string service, attempt_id;
-    double arrived = 0, deadline = 0;
-    tongariro::Course course;
-    std::set<std::string> tried;
-    uint64_t connection = 0;  // of the attempt that is out; 0: none
-    std::string backend;  // its id: what it must answer as, too
-    bool replying = false, client_gone = false;
-    std::unique_ptr<asio::steady_timer> timer, connect_timer;
-  };
-  struct Link {
-    std::string backend;
-    uint64_t request = 0;  // 0: idle
-    double until = 0;      // for which it is kept idle
-    bool kept = false, up = false;
-  };
+  // Of the state machine.
+  std::string Choose(double now, const std::string& service, const std::set<std::string>& tried) override;
+  void OnAttemptStarted(const std::string& backend) override;
+  void OnAttemptEnded(double now, const std::string& backend, tongariro::Met met) override;
+  bool MayRetry(double now, const std::string& service) override;
+  void OnRetry(double now, const std::string& service) override;
+  bool Unwanted(const std::string& backend) override;
 
   double Now() const;
-  void Begin(uint64_t id);
-  void Judged(uint64_t id, const hollyford::Verdict& verdict);
-  void Admitted(uint64_t id);
-  void Try(uint64_t id);
-  void Write(uint64_t id);
-  void Ended(uint64_t id, tongariro::Told told, tongariro::Met met);
-  void Finish(uint64_t id, Answer answer);
-  void Refuse(uint64_t id, int status, double retry_after_s, const char* why);
-  void OnDeadline(uint64_t id);
-  void Release(uint64_t connection, bool keep, double keep_alive_s);
-  void Drop(uint64_t connection);
-  std::string Message(const Request& request, double now) const;
-  static tongariro::Reading Read(const Request& request, const BackendAnswer& answer);
-  void Served(const Request& request, double now);
+  void Begin(RequestId id);
+  void Judged(RequestId id, const hollyford::Verdict& verdict);
+  void OnTokenLate(RequestId id);
+  void Admitted(RequestId id);
+  void Reject(RequestId id, int status, double retry_after_s, const char* reason);
+  std::string Message(const Held& held, const std::string& backend) const;
+
+  // Gives the state machine an event and carries out its effects, in order. What comes while they are carried
+  // out is queued behind them.
+  template <typename Event>
+  void Tell(Event event);
+  void CarryOutAll();
+  void CarryOut(request_lifecycle::OpenConnection& effect);
+  void CarryOut(request_lifecycle::SendRequest& effect);
+  void CarryOut(request_lifecycle::CloseConnection& effect);
+  void CarryOut(request_lifecycle::ReadAnswerPart& effect);
+  void CarryOut(request_lifecycle::ArmDeadline& effect);
+  void CarryOut(request_lifecycle::ReplyNotRun& effect);
+  void CarryOut(request_lifecycle::ReplyUnknown& effect);
+  void CarryOut(request_lifecycle::ForwardAnswer& effect);
+  void CarryOut(request_lifecycle::ForwardStart& effect);
+  void CarryOut(request_lifecycle::ForwardPart& effect);
+  void CarryOut(request_lifecycle::ForwardEnd& effect);
+  void CarryOut(request_lifecycle::AbortReply& effect);
+  void CarryOut(request_lifecycle::ReleaseRequest& effect);
+  void ReplyOwn(request_lifecycle::ClientId client, int status, double retry_after_s, const char* reason);
+  void CountServed(RequestId id);
 
   asio::io_context& io_;
   routeburn::Routes* routes_;
@@ -96,14 +112,13 @@
   tongariro::Pool* pool_;
   tongariro::Budget* budget_;
   ClientServer* front_ = nullptr;
+  request_lifecycle::Lifecycle lifecycle_;
+  request_lifecycle::Effects effects_;
+  bool carrying_out_ = false;
   BackendLinks links_;
-  std::unordered_map<uint64_t, Request> requests_;         // by id
-  std::deque<uint64_t> pending_;                           // requests whose tokens are on their way, in order
-  std::unordered_map<uint64_t, uint64_t> of_client_;       // the request that a client's connection waits for
-  std::unordered_map<uint64_t, Link> connections_;
-  std::map<std::string, std::vector<uint64_t>> idle_;      // by backend, the one that was used last at the end
+  std::unordered_map<RequestId, Held, request_lifecycle::IdentityHash> held_;
+  std::deque<RequestId> pending_;  // requests whose tokens are on their way, in order
   Figures figures_;
-  uint64_t last_ = 0, last_connection_ = 0;
   bool open_ = false;
 };
 
--- a/system/milford/gateway.cpp
+++ b/system/milford/gateway.cpp
@@ -138,12 +138,12 @@
   }
   if (ticks_ % 10 == 0) exchanges_.Sweep();
   if (ticks_ % kFiguresEvery == 0) {
-    const Figures& f = exchanges_.figures();
+    Figures f = exchanges_.figures();
     auto a = admission_.figures();
     Log("figures").Add("requests", f.requests).Add("served", f.served).Add("refused", f.refused).Add("limited", f.limited)
         .Add("by_bucket", a.by_bucket).Add("by_counter", a.by_counter).Add("failed", f.failed).Add("late", f.late)
         .Add("tries", f.tries).Add("not_sent", f.not_sent).Add("full", f.full).Add("unknown", f.unknown).Add("broken", f.broken)
-        .Add("connections", f.connections).Add("denied", f.denied).Add("held", exchanges_.held());
+        .Add("connections", f.connections).Add("denied", f.denied).Add("ended", f.ended).Add("held", exchanges_.held());
   }
   if (stopping_) {
     double since = Now() - stop_at_;
--- /dev/null
+++ b/system/request_lifecycle/answer_reading.h
@@ -0,0 +1,32 @@
+// What an answer on a backend's connection proves about the request that waits there. Pure.
+#ifndef IVYGW_SYSTEM_REQUEST_LIFECYCLE_ANSWER_READING_H_
+#define IVYGW_SYSTEM_REQUEST_LIFECYCLE_ANSWER_READING_H_
+
+#include "request_lifecycle/outcome.h"
+#include "tongariro/pool.h"
+
+namespace ivygw::request_lifecycle {
+
+struct AnswerFacts {
+  unsigned status = 0;
+  bool has_id = false;        // has an Attempt-Id
+  bool own_id = false;        // and that is the id of the request that waits
+  bool not_executed = false;  // has Not-Executed
+  bool sealed = false;        // has a Server-Seal
+  bool encoded = false;       // has a Content-Encoding, which a backend's own body never has
+  // Exactly one request was ever written to the connection: no answer on it can belong to another one.
+  bool sole_request = false;
+};
+
+struct AnswerReading {
+  Evidence evidence = Evidence::kUnidentifiedAnswer;
+  tongariro::Met met = tongariro::Met::kBroken;  // for the choice of backends
+  bool trusted = false;                          // the answer to this request: its connection isn't in doubt
+  bool forwardable = false;                      // may go to the client as it stands
+};
+
+AnswerReading ReadAnswer(const AnswerFacts& answer);
+
+}  // namespace ivygw::request_lifecycle
+
+#endif  // IVYGW_SYSTEM_REQUEST_LIFECYCLE_ANSWER_READING_H_
--- /dev/null
+++ b/system/request_lifecycle/identities.h
@@ -0,0 +1,36 @@
+// Typed identities of the parts of a request's life. Each kind counts up from 1 and is never used again
+// within the life of the process, so an event that names an identity that has ended can be told from one that
+// names a live one.
+#ifndef IVYGW_SYSTEM_REQUEST_LIFECYCLE_IDENTITIES_H_
+#define IVYGW_SYSTEM_REQUEST_LIFECYCLE_IDENTITIES_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace ivygw::request_lifecycle {
+
+// 0 names nothing. Identities of different kinds don't convert into each other.
+template <typename Kind>
+struct Identity {
+  uint64_t value = 0;
+  auto operator<=>(const Identity&) const = default;
+  bool valid() const { return value != 0; }
+};
+
+using ClientId = Identity<struct ClientKind>;          // a client's connection
+using RequestId = Identity<struct RequestKind>;        // one request on a client's connection
+using AttemptId = Identity<struct AttemptKind>;        // one try of a request at one backend
+using ConnectionId = Identity<struct ConnectionKind>;  // a connection to a backend
+
+struct IdentityHash {
+  template <typename Kind>
+  size_t operator()(Identity<Kind> id) const {
+    return std::hash<uint64_t>()(id.value);
+  }
+};
+
+}  // namespace ivygw::request_lifecycle
+
+#endif  // IVYGW_SYSTEM_REQUEST_LIFECYCLE_IDENTITIES_H_
--- /dev/null
+++ b/system/request_lifecycle/lifecycle.cpp
@@ -0,0 +1,394 @@
+#include "request_lifecycle/lifecycle.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ivygw::request_lifecycle {
+
+using tongariro::Met;
+
+namespace {
+
+constexpr double kIdleDefault = 8;   // s, for which a connection is kept where the backend doesn't tell
+constexpr double kIdleMargin = 1.2;  // s, before the backend ends it
+constexpr double kIdleLeast = 0.1;   // s
+constexpr double kRetryAfter = 0.1;  // s, told with a refusal for want of a backend
+constexpr int kRefused = 503, kBadGateway = 502, kGatewayTimeout = 504;
+
+AnswerFacts FactsOf(const BackendReply& reply, const std::string& expected_id, uint32_t requests_written) {
+  AnswerFacts facts;
+  facts.status = static_cast<unsigned>(reply.content.status);
+  facts.has_id = !reply.attempt_id.empty();
+  facts.own_id = facts.has_id && reply.attempt_id == expected_id;
+  facts.not_executed = reply.not_executed;
+  facts.sealed = reply.sealed;
+  facts.encoded = reply.encoded;
+  facts.sole_request = requests_written == 1;
+  return facts;
+}
+
+}  // namespace
+
+Lifecycle::Request* Lifecycle::Find(RequestId id) {
+  auto it = requests_.find(id);
+  return it == requests_.end() ? nullptr : &it->second;
+}
+
+Lifecycle::Connection* Lifecycle::Find(ConnectionId id) {
+  auto it = connections_.find(id);
+  return it == connections_.end() ? nullptr : &it->second;
+}
+
+std::optional<Lifecycle::Exchange> Lifecycle::FindExchange(ConnectionId id, Effects* effects) {
+  Connection* connection = Find(id);
+  Request* request = connection ? Find(connection->request) : nullptr;
+  if (!request || !connection->open) {
+    ++counters_.events_of_ended;
+    if (connection && !request) Close(id, effects);
+    return std::nullopt;
+  }
+  return Exchange{connection, request, connection->request};
+}
+
+RequestId Lifecycle::RequestOf(ClientId client) const {
+  auto it = of_client_.find(client);
+  return it == of_client_.end() ? RequestId() : it->second;
+}
+
+RequestId Lifecycle::Arrive(ClientId client) {
+  RequestId id{++last_request_};
+  requests_[id].client = client;
+  of_client_[client] = id;
+  return id;
+}
+
+void Lifecycle::On(double now, RequestAdmitted event, Effects* effects) {
+  Request* request = Find(event.request);
+  if (!request || request->phase != Phase::kReceiving) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  request->attempt_id = std::move(event.attempt_id);
+  request->service = std::move(event.service);
+  request->idempotent = event.idempotent;
+  request->max_attempts = event.max_attempts;
+  request->deadline = event.deadline;
+  effects->push_back(ArmDeadline{event.request, event.deadline});
+  StartAttempt(now, event.request, request, effects);
+}
+
+void Lifecycle::On(double, const RequestRejected& event, Effects* effects) {
+  Request* request = Find(event.request);
+  if (!request || request->phase != Phase::kReceiving) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  if (std::optional<NotDone> proof = request->record.NothingDone()) {
+    effects->push_back(
+        ReplyNotRun{request->client, event.request, *proof, event.status, event.retry_after_s, event.reason});
+  }
+  Release(event.request, effects);
+}
+
+void Lifecycle::On(double now, const ClientClosed& event, Effects* effects) {
+  auto it = of_client_.find(event.client);
+  if (it == of_client_.end()) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  RequestId id = it->second;
+  Request& request = requests_.at(id);
+  request.client_gone = true;
+  // What may run only once goes on to its end, now that it has been sent; all else frees its place at once.
+  if (request.phase == Phase::kAwaitingAnswer && !request.idempotent) {
+    of_client_.erase(it);
+    return;
+  }
+  if (request.connection.valid()) {
+    policy_->OnAttemptEnded(now, request.backend, Met::kLeft);
+    Close(request.connection, effects);
+  }
+  Release(id, effects);
+}
+
+void Lifecycle::On(double, const ClientDrained& event, Effects* effects) {
+  Request* request = Find(RequestOf(event.client));
+  if (!request || request->phase != Phase::kStreaming) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  effects->push_back(ReadAnswerPart{request->connection});
+}
+
+void Lifecycle::StartAttempt(double now, RequestId id, Request* request, Effects* effects) {
+  if (now >= request->deadline) return Expire(now, id, request, effects);
+  std::string backend = policy_->Choose(now, request->service, request->tried);
+  if (backend.empty()) {
+    return ReplyOwn(id, request, kBadGateway, kRetryAfter, "no backend", "may have run", effects);
+  }
+  policy_->OnAttemptStarted(backend);
+  request->tried.insert(backend);
+  request->attempt = AttemptId{++last_attempt_};
+  request->backend = std::move(backend);
+  request->connection = TakeIdle(now, request->backend, effects);
+  if (request->connection.valid()) {
+    Connection& idle = connections_.at(request->connection);
+    idle.request = id;
+    idle.attempt = request->attempt;
+    return Send(request->connection, &idle, request, effects);
+  }
+  request->phase = Phase::kConnecting;
+  request->connection = ConnectionId{++last_connection_};
+  connections_[request->connection] = Connection{request->backend, id, request->attempt, false, 0, 0};
+  ++counters_.connections;
+  effects->push_back(OpenConnection{request->connection, request->attempt, id, request->backend});
+}
+
+// The idle connection to the backend that was used last; those that have rested too long are closed.
+ConnectionId Lifecycle::TakeIdle(double now, const std::string& backend, Effects* effects) {
+  auto it = idle_.find(backend);
+  if (it == idle_.end()) return {};
+  while (!it->second.empty()) {
+    ConnectionId id = it->second.back();
+    it->second.pop_back();
+    if (now < connections_.at(id).keep_until) return id;
+    connections_.erase(id);
+    effects->push_back(CloseConnection{id});
+  }
+  return {};
+}
+
+void Lifecycle::Send(ConnectionId id, Connection* connection, Request* request, Effects* effects) {
+  request->phase = Phase::kAwaitingAnswer;
+  ++connection->written;
+  effects->push_back(SendRequest{id, connection->request, connection->backend});
+}
+
+void Lifecycle::On(double, const ConnectionOpened& event, Effects* effects) {
+  Connection* connection = Find(event.connection);
+  Request* request = connection ? Find(connection->request) : nullptr;
+  if (!request || connection->open) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  connection->open = true;
+  Send(event.connection, connection, request, effects);
+}
+
+void Lifecycle::On(double now, const ConnectionLost& event, Effects* effects) {
+  Connection* connection = Find(event.connection);
+  if (!connection) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  bool open = connection->open;
+  bool kept = connection->written > 1;
+  RequestId id = connection->request;
+  Close(event.connection, effects);
+  Request* request = Find(id);
+  if (!request) return;  // it was idle
+  if (request->phase == Phase::kStreaming) {
+    policy_->OnAttemptEnded(now, request->backend, Met::kBroken);
+    effects->push_back(AbortReply{request->client, id});
+    return Release(id, effects);
+  }
+  if (!open) return EndAttempt(now, id, request, Evidence::kConnectRefused, Met::kRefusedConnection, effects);
+  if (event.bytes_written)
+    return EndAttempt(now, id, request, Evidence::kLostAfterWrite, Met::kBroken, effects);
+  if (kept) request->tried.erase(request->backend);  // it is as good as before, on another connection
+  EndAttempt(now, id, request, Evidence::kWriteRefused, kept ? Met::kLeft : Met::kBroken, effects);
+}
+
+void Lifecycle::On(double now, const ConnectionStale& event, Effects* effects) {
+  std::optional<Exchange> exchange = FindExchange(event.connection, effects);
+  if (!exchange) return;
+  Request* request = exchange->request;
+  bool kept = exchange->connection->written > 1;
+  Close(event.connection, effects);
+  if (kept) request->tried.erase(request->backend);  // it is as good as before, on another connection
+  EndAttempt(now, exchange->request_id, request, Evidence::kEndedBeforeWrite,
+             kept ? Met::kLeft : Met::kBroken, effects);
+}
+
+void Lifecycle::On(double now, AnswerReceived event, Effects* effects) {
+  std::optional<Exchange> exchange = FindExchange(event.connection, effects);
+  if (!exchange) return;
+  Request* request = exchange->request;
+  RequestId id = exchange->request_id;
+  AnswerReading reading =
+      ReadAnswer(FactsOf(event.reply, request->attempt_id, exchange->connection->written));
+  if (!reading.trusted) ++counters_.distrusted;
+  if (reading.trusted && event.reply.reusable && reading.met != Met::kGone) {
+    Keep(now, event.connection, exchange->connection, event.reply.keep_alive_s);
+  } else {
+    Close(event.connection, effects);
+  }
+  if (!reading.forwardable) return EndAttempt(now, id, request, reading.evidence, reading.met, effects);
+  // A failure of the backend's own has run: it is tried again only where that does no harm.
+  if (reading.evidence == Evidence::kFailureAnswer && request->idempotent) {
+    bool again = request->arrived + 1 < request->max_attempts && policy_->MayRetry(now, request->service);
+    if (again) return EndAttempt(now, id, request, reading.evidence, reading.met, effects);
+  }
+  policy_->OnAttemptEnded(now, request->backend, reading.met);
+  if (!request->client_gone) {
+    bool success = reading.met == Met::kServed;
+    effects->push_back(ForwardAnswer{request->client, id, success, std::move(event.reply.content)});
+  }
+  Release(id, effects);
+}
+
+void Lifecycle::On(double now, AnswerStarted event, Effects* effects) {
+  std::optional<Exchange> exchange = FindExchange(event.connection, effects);
+  if (!exchange || exchange->request->phase != Phase::kAwaitingAnswer) return;
+  Request* request = exchange->request;
+  AnswerReading reading =
+      ReadAnswer(FactsOf(event.reply, request->attempt_id, exchange->connection->written));
+  if (!reading.forwardable || request->client_gone) {
+    Close(event.connection, effects);
+    // Only a whole answer proves more.
+    Evidence evidence = reading.trusted ? Evidence::kLostAfterWrite : reading.evidence;
+    return EndAttempt(now, exchange->request_id, request, evidence, Met::kBroken, effects);
+  }
+  request->phase = Phase::kStreaming;
+  effects->push_back(ForwardStart{request->client, exchange->request_id, std::move(event.reply.content)});
+}
+
+void Lifecycle::On(double, AnswerPart event, Effects* effects) {
+  std::optional<Exchange> exchange = FindExchange(event.connection, effects);
+  if (!exchange || exchange->request->phase != Phase::kStreaming) return;
+  effects->push_back(ForwardPart{exchange->request->client, std::move(event.bytes)});
+}
+
+void Lifecycle::On(double now, const AnswerEnded& event, Effects* effects) {
+  std::optional<Exchange> exchange = FindExchange(event.connection, effects);
+  if (!exchange || exchange->request->phase != Phase::kStreaming) return;
+  policy_->OnAttemptEnded(now, exchange->request->backend, Met::kServed);
+  if (event.reusable) {
+    Keep(now, event.connection, exchange->connection, 0);
+  } else {
+    Close(event.connection, effects);
+  }
+  effects->push_back(ForwardEnd{exchange->request->client, exchange->request_id});
+  Release(exchange->request_id, effects);
+}
+
+void Lifecycle::On(double now, const DeadlineReached& event, Effects* effects) {
+  Request* request = Find(event.request);
+  if (!request || request->phase == Phase::kStreaming) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  Expire(now, event.request, request, effects);
+}
+
+void Lifecycle::On(double now, const ConnectTimedOut& event, Effects* effects) {
+  Connection* connection = Find(event.connection);
+  if (!connection || connection->attempt != event.attempt || connection->open) {
+    ++counters_.events_of_ended;
+    return;
+  }
+  RequestId id = connection->request;
+  Close(event.connection, effects);
+  EndAttempt(now, id, Find(id), Evidence::kConnectSilent, Met::kSilent, effects);
+}
+
+bool Lifecycle::Repeatable(const Request& request) const {
+  return request.idempotent || request.record.NothingDone().has_value();
+}
+
+bool Lifecycle::MayTryAgain(double now, const Request& request, Evidence evidence) {
+  if (!Repeatable(request)) return false;
+  if (request.arrived >= request.max_attempts) return false;
+  if (!MayHaveArrived(evidence) && request.not_sent > limits_.most_not_sent) return false;
+  bool further_arrival = request.arrived > 0;
+  return !further_arrival || policy_->MayRetry(now, request.service);
+}
+
+void Lifecycle::EndAttempt(double now, RequestId id, Request* request, Evidence evidence, Met met,
+                           Effects* effects) {
+  policy_->OnAttemptEnded(now, request->backend, met);
+  request->connection = {};
+  request->attempt = {};
+  Outcome outcome = OutcomeOf(evidence);
+  request->record.Add(outcome);
+  if (MayHaveArrived(evidence)) {
+    ++request->arrived;
+  } else {
+    ++request->not_sent;
+    ++counters_.not_sent;
+  }
+  if (evidence == Evidence::kTurnedAway && met == Met::kFull) ++counters_.turned_away;
+  if (!std::holds_alternative<NotDone>(outcome)) ++counters_.unknown;
+  if (request->client_gone) return Release(id, effects);
+  if (!MayTryAgain(now, *request, evidence)) {
+    return ReplyOwn(id, request, kBadGateway, kRetryAfter, "not run", "may have run", effects);
+  }
+  if (request->arrived > 0) {
+    policy_->OnRetry(now, request->service);
+    ++counters_.retries;
+  }
+  StartAttempt(now, id, request, effects);
+}
+
+void Lifecycle::Expire(double now, RequestId id, Request* request, Effects* effects) {
+  ++counters_.late;
+  if (request->connection.valid()) {
+    bool sent = request->phase == Phase::kAwaitingAnswer;
+    request->record.Add(OutcomeOf(sent ? Evidence::kSilence : Evidence::kConnectSilent));
+    policy_->OnAttemptEnded(now, request->backend, sent ? Met::kSilent : Met::kRefusedConnection);
+    Close(request->connection, effects);
+  }
+  ReplyOwn(id, request, kGatewayTimeout, kRetryAfter, "deadline", "deadline", effects);
+}
+
+// 503 where it is proved that nothing ran, else `unknown_status`.
+void Lifecycle::ReplyOwn(RequestId id, Request* request, int unknown_status, double retry_after_s,
+                         const char* not_run_reason, const char* unknown_reason, Effects* effects) {
+  if (!request->client_gone) {
+    if (std::optional<NotDone> proof = request->record.NothingDone()) {
+      effects->push_back(ReplyNotRun{request->client, id, *proof, kRefused, retry_after_s, not_run_reason});
+    } else {
+      effects->push_back(ReplyUnknown{request->client, id, unknown_status, unknown_reason});
+    }
+  }
+  Release(id, effects);
+}
+
+void Lifecycle::Release(RequestId id, Effects* effects) {
+  auto it = requests_.find(id);
+  auto of = of_client_.find(it->second.client);
+  if (of != of_client_.end() && of->second == id) of_client_.erase(of);
+  requests_.erase(it);
+  effects->push_back(ReleaseRequest{id});
+}
+
+void Lifecycle::Keep(double now, ConnectionId id, Connection* connection, double keep_alive_s) {
+  connection->request = {};
+  connection->attempt = {};
+  double rest = keep_alive_s > 0 ? std::max(kIdleLeast, keep_alive_s - kIdleMargin) : kIdleDefault;
+  connection->keep_until = now + rest;
+  idle_[connection->backend].push_back(id);
+}
+
+void Lifecycle::Close(ConnectionId id, Effects* effects) {
+  auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  if (auto idle = idle_.find(it->second.backend); idle != idle_.end()) std::erase(idle->second, id);
+  connections_.erase(it);
+  effects->push_back(CloseConnection{id});
+}
+
+void Lifecycle::On(double now, const IdleSweep&, Effects* effects) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    bool unwanted = policy_->Unwanted(it->first);
+    std::erase_if(it->second, [&](ConnectionId id) {
+      if (!unwanted && now < connections_.at(id).keep_until) return false;
+      connections_.erase(id);
+      effects->push_back(CloseConnection{id});
+      return true;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace ivygw::request_lifecycle
