Search over every order of events of two requests; planted mistakes it must find

Two clients, two backends, a kept connection to each; every event of sockets, peers and timers at every moment, whole states compared without their identities. After every effect: no answer to another's request, nothing that may have run sent again unless its route allows it, every request answered once, no promise about what may have run, no connection used after doubt, no retry without a budget, nothing from late timers and ended connections.

planted_mistakes.cmake links copies of the sources with one mistake each; nine are found, each by its named invariant.

--- /dev/null
+++ b/tests/system/planted_mistakes.cmake
@@ -0,0 +1,61 @@
+# Mistakes that tests must find: a copy of one source with one piece of text exchanged is linked with the tests' own objects,
+# ahead of the library that has the right one. Each passes if the named invariant is told to be broken.
+
+function(planted_mistake name)
+  cmake_parse_arguments(PLANTED "" "SOURCE;FROM;TO;OBJECTS;RUN;LIBRARY;TOLD" "" ${ARGN})
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${PLANTED_SOURCE})
+  file(READ ${CMAKE_SOURCE_DIR}/${PLANTED_SOURCE} text)
+  string(FIND "${text}" "${PLANTED_FROM}" first)
+  string(FIND "${text}" "${PLANTED_FROM}" last REVERSE)
+  if(first EQUAL -1 OR NOT first EQUAL last)
+    message(FATAL_ERROR "planted mistake ${name}: its text must stand once in ${PLANTED_SOURCE}")
+  endif()
+  string(REPLACE "${PLANTED_FROM}" "${PLANTED_TO}" text "${text}")
+  set(copy ${CMAKE_CURRENT_BINARY_DIR}/planted/${name}.cpp)
+  set(before "")
+  if(EXISTS ${copy})
+    file(READ ${copy} before)
+  endif()
+  if(NOT before STREQUAL text)
+    file(WRITE ${copy} "${text}")
+  endif()
+  add_executable(planted_${name} ${copy} $<TARGET_OBJECTS:${PLANTED_OBJECTS}>)
+  target_include_directories(planted_${name} PRIVATE ${CMAKE_SOURCE_DIR}/system)
+  target_link_libraries(planted_${name} PRIVATE ${PLANTED_LIBRARY} ${CPPUTEST_LIBRARY})
+  target_compile_options(planted_${name} PRIVATE -Wno-unused-parameter)  # a mistake may leave one over
+  add_test(NAME planted_${name} COMMAND planted_${name} -sn ${PLANTED_RUN})
+  set_tests_properties(planted_${name} PROPERTIES PASS_REGULAR_EXPRESSION "${PLANTED_TOLD}")
+endfunction()
+
+function(planted_in_lifecycle name)
+  planted_mistake(${name} OBJECTS lifecycle_search LIBRARY system_request_lifecycle ${ARGN})
+endfunction()
+
+planted_in_lifecycle(id_not_checked SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "facts.own_id = facts.has_id && reply.attempt_id == expected_id" TO "facts.own_id = facts.has_id"
+  TOLD "broken: mixed")
+planted_in_lifecycle(kept_after_doubt SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "if (reading.trusted && event.reply.reusable" TO "if (event.reply.reusable"
+  TOLD "broken: doubt")
+planted_in_lifecycle(not_done_after_a_partial_write SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "if (event.bytes_written)" TO "if (event.bytes_written && request->idempotent)"
+  TOLD "broken: (twice|refused)")
+planted_in_lifecycle(refusal_of_a_stranger_believed SOURCE system/request_lifecycle/answer_reading.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "if (!answer.sole_request) return Distrusted(Evidence::kUnprovenRefusal)" TO ""
+  TOLD "broken: (twice|refused)")
+planted_in_lifecycle(promise_for_what_may_have_run SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "    if (std::optional<NotDone> proof = request->record.NothingDone())"
+  TO "    if (std::optional<NotDone> proof = ExecutionRecord().NothingDone())"
+  TOLD "broken: refused")
+planted_in_lifecycle(late_timer_on_a_new_attempt SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "connection->attempt != event.attempt || connection->open" TO "!connection->request.valid()"
+  TOLD "broken: late")
+planted_in_lifecycle(retry_of_what_may_run_only_once SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "return request.idempotent || request.record.NothingDone().has_value()" TO "return true"
+  TOLD "broken: twice")
+planted_in_lifecycle(budget_ignored SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoThatMayBeRepeated
+  FROM "return !further_arrival || policy_->MayRetry(now, request.service)" TO "return further_arrival || !further_arrival"
+  TOLD "broken: budget")
+planted_in_lifecycle(deadline_after_the_answer_has_begun SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+  FROM "if (!request || request->phase == Phase::kStreaming) {" TO "if (!request) {"
+  TOLD "broken: (late|answered once)")
