Links to backends over real sockets, and answers to calls that are passed on, under test

Four more planted mistakes are found (kept after extra bytes, kept while writing, not written after a part, an answer to an earlier life).

--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -28,7 +28,7 @@
 endfunction()
 
 function(planted_in_lifecycle name)
-  planted_mistake(${name} OBJECTS lifecycle_search LIBRARY system_request_lifecycle ${ARGN})
+  planted_mistake(${name} OBJECTS system_lifecycle_search_tests_objects LIBRARY system_request_lifecycle ${ARGN})
 endfunction()
 
 planted_in_lifecycle(id_not_checked SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
@@ -59,3 +59,20 @@
 planted_in_lifecycle(deadline_after_the_answer_has_begun SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "if (!request || request->phase == Phase::kStreaming) {" TO "if (!request) {"
   TOLD "broken: (late|answered once)")
+
+planted_mistake(answer_to_an_earlier_life SOURCE system/call_routing/pending_calls.cpp
+  OBJECTS system_pending_calls_tests_objects LIBRARY system_call_routing RUN EveryAnswerReachesTheCallerOfItsCallOrNobody
+  FROM "static_cast<CallNumber>(life_) << kLifeShift | ++last_" TO "++last_"
+  TOLD "broken: ")
+function(planted_in_links name)
+  planted_mistake(${name} SOURCE src/net/backend_links.cpp OBJECTS system_backend_links_tests_objects LIBRARY ivygw_net ${ARGN})
+endfunction()
+planted_in_links(kept_after_extra_bytes RUN BytesAfterTheEndOfAnAnswerEndItsConnection
+  FROM "reader_.unread() == 0 && !eof_ && !sending_" TO "!eof_ && !sending_"
+  TOLD "answer,keep")
+planted_in_links(kept_while_writing RUN AnAnswerAheadOfTheRequestsEndEndsItsConnection
+  FROM "reader_.unread() == 0 && !eof_ && !sending_" TO "reader_.unread() == 0 && !eof_"
+  TOLD "answer,keep")
+planted_in_links(not_written_after_a_part RUN AResetAfterAPartOfTheRequestMayHaveRun
+  FROM "any_written_ = any_written_ || taken > 0" TO "any_written_ = any_written_ || taken == message_.size()"
+  TOLD "lost,unwritten")
