Calls that the registry passes on bear the life of the registry

Cause: call numbers began at one in every life, and the book of calls stood among the callbacks without a test. Change: the registry keeps it in call_routing::PendingCalls; a caller that has gone is forgotten. Behaviour is otherwise as before.

--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -72,7 +72,10 @@
       lender_(node_.Now(), settings.initial_boot),
       server_(io, static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000)), &memory_,
               {[this](uint64_t connection, ClientMessage message) { OnCall(connection, std::move(message)); },
-               [this](uint64_t connection, bool) { reading_.erase(connection); },
+               [this](uint64_t connection, bool) {
+                 reading_.erase(connection);
+                 passed_.Forget(connection);
+               },
                [this](uint64_t connection, std::string bytes, bool last) {
                  auto it = reading_.find(connection);
                  if (it == reading_.end()) return;
@@ -91,18 +94,12 @@
   };
   events.down = [this] {
     // What was passed on may have been taken.
-    auto passed = std::move(passed_);
-    passed_.clear();
-    for (auto& [number, call] : passed) Reply(call.connection, 503, ErrorBody("may have been taken: the store has gone"));
+    for (uint64_t connection : passed_.TakeAll()) Reply(connection, 503, ErrorBody("may have been taken: the store has gone"));
   };
   events.message = [this](heaphy::Message message) {
     const auto* done = std::get_if<heaphy::CallDone>(&message);
     if (!done) return;
-    auto it = passed_.find(done->number);
-    if (it == passed_.end()) return;
-    uint64_t connection = it->second.connection;
-    passed_.erase(it);
-    Reply(connection, static_cast<int>(done->status), done->body);
+    if (auto connection = passed_.Complete(done->number)) Reply(*connection, static_cast<int>(done->status), done->body);
   };
   tcp::endpoint store(asio::ip::make_address(settings.ip), static_cast<uint16_t>(settings.first_port + 1));
   store_ = std::make_unique<heaphy::Dialer>(io, store, std::move(events));
@@ -184,9 +181,7 @@
 
 void Registry::Pass(uint64_t connection, const std::string& name, const std::string& body) {
   if (!store_->up()) return Reply(connection, 503, ErrorBody("the store is not there"));
-  uint64_t number = ++last_;
-  passed_[number] = {connection, node_.Now() + kPassed};
-  store_->Send(heaphy::Call{number, name, body});
+  store_->Send(heaphy::Call{passed_.Add(connection, node_.Now() + kPassed), name, body});
 }
 
 std::string Registry::HolderKey(const std::string& gateway) const { return "holder/" + self_ + "/" + gateway; }
@@ -242,15 +237,7 @@
     lending_ = !lending_;
     Log(lending_ ? "lending" : "lending_closed").Add("awaited", lender_.awaited()).Add("complete", node_.replica().complete());
   }
-  for (auto it = passed_.begin(); it != passed_.end();) {
-    if (now < it->second.until) {
-      ++it;
-      continue;
-    }
-    uint64_t connection = it->second.connection;
-    it = passed_.erase(it);
-    Reply(connection, 503, ErrorBody("may have been taken: the store is silent"));
-  }
+  for (uint64_t connection : passed_.TakeOverdue(now)) Reply(connection, 503, ErrorBody("may have been taken: the store is silent"));
   for (auto it = members_.begin(); it != members_.end();) {
     it = now >= it->second.until ? members_.erase(it) : std::next(it);
   }
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -5,12 +5,14 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
 #include "bodies/body_memory.h"
 #include "angelus/heard.h"
 #include "angelus/roll.h"
+#include "call_routing/pending_calls.h"
 #include "cascade/backend.h"
 #include "hollyford/lender.h"
 #include "net/client_server.h"
@@ -44,11 +46,7 @@
   hollyford::Lender lender_;
   ClientServer server_;
   std::unique_ptr<heaphy::Dialer> store_;
-  struct Passed {
-    uint64_t connection = 0;
-    double until = 0;
-  };
-  std::map<uint64_t, Passed> passed_;
+  call_routing::PendingCalls passed_{std::random_device()()};
   std::map<uint64_t, ClientMessage> reading_;  // calls whose body is still coming
   struct Lease {
     std::string zone;
@@ -60,7 +58,6 @@
   std::map<std::string, double> gone_;         // tombstones, since when
   std::set<std::string> noting_;               // gateways whose note as holders is under way
   bool holders_told_ = false, lending_ = false;
-  uint64_t last_ = 0;
 };
 
 }  // namespace ivygw::angelus
