--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -76,3 +76,24 @@
 planted_in_links(not_written_after_a_part RUN AResetAfterAPartOfTheRequestMayHaveRun
   FROM "any_written_ = any_written_ || taken > 0" TO "any_written_ = any_written_ || taken == message_.size()"
   TOLD "lost,unwritten")
+
+# The same by bytes, through the whole proxy.
+function(planted_on_the_wire name)
+  planted_mistake(${name} OBJECTS system_proxy_wire_tests_objects LIBRARY system_milford
+                  RUN TwoThousandSeedsOfBackendsThatGoWrong ${ARGN})
+endfunction()
+planted_on_the_wire(wire_id_not_checked SOURCE system/request_lifecycle/lifecycle.cpp
+  FROM "facts.own_id = facts.has_id && reply.attempt_id == expected_id" TO "facts.own_id = facts.has_id"
+  TOLD "broken: (mixed|twice|refused)")
+planted_on_the_wire(wire_kept_after_extra_bytes SOURCE src/net/backend_links.cpp
+  FROM "reader_.unread() == 0 && !eof_ && !sending_" TO "!eof_ && !sending_"
+  TOLD "broken: doubt")
+planted_on_the_wire(wire_refusal_of_a_stranger_believed SOURCE system/request_lifecycle/answer_reading.cpp
+  FROM "if (!answer.sole_request) return Distrusted(Evidence::kUnprovenRefusal)" TO ""
+  TOLD "broken: (twice|refused)")
+planted_on_the_wire(wire_retry_of_what_may_run_only_once SOURCE system/request_lifecycle/lifecycle.cpp
+  FROM "return request.idempotent || request.record.NothingDone().has_value()" TO "return true"
+  TOLD "broken: twice")
+planted_on_the_wire(wire_kept_after_doubt SOURCE system/request_lifecycle/lifecycle.cpp
+  FROM "if (reading.trusted && event.reply.reusable" TO "if (event.reply.reusable"
+  TOLD "broken: doubt")
