--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -12,6 +13,7 @@
 #include "angelus/heard.h"
 #include "angelus/lending_right.h"
 #include "angelus/roll.h"
+#include "call_routing/pending_calls.h"
 #include "cascade/backend.h"
 #include "hollyford/lender.h"
 #include "net/client_server.h"
@@ -59,11 +61,7 @@
   LendingRight right_;
   ClientServer server_;
   std::unique_ptr<heaphy::Dialer> store_;
-  struct Passed {
-    uint64_t connection = 0;
-    double until = 0;
-  };
-  std::map<uint64_t, Passed> passed_;
+  call_routing::PendingCalls passed_{std::random_device()()};
   std::map<uint64_t, ClientMessage> reading_;  // calls whose body is still coming
   struct Lease {
     std::string zone;
@@ -80,7 +78,6 @@
   std::set<std::string> noting_;               // gateways whose note as holders is under way
   bool noting_lending_ = false;
   bool holders_told_ = false, reading_holders_ = false, lending_ = false;
-  uint64_t last_ = 0;
 };
 
 }  // namespace ivygw::angelus
