--- a/tests/system/catch_up_test.cpp
+++ b/tests/system/catch_up_test.cpp
@@ -6,10 +6,7 @@
 
 #include "system/control_operators.h"
 
-// After all others: it names new anew.
-// clang-format off
-#include <CppUTest/TestHarness.h>
-// clang-format on
+#include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
 using namespace ivygw;
 using namespace ivygw::control_sim;
