The rule of who joins allows what the members' bounded wait allows

A joining machine whose disk hasn't taken the change within kJoinPatience of its first proposal is passed over by design; whoever decides earlier must have its revision on that disk, unless it fell silent since.

--- a/tests/system/control_sim.h
+++ b/tests/system/control_sim.h
@@ -221,7 +221,8 @@
   void EndProcess(Machine* machine, double told_after);
 
   bool Reaches(const Machine& from, const Store& to) const;
-  // In touch ever since its joining was proposed, and its disk takes what it is given.
+  // In touch ever since its joining was proposed, not longer ago than the members wait, and its disk takes
+  // what it is given.
   bool Answers(const std::string& core, const Member& member) const;
   double Clock(const Machine& machine) const { return now_ + machine.clock_offset; }
   bool InContact(const Machine& machine) const { return machine.replica->InContact(Clock(machine)); }
