Merged copies and their disk out: luxmore, brewster, their messages and tests

Nothing runs on them any more. Their tests have stricter counterparts on the running objects: - KeepsItsPromisesOnDaysOfTrouble -> Control.MixedTrouble* and ten courses of their own (rules by full contents); - AnAckBeforeTheSync -> ControlMistakes.AcceptedIsToldBeforeTheSync, APromiseIsToldBeforeTheSync; ACoreThatVotesWithout ItsDisk -> AWipedMachineVotesAsBefore; AnOlderItemThatIsAccepted -> ALowerNumberTakesEffect; AWordAcknowledgedWithoutA Majority -> AnAcceptThatWasNotGivenIsCounted; WhatIsShownBeforeItIsSafe -> CoreMachines.OneThatIsAlone...: a gateway is not shown an order that was answered 503; OneOrderOverAnyContents moves to Orders; - DiskStore's two -> TableStoreTest.WhatWasStoredIsThereInTheNextLife, ADamagedStoreIsPutAsideAndTheNewOneIsNoFounders.

--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -18,13 +18,6 @@
 
 inline constexpr uint16_t kForm = 2;
 
-// An item by what tells it from every other: enough to compare copies.
-struct Mark {
-  std::string key;
-  uint64_t version = 0, digest = 0;
-  bool synced = false;  // on the disk of the one that tells it
-};
-
 // The first message of each side of a connection. `boot` is drawn anew at each start.
 struct Hello {
   uint16_t form = kForm;
@@ -33,14 +26,7 @@
   std::vector<std::string> cores;  // IP addresses: a core names the members and those it is connected to
 };
 
-// Core to core, replicated items (luxmore).
-struct Put { uint64_t number = 0; std::vector<Item> items; };  // number 0: mending, no word wanted
-struct PutDone { uint64_t number = 0; bool counts = false; };  // synced here; `counts`: this copy counts toward a majority
-struct Safe { std::vector<Mark> marks; };                      // a majority holds these on disk
-// Of all that the copy holds; `unsynced`: ranges of which its disk has not all yet.
-struct Digests { uint64_t round = 0; bool answer = false, blank = false; std::vector<uint64_t> ranges; std::vector<uint32_t> unsynced; };
-struct RangeMarks { std::vector<uint32_t> ranges; std::vector<Mark> marks; };
-struct Pull { std::vector<std::string> keys; };
+// Core to core: PeerMessage of the table (messages/replication.h), and of the registry:
 struct Heard { std::vector<std::string> ids; };  // registry: backends whose beats came here since the last of these
 
 // Gateway to core, after its Hello: digests by range of what it has of the table, tombstones left out; the core lists what
@@ -93,17 +79,9 @@
 struct Call { uint64_t number = 0; std::string name, body; };
 struct CallDone { uint64_t number = 0; uint32_t status = 0; std::string body; };
 
-using Message = std::variant<Hello, Put, PutDone, Safe, Digests, RangeMarks, Pull, Heard, Have, Push, PushAck, State, Report, Loans,
-                             Ping, Pong, Call, CallDone, PeerMessage>;
+using Message = std::variant<Hello, PeerMessage, Heard, Have, Push, PushAck, State, Report, Loans, Ping, Pong, Call, CallDone>;
 
-template <class A> void serialize(A& a, Mark& m) { a(m.key, m.version, m.digest, m.synced); }
 template <class A> void serialize(A& a, Hello& m) { a(m.form, m.node, m.role, m.zone, m.boot, m.cores); }
-template <class A> void serialize(A& a, Put& m) { a(m.number, m.items); }
-template <class A> void serialize(A& a, PutDone& m) { a(m.number, m.counts); }
-template <class A> void serialize(A& a, Safe& m) { a(m.marks); }
-template <class A> void serialize(A& a, Digests& m) { a(m.round, m.answer, m.blank, m.ranges, m.unsynced); }
-template <class A> void serialize(A& a, RangeMarks& m) { a(m.ranges, m.marks); }
-template <class A> void serialize(A& a, Pull& m) { a(m.keys); }
 template <class A> void serialize(A& a, Heard& m) { a(m.ids); }
 template <class A> void serialize(A& a, Have& m) { a(m.ranges); }
 template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.revision, m.items, m.ended); }
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -272,6 +272,9 @@
   world.StartThree();
   CHECK_EQUAL(200, world.ModifyUntilClear(1, Call(Route("r1", "00000007", 100))).status);
   CHECK(world.RunUntil([&] { return world.Tell(1, "ready", 1).status == 200; }));
+  world.gateway = std::make_unique<World::Gateway>();
+  world.gateway->Connect(&world);
+  CHECK(world.RunUntil([&] { return world.gateway->configuration.complete(); }));
   world.Stop(2);
   world.Stop(3);
   // Whenever the others went: a caller is never left waiting, and nothing is served from what this core alone knows.
@@ -282,6 +285,7 @@
     }
   }
   CHECK(!world.InContact(1));
+  CHECK_EQUAL(7u, world.gateway->versions["route_table/r1"]);  // no gateway is shown what isn't decided
   CHECK_EQUAL(503, world.Tell(1, "ready", 100).status);
   world.Start(2);
   CHECK(world.RunUntil([&] { return world.Show(1).status == 200; }));
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -382,6 +382,18 @@
 
 TEST_GROUP(Orders) {};
 
+TEST(Orders, OneOrderOverAnyContents) {
+  using messages::Newer;
+  heaphy::Item a{"k", 3, false, "x"}, b{"k", 3, false, "y"}, c{"k", 3, true, ""}, d{"k", 4, false, "x"};
+  for (const auto& one : {a, b, c}) {
+    CHECK(Newer(d, one));
+    CHECK(!Newer(one, d));
+    CHECK(!Newer(one, one));
+  }
+  CHECK(Newer(a, b) != Newer(b, a));
+  CHECK(Newer(a, c) != Newer(c, a));
+}
+
 TEST(Orders, OneNumberIsConfirmedToOneContentAndARepeatStands) {
   using Kind = replication::Judgement::Kind;
   mueller::ConfigurationPolicy policy;
