--- a/system/replication/durable_state.h
+++ b/system/replication/durable_state.h
@@ -34,7 +34,8 @@
   Ballot promised;
 };
 
-// All that a disk held at the start.
+// All that a disk held at the start. It is durable: opening the store makes so what a killed process had
+// written unsynced.
 struct LoadedState {
   DurableState state;
   std::optional<AcceptedChange> accepted;
--- a/system/replication/replica.cpp
+++ b/system/replication/replica.cpp
@@ -367,7 +367,12 @@
   return answering >= state_.membership.Quorum();
 }
 
-bool Replica::InContact(double now) const { return fresh_since_contact_ && MajorityAnswers(now); }
+// While a change has stood accepted and nobody could find out whether it is decided, nothing proves that this
+// copy is whole.
+bool Replica::InContact(double now) const {
+  bool in_doubt = accepted_ && accepted_at_ >= 0 && now > accepted_at_ + kContactBound;
+  return fresh_since_contact_ && !in_doubt && MajorityAnswers(now);
+}
 
 // Whoever comes back first learns what it has missed, then takes calls.
 void Replica::ContactOnTime(double now, Effects* out) {
--- a/system/replication/replica.h
+++ b/system/replication/replica.h
@@ -207,7 +207,8 @@
   Table table_;
   DurableState state_;
   std::optional<AcceptedChange> accepted_;
-  double accepted_at_ = -1;  // when it was accepted, or met after the start; -1: not yet
+  double accepted_at_ =
+      -1;  // since when a change for its revision has stood accepted, undecided; -1: not yet met
   uint64_t durable_ = 0;
   std::map<std::string, Peer> peers_;
   std::deque<messages::PeerBody> to_self_;
--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -67,8 +67,8 @@
   if (late) return Send(from, messages::Rejected{accept.revision, accept.ballot, state_.promised}, out);
   SeeRival(now, from);
   state_.promised = accept.ballot;
+  if (!accepted_) accepted_at_ = now;
   accepted_ = AcceptedChange{accept.ballot, accept.change};
-  accepted_at_ = now;
   StoreBatch batch;
   batch.accepted_changed = true;
   batch.accepted = accepted_;
@@ -286,7 +286,8 @@
 bool Replica::MayPassOver(double now, const Member& joining) const {
   auto peer = peers_.find(joining.address);
   bool self = joining.address == options_.address;
-  bool silent = !self && (peer == peers_.end() || now >= std::max(peer->second.heard, joining_since_) + kJoinSilence);
+  bool silent =
+      !self && (peer == peers_.end() || now >= std::max(peer->second.heard, joining_since_) + kJoinSilence);
   return silent || now >= joining_since_ + kJoinPatience;
 }
 
