--- a/tests/system/control_sim.cpp
+++ b/tests/system/control_sim.cpp
@@ -19,6 +19,7 @@
 constexpr double kPingsNotice = 1.5;  // a link that carries nothing any more is given up
 constexpr double kMostStale = 2.0;    // of what a core in contact holds
 constexpr double kHeardWithin = 0.3;  // a heartbeat and its way
+constexpr double kMostBehind = 1.0;   // of the disk of who is proposed as a member
 constexpr double kOrderPatience = 0.9;
 constexpr double kLeastLinkDelay = 0.0003, kLinkJitter = 0.002;
 constexpr double kLeastSync = 0.002, kSyncJitter = 0.004, kPlainWrite = 0.0002;
@@ -152,7 +153,7 @@
   options.incarnation = RandomId();
   options.voters = options_.voters;
   options.order_patience = kOrderPatience;
-  DiskImage image = machine.disk.Read();
+  const DiskImage& image = machine.disk.Open();
   machine.replica = std::make_unique<Replica>(options, image.Load(), machine.policy.get());
   machine.reached_until.clear();
   machine.clock_offset = 1000 * Chance();  // since the machine has been on
@@ -508,7 +509,8 @@
   if (!connection.Up()) return;
   if (options_.tamper) options_.tamper(from, to, &message);
   const auto* accept = std::get_if<messages::Accept>(&message.body);
-  if (accept && accept->change.membership) joins_asked_.try_emplace(accept->revision, now_);
+  bool first = accept && accept->change.membership && joins_asked_.try_emplace(accept->revision, now_).second;
+  if (first) CheckCaughtUp(from, *accept->change.membership);
   Direction& direction = directions_[{from, to}];
   direction.free_at = std::max(direction.free_at,
                                now_ + kLeastLinkDelay + kLinkJitter * Chance() * Chance() + direction.delay);
@@ -572,6 +574,22 @@
   return connected && !hangs && !paused && !waited && Reaches(decider, {member.address, member.store_id});
 }
 
+void World::CheckCaughtUp(const std::string& proposer, const Membership& next) {
+  uint64_t decided = 0;
+  for (const auto& [at, revision] : decided_at_) {
+    if (at < now_ - kMostBehind) decided = revision;
+  }
+  const std::vector<Member>& standing = machines_.at(proposer).replica->membership().members;
+  for (const Member& member : next.members) {
+    bool stays = std::any_of(standing.begin(), standing.end(),
+                             [&](const Member& other) { return other.SameStore(member); });
+    const DiskImage* image = FindStore(member, true);
+    if (stays || (image && image->state.revision >= decided)) continue;
+    Broken(member.address + " is proposed as a member, and lacks revision " + std::to_string(decided) +
+           " on disk");
+  }
+}
+
 bool World::OutOfContact(const Machine& machine) const {
   const Membership& membership = rules_.newest_membership();
   size_t reached = 0;
--- a/tests/system/control_sim.h
+++ b/tests/system/control_sim.h
@@ -221,6 +221,8 @@
   void EndProcess(Machine* machine, double told_after);
 
   bool Reaches(const Machine& from, const Store& to) const;
+  // That whoever is proposed as a member holds, on disk, what was decided a while ago.
+  void CheckCaughtUp(const std::string& proposer, const Membership& next);
   // In touch ever since its joining was proposed, not longer ago than the members wait, and its disk takes
   // what it is given.
   bool Answers(const std::string& core, const Member& member) const;
--- a/tests/system/simulated_disk.h
+++ b/tests/system/simulated_disk.h
@@ -79,7 +79,12 @@
   size_t not_durable() const { return written_.size(); }
 
   const DiskImage& durable() const { return durable_; }
-  // What a process that starts now reads.
+  // What a process that starts now reads. It is durable then, as opening the store syncs it.
+  const DiskImage& Open() {
+    MakeDurable(written_.size());
+    return durable_;
+  }
+  // What it would read.
   DiskImage Read() const {
     DiskImage image = durable_;
     for (const replication::StoreBatch& batch : written_) image.Apply(batch);
