--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -469,6 +469,30 @@
   }
 }
 
+// As before, and it can't be found out since the other's disk hangs: no calls are taken and no lists given
+// meanwhile.
+TEST(Control, WhatCannotBeFoundOutStopsCalls) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    World world(options);
+    world.Until(0.6);
+    bool done = false;
+    world.on_order_ended = [&](size_t, const std::string&, Outcome outcome) {
+      done = outcome == Outcome::kDone;
+    };
+    world.Write("10.0.0.1", "route_table/a", 1);
+    while (!done && world.now() < 2) world.For(0.0001);
+    world.PowerOff("10.0.0.1");
+    world.HangDisk("10.0.0.2", 100);
+    world.For(4);
+    if (!world.broken().empty()) FAIL(("seed " + std::to_string(seed) + " " + world.broken()).c_str());
+    world.HealAll();
+    world.CheckSettles(kSettled);
+    if (!world.broken().empty()) FAIL(("seed " + std::to_string(seed) + " " + world.broken()).c_str());
+  }
+}
+
 TEST(Control, TheSameSeedIsTheSameDay) {
   Tally first, second;
   WorldOptions options;
