A gateway that has held nothing for a term is no longer waited for by a lender's next life

The note ends once its gateway has not reported for a term; before it is lent to again it is noted anew under a higher number, so that an order of unclear outcome can't end the new note. Core machines of the tests stop their doors before they go.

--- a/system/angelus/lending_right.h
+++ b/system/angelus/lending_right.h
@@ -1,9 +1,10 @@
-// When a core may lend parts of tenants' limits: only as a member of the core, and not before all that the member whose place
-// it took has lent is over. Pure; times are seconds of one steady clock.
+// When a core may lend parts of tenants' limits: only as a member of the core, and not before all that the
+// member whose place it took has lent is over. Pure; times are seconds of one steady clock.
 //
-// Every member lends one even part by itself. A core that becomes a member at another address than the one it replaces, or
-// that is added, therefore waits for a term, and for the time after which the other members go by the new epoch. The store of
-// a member that lends notes the epoch under its address, so that a restart knows whether that wait has been held.
+// Every member lends one even part by itself. A core that becomes a member at another address than the one it
+// replaces, or that is added, therefore waits for a term, and for the time after which the other members go
+// by the new epoch. The store of a member that lends notes the epoch under its address, so that a restart
+// knows whether that wait has been held.
 #ifndef IVYGW_SYSTEM_ANGELUS_LENDING_RIGHT_H_
 #define IVYGW_SYSTEM_ANGELUS_LENDING_RIGHT_H_
 
@@ -20,20 +21,22 @@
 
 class LendingRight {
  public:
-  // The loans of another core may stand so long after this one has learnt of the epoch that removed it: that core lends on
-  // until it is out of contact.
+  // The loans of another core may stand so long after this one has learnt of the epoch that removed it: that
+  // core lends on until it is out of contact.
   static constexpr double kWait = hollyford::kTerm + replication::kContactBound + 0.5;  // s
 
   // `noted_epoch`: under which this address has noted last that it lends; 0: never.
-  LendingRight(double now, std::string address, uint64_t store_id, messages::Membership membership, uint64_t noted_epoch)
+  LendingRight(double now, std::string address, uint64_t store_id, messages::Membership membership,
+               uint64_t noted_epoch)
       : address_(std::move(address)), store_id_(store_id), membership_(std::move(membership)) {
     lends_from_ = LentUnderThisEpoch(noted_epoch) ? now : now + kWait;
   }
 
   void OnMembership(double now, const messages::Membership& membership, uint64_t noted_epoch) {
     bool was_member = Member(membership_);
-    bool same_address = std::any_of(membership_.members.begin(), membership_.members.end(),
-                                    [&](const messages::Member& member) { return member.address == address_; });
+    bool same_address =
+        std::any_of(membership_.members.begin(), membership_.members.end(),
+                    [&](const messages::Member& member) { return member.address == address_; });
     bool takes_own_place = !was_member && same_address && LentUnderThisEpoch(noted_epoch);
     // Of epochs that were skipped it isn't known who lent.
     bool next = membership.epoch == membership_.epoch + 1;
@@ -53,9 +56,10 @@
     return membership_.epoch == 1 || (membership_.epoch > 0 && noted_epoch == membership_.epoch);
   }
   bool Member(const messages::Membership& membership) const {
-    return std::any_of(membership.members.begin(), membership.members.end(), [&](const messages::Member& member) {
-      return member.address == address_ && member.store_id == store_id_;
-    });
+    return std::any_of(membership.members.begin(), membership.members.end(),
+                       [&](const messages::Member& member) {
+                         return member.address == address_ && member.store_id == store_id_;
+                       });
   }
 
   const std::string address_;
--- a/system/angelus/registry.cpp
+++ b/system/angelus/registry.cpp
@@ -19,7 +19,7 @@
 constexpr double kKeepGone = 60;   // s, for which it is known that a backend has gone
 constexpr double kPassed = 1.5;    // s, for the store to answer
 constexpr size_t kMostPrunedAtOnce = 256;
-constexpr uint64_t kHeardEvery = 5, kSilentEvery = 20, kPruneEvery = 20;  // ticks, of some 0.1 s
+constexpr uint64_t kHeardEvery = 5, kSilentEvery = 20, kPruneEvery = 20, kReleaseEvery = 20;  // ticks, of some 0.1 s
 constexpr char kOutOfContact[] = "this core is out of contact with a majority of the core";
 
 // The parts of a target: its path's segments and its query.
@@ -218,14 +218,45 @@
   auto follower = node_.followers().find(peer);
   if (follower == node_.followers().end() || !MayLend(node_.Now())) return;
   const std::string& gateway = follower->second.node;
-  if (!Find(HolderKey(gateway))) return NoteHolder(gateway);
+  reported_at_[gateway] = node_.Now();
+  if (!IsNoted(gateway)) return NoteHolder(gateway);
   size_t lenders = node_.replica().membership().members.size();
   node_.Send(peer, lender_.OnReport(node_.Now(), gateway, follower->second.boot, report, lenders));
 }
 
+bool Registry::IsNoted(const std::string& gateway) const {
+  const Item* note = Find(HolderKey(gateway));
+  auto least = least_note_.find(gateway);
+  return note && !note->dropped && (least == least_note_.end() || note->version >= least->second);
+}
+
 void Registry::NoteHolder(const std::string& gateway) {
   if (!noting_.insert(gateway).second) return;
-  node_.Write({{HolderKey(gateway), 1, false, ""}}, [this, gateway](const replication::Ended&) { noting_.erase(gateway); });
+  const Item* before = Find(HolderKey(gateway));
+  auto least = least_note_.find(gateway);
+  uint64_t version = std::max(before ? before->version + 1 : 1, least == least_note_.end() ? 1 : least->second);
+  node_.Write({{HolderKey(gateway), version, false, ""}}, [this, gateway](const replication::Ended&) { noting_.erase(gateway); });
+}
+
+// A gateway that has not reported for longer than a term holds nothing: a later life of this core need not wait for it. It is
+// lent to again only once it is noted anew, whatever has become of this order.
+void Registry::ReleaseHolders(double now) {
+  std::string prefix = HolderKey("");
+  const auto& records = node_.replica().table().records();
+  std::vector<Item> ends;
+  for (auto it = records.lower_bound(prefix); it != records.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+    std::string gateway = it->first.substr(prefix.size());
+    double reported_at = reported_at_.try_emplace(gateway, now).first->second;
+    bool over = now > reported_at + hollyford::kTerm + 1;
+    if (it->second.item.dropped || !over || noting_.count(gateway) > 0) continue;
+    ends.push_back({it->first, it->second.item.version + 1, true, ""});
+    least_note_[gateway] = it->second.item.version + 2;
+    noting_.insert(gateway);
+  }
+  for (const Item& end : ends) {
+    std::string gateway = end.key.substr(prefix.size());
+    node_.Write({end}, [this, gateway](const replication::Ended&) { noting_.erase(gateway); });
+  }
 }
 
 void Registry::LendingOnTime(double now) {
@@ -233,6 +264,7 @@
   if (MayLend(now)) {
     if (!holders_told_) ReadHolders();
     if (NotedEpoch() < right_.epoch()) NoteLending();
+    if (holders_told_ && ticks_ % kReleaseEvery == 0) ReleaseHolders(now);
   }
   bool lending = MayLend(now) && !lender_.Closed(now);
   if (lending == lending_) return;
@@ -251,7 +283,8 @@
     std::vector<std::string> holders;
     std::string prefix = HolderKey("");
     for (const auto& [key, record] : node_.replica().table().records()) {
-      if (key.compare(0, prefix.size(), prefix) == 0) holders.push_back(key.substr(prefix.size()));
+      bool holds = key.compare(0, prefix.size(), prefix) == 0 && !record.item.dropped;
+      if (holds) holders.push_back(key.substr(prefix.size()));
     }
     lender_.OnHolders(holders);
   });
--- a/system/angelus/registry.h
+++ b/system/angelus/registry.h
@@ -43,7 +43,9 @@
   void Lend(uint64_t peer, const heaphy::Report& report);
   void LendingOnTime(double now);
   void ReadHolders();
+  bool IsNoted(const std::string& gateway) const;
   void NoteHolder(const std::string& gateway);
+  void ReleaseHolders(double now);
   void NoteLending();
   bool MayLend(double now) const;
   uint64_t NotedEpoch() const;
@@ -77,7 +79,9 @@
     double since = 0;  // when it was first seen here
   };
   std::map<std::string, Tombstone> tombstones_;
-  std::set<std::string> noting_;               // gateways whose note as holders is under way
+  std::set<std::string> noting_;               // gateways whose note as holders is under way, or its end
+  std::map<std::string, double> reported_at_;  // by gateway, when it reported here last
+  std::map<std::string, uint64_t> least_note_; // by gateway, the lowest version of its note that counts: older ones may end
   bool noting_lending_ = false;
   bool holders_told_ = false, reading_holders_ = false, lending_ = false;
   uint64_t last_ = 0;
--- a/system/mueller/configuration_policy.cpp
+++ b/system/mueller/configuration_policy.cpp
@@ -27,15 +27,17 @@
 
 }  // namespace
 
-Judgement ConfigurationPolicy::Judge(const std::vector<Item>& items, const replication::TableOverlay& overlay) const {
+Judgement ConfigurationPolicy::Judge(const std::vector<Item>& items,
+                                     const replication::TableOverlay& overlay) const {
   Judgement judgement;
   bool unknowable = false;
   for (const Item& item : items) {
     ItemJudgement one = replication::JudgeItem(item, overlay.Find(item.key), true);
     switch (one.kind) {
       case Judgement::Kind::kRefused:
-        return Refused(RefusalCode::kConflict, item.key,
-                       "config_version: " + VersionText(item.version) + " has been confirmed with another content");
+        return Refused(
+            RefusalCode::kConflict, item.key,
+            "config_version: " + VersionText(item.version) + " has been confirmed with another content");
       case Judgement::Kind::kUnknowable: unknowable = true; break;
       case Judgement::Kind::kChanges: judgement.records.push_back(std::move(one.record)); break;
       case Judgement::Kind::kStands: break;
--- a/system/mueller/configuration_policy.h
+++ b/system/mueller/configuration_policy.h
@@ -1,5 +1,5 @@
-// Which orders the table of the configuration takes: a call is taken whole or not at all, each number of an item is confirmed
-// to one content only, and what stands is always a valid configuration. Pure; one thread.
+// Which orders the table of the configuration takes: a call is taken whole or not at all, each number of an
+// item is confirmed to one content only, and what stands is always a valid configuration. Pure; one thread.
 #ifndef IVYGW_SYSTEM_MUELLER_CONFIGURATION_POLICY_H_
 #define IVYGW_SYSTEM_MUELLER_CONFIGURATION_POLICY_H_
 
--- a/system/mueller/store.cpp
+++ b/system/mueller/store.cpp
@@ -74,7 +74,8 @@
 void Store::Show(Answer answer) {
   if (!node_.InContact()) return answer(503, ErrorBody(kOutOfContact));
   node_.Read([this, answer = std::move(answer)](const replication::Ended& ended) {
-    if (ended.outcome != Outcome::kDone) return answer(503, ErrorBody("a majority of the core did not answer in time"));
+    if (ended.outcome != Outcome::kDone)
+      return answer(503, ErrorBody("a majority of the core did not answer in time"));
     std::vector<heaphy::Item> items;
     for (const auto& [key, record] : node_.replica().table().records()) items.push_back(record.item);
     if (items.empty()) return answer(503, ErrorBody("there is no configuration yet"));
--- a/system/mueller/store.h
+++ b/system/mueller/store.h
@@ -1,4 +1,5 @@
-// Mueller (the store of configuration): its calls, over a replicated table of items. The registry passes outside calls on.
+// Mueller (the store of configuration): its calls, over a replicated table of items. The registry passes
+// outside calls on.
 #ifndef IVYGW_SYSTEM_MUELLER_STORE_H_
 #define IVYGW_SYSTEM_MUELLER_STORE_H_
 
--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -53,26 +53,33 @@
   asio::post(io_, [this] { Tick(); });
 }
 
-// The seeds are the first epoch where the whole system starts for the first time; every other new store is a learner's.
+// The seeds are the first epoch where the whole system starts for the first time; every other new store is a
+// learner's.
 storage::OpenOptions CoreNode::FirstState() const {
   std::set<std::string> seeds = SeedHosts(settings_);
   storage::OpenOptions first;
   first.founder = settings_.initial_boot && seeds.count(settings_.ip) > 0;
   if (!first.founder) return first;
   first.first_membership.epoch = 1;
-  for (const std::string& seed : seeds) first.first_membership.members.push_back({seed, replication::kFounderStoreId, ""});
+  for (const std::string& seed : seeds)
+    first.first_membership.members.push_back({seed, replication::kFounderStoreId, ""});
   return first;
 }
 
 replication::LoadedState CoreNode::OpenStore() {
   if (settings_.data_directory.empty()) return WithoutDisk();
-  store_ = std::make_unique<storage::TableStore>(io_, settings_.data_directory + "/" + options_.role, FirstState());
+  store_ = std::make_unique<storage::TableStore>(io_, settings_.data_directory + "/" + options_.role,
+                                                 FirstState());
   store_->OnStored([this](uint64_t batch) { OnStored(batch); });
   store_->OnRefused([](const std::string& reason) { Log("disk_refused").Add("reason", reason); });
   storage::OpenedTable opened = store_->TakeOpened();
   const replication::DurableState& state = opened.loaded.state;
-  Log("loaded").Add("role", options_.role).Add("records", opened.loaded.records.size()).Add("created", opened.created)
-      .Add("epoch", state.membership.epoch).Add("revision", state.revision);
+  Log("loaded")
+      .Add("role", options_.role)
+      .Add("records", opened.loaded.records.size())
+      .Add("created", opened.created)
+      .Add("epoch", state.membership.epoch)
+      .Add("revision", state.revision);
   if (!opened.unreadable.empty()) Log("store_put_aside").Add("reason", opened.unreadable);
   return std::move(opened.loaded);
 }
@@ -85,14 +92,18 @@
   return loaded;
 }
 
-double CoreNode::Now() const { return std::chrono::duration<double>(Clock::now().time_since_epoch()).count(); }
+double CoreNode::Now() const {
+  return std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
+}
 
 // --- Connections ---
 
 heaphy::Host::Events CoreNode::HostEvents() {
   heaphy::Host::Events events;
   events.up = [this](uint64_t peer, const heaphy::Hello& hello) { OnHello(peer, hello); };
-  events.message = [this](uint64_t peer, heaphy::Message message) { OnPeerMessage(peer, std::move(message)); };
+  events.message = [this](uint64_t peer, heaphy::Message message) {
+    OnPeerMessage(peer, std::move(message));
+  };
   events.down = [this](uint64_t peer) { OnPeerGone(peer); };
   return events;
 }
@@ -282,7 +293,10 @@
   const messages::Membership& membership = replica_->membership();
   std::string members;
   for (const Member& member : membership.members) members += (members.empty() ? "" : " ") + member.address;
-  Log("epoch").Add("role", options_.role).Add("number", membership.epoch).Add("members", members)
+  Log("epoch")
+      .Add("role", options_.role)
+      .Add("number", membership.epoch)
+      .Add("members", members)
       .Add("member", replica_->IsMember());
   known_.SetMembers(membership);
   DialWanted();
@@ -294,7 +308,9 @@
   events.send = [this](uint64_t peer, const heaphy::Message& message) { host_.Send(peer, message); };
   events.send_frame = [this](uint64_t peer, const std::string& frame) { host_.SendFrame(peer, frame); };
   events.read = [this](std::function<void(bool)> then) {
-    Read([then = std::move(then)](const replication::Ended& ended) { then(ended.outcome == replication::Outcome::kDone); });
+    Read([then = std::move(then)](const replication::Ended& ended) {
+      then(ended.outcome == replication::Outcome::kDone);
+    });
   };
   events.in_contact = [this] { return InContact(); };
   return events;
@@ -321,7 +337,8 @@
   });
 }
 
-// The replica may want to go on between two ticks. What is due already has been tried, and waits for something else.
+// The replica may want to go on between two ticks. What is due already has been tried, and waits for
+// something else.
 void CoreNode::ArmWake() {
   std::optional<double> at = replica_->WakeAt();
   if (at && *at <= Now()) at.reset();
@@ -345,9 +362,15 @@
 void CoreNode::LogFigures() const {
   size_t behind = 0;
   for (const auto& [peer, follower] : followers()) behind += follower.acknowledged < follower.pushed;
-  Log("figures").Add("role", options_.role).Add("records", replica_->table().records().size())
-      .Add("revision", replica_->revision()).Add("epoch", replica_->membership().epoch).Add("contact", InContact())
-      .Add("cores", cores_in_.size() + 1).Add("gateways", followers().size()).Add("pushed", publisher_->pushed())
+  Log("figures")
+      .Add("role", options_.role)
+      .Add("records", replica_->table().records().size())
+      .Add("revision", replica_->revision())
+      .Add("epoch", replica_->membership().epoch)
+      .Add("contact", InContact())
+      .Add("cores", cores_in_.size() + 1)
+      .Add("gateways", followers().size())
+      .Add("pushed", publisher_->pushed())
       .Add("behind", behind);
 }
 
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -1,5 +1,5 @@
-// Rees (the driver of a replicated table): one core's copy on its disk, joined to the other cores, and told to the gateways
-// that follow it. What the table means is its owner's. One thread, that of the event loop.
+// Rees (the driver of a replicated table): one core's copy on its disk, joined to the other cores, and told
+// to the gateways that follow it. What the table means is its owner's. One thread, that of the event loop.
 #ifndef IVYGW_SYSTEM_REES_CORE_NODE_H_
 #define IVYGW_SYSTEM_REES_CORE_NODE_H_
 
@@ -33,14 +33,15 @@
     std::function<void(uint64_t peer, const Follower&)> follower_down = [](uint64_t, const auto&) {};
     // What isn't the table's own: of gateways, of the other process of this machine, of other cores.
     std::function<void(uint64_t peer, heaphy::Message)> message = [](uint64_t, heaphy::Message) {};
-    std::function<void(const std::string& core, heaphy::Message)> core_message = [](const std::string&, heaphy::Message) {};
+    std::function<void(const std::string& core, heaphy::Message)> core_message = [](const std::string&,
+                                                                                    heaphy::Message) {};
     std::function<void()> membership_changed = [] {};
     std::function<void()> tick = [] {};  // some ten times a second
   };
-  // `policy` outlives this. Throws std::runtime_error where the disk can't be read, boost::system::system_error where nothing
-  // can be listened on.
-  CoreNode(asio::io_context& io, const rakiura::Settings& settings, Options options, replication::OrderPolicy* policy,
-           Events events);
+  // `policy` outlives this. Throws std::runtime_error where the disk can't be read,
+  // boost::system::system_error where nothing can be listened on.
+  CoreNode(asio::io_context& io, const rakiura::Settings& settings, Options options,
+           replication::OrderPolicy* policy, Events events);
 
   using OnEnded = std::function<void(const replication::Ended&)>;
   // An order for these items, all of it or nothing.
@@ -50,7 +51,8 @@
   void Prune(const std::vector<messages::Item>& tombstones);
   // Calls may be taken.
   bool InContact() const { return replica_->InContact(Now()); }
-  // Whether this core is, of the members that it is connected to, the first by address: what one of them should do falls to it.
+  // Whether this core is, of the members that it is connected to, the first by address: what one of them
+  // should do falls to it.
   bool IsFirstMemberInTouch() const;
 
   const replication::Replica& replica() const { return *replica_; }
@@ -99,8 +101,8 @@
   heaphy::Host host_;
   KnownCores known_;
   std::map<std::string, std::unique_ptr<heaphy::Dialer>> dialers_;  // what is sent to a core goes over these
-  std::map<uint64_t, std::string> cores_in_;                       // connections that other cores have dialled
-  std::map<uint64_t, OnEnded> waiting_;                            // by ticket
+  std::map<uint64_t, std::string> cores_in_;  // connections that other cores have dialled
+  std::map<uint64_t, OnEnded> waiting_;       // by ticket
   std::deque<replication::Effects> effects_;
   bool running_ = false;
   uint64_t last_ticket_ = 0, ticks_ = 0;
--- a/system/rees/known_cores.h
+++ b/system/rees/known_cores.h
@@ -1,5 +1,5 @@
-// To which addresses a core holds connections: members and seeds always, others for a while after they were last
-// heard of. Pure; times are seconds of one steady clock.
+// To which addresses a core holds connections: members and seeds always, others for a while after they were
+// last heard of. Pure; times are seconds of one steady clock.
 #ifndef IVYGW_SYSTEM_REES_KNOWN_CORES_H_
 #define IVYGW_SYSTEM_REES_KNOWN_CORES_H_
 
--- a/system/rees/publisher.cpp
+++ b/system/rees/publisher.cpp
@@ -50,7 +50,8 @@
   if (it == followers_.end()) return;
   Follower& follower = it->second;
   follower.acknowledged = ack.number;
-  if (follower.list == Follower::List::kUnderWay && ack.number == follower.part) ContinueList(peer, &follower);
+  if (follower.list == Follower::List::kUnderWay && ack.number == follower.part)
+    ContinueList(peer, &follower);
 }
 
 void Publisher::OnChanged(const std::vector<std::string>& keys, bool reset) {
@@ -108,7 +109,8 @@
 }
 
 // `listing`: a follower whose list is under way; what that list is still to tell is left out.
-heaphy::Push Publisher::NewsFor(const std::set<std::string>& keys, const std::map<std::string, Item>& provisional,
+heaphy::Push Publisher::NewsFor(const std::set<std::string>& keys,
+                                const std::map<std::string, Item>& provisional,
                                 const Follower* listing) const {
   heaphy::Push push;
   push.number = last_push_;
@@ -154,7 +156,8 @@
   }
 }
 
-// Begins the lists of all whose question is older than the last read, and starts a read for those whose isn't.
+// Begins the lists of all whose question is older than the last read, and starts a read for those whose
+// isn't.
 void Publisher::AnswerQuestions() {
   if (!events_.in_contact()) return;
   bool newer_question = false;
--- a/system/rees/publisher.h
+++ b/system/rees/publisher.h
@@ -1,8 +1,9 @@
-// What the gateways that follow a table are told: a list of what each lacks once it asks, then every change as it
-// comes. Messages are numbered and their acknowledgements counted. One thread, that of the event loop.
+// What the gateways that follow a table are told: a list of what each lacks once it asks, then every change
+// as it comes. Messages are numbered and their acknowledgements counted. One thread, that of the event loop.
 //
-// A list proves that nothing which was decided before the gateway asked is missing from it: it begins only after a
-// read that was started later than the question, and ends only while this core is in contact with a majority.
+// A list proves that nothing which was decided before the gateway asked is missing from it: it begins only
+// after a read that was started later than the question, and ends only while this core is in contact with a
+// majority.
 #ifndef IVYGW_SYSTEM_REES_PUBLISHER_H_
 #define IVYGW_SYSTEM_REES_PUBLISHER_H_
 
@@ -28,12 +29,12 @@
   bool listed = false;                    // has been given a list, and so is pushed every change
   enum class List { kNone, kAsked, kUnderWay };
   List list = List::kNone;
-  uint64_t question = 0;             // the number of its last question
-  std::vector<uint64_t> have;        // digests by range, as it told; empty: not known
-  std::vector<bool> differs;         // by range: what the list under way is of
-  std::string cursor;                // the last key that has been listed
-  uint64_t list_revision = 0;        // of the table, when the list began
-  uint64_t part = 0;                 // the number of the part that is out
+  uint64_t question = 0;       // the number of its last question
+  std::vector<uint64_t> have;  // digests by range, as it told; empty: not known
+  std::vector<bool> differs;   // by range: what the list under way is of
+  std::string cursor;          // the last key that has been listed
+  uint64_t list_revision = 0;  // of the table, when the list began
+  uint64_t part = 0;           // the number of the part that is out
 };
 
 class Publisher {
@@ -46,7 +47,8 @@
     std::function<bool()> in_contact;
   };
   // `shown_prefix`: of the keys that gateways are shown; empty: all. `replica` outlives this.
-  Publisher(asio::io_context& io, const replication::Replica& replica, std::string shown_prefix, Events events);
+  Publisher(asio::io_context& io, const replication::Replica& replica, std::string shown_prefix,
+            Events events);
 
   // `peer`: a number for the connection.
   const Follower& OnFollowerUp(uint64_t peer, const heaphy::Hello& hello);
@@ -73,7 +75,8 @@
   const std::vector<uint64_t>& ShownDigests();
   void StartGathering();
   void PushNews();
-  heaphy::Push NewsFor(const std::set<std::string>& keys, const std::map<std::string, messages::Item>& provisional,
+  heaphy::Push NewsFor(const std::set<std::string>& keys,
+                       const std::map<std::string, messages::Item>& provisional,
                        const Follower* listing) const;
   void AnswerQuestions();
   void BeginList(uint64_t peer, Follower* follower);
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -1,5 +1,6 @@
-// Whole core machines (registry and store) in one event loop, over loopback and with real disks: what they answer to calls at
-// their doors, and what a gateway's copy is told. Nothing sleeps: the loop runs until a condition holds, or a bound has passed.
+// Whole core machines (registry and store) in one event loop, over loopback and with real disks: what they
+// answer to calls at their doors, and what a gateway's copy is told. Nothing sleeps: the loop runs until a
+// condition holds, or a bound has passed.
 #include <unistd.h>
 
 #include <array>
@@ -27,24 +28,29 @@
 constexpr int kFirstPort = 7400, kDoorPort = 7402;
 constexpr double kBound = 15;  // s, for what should come soon
 
-double Now() { return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count(); }
+double Now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
 
 // Addresses of loopback that no other process of these tests uses.
 std::string Address(int machine) {
   int process = static_cast<int>(getpid());
-  return "127." + std::to_string(1 + process / 250 % 250) + "." + std::to_string(process % 250) + "." + std::to_string(machine);
+  return "127." + std::to_string(1 + process / 250 % 250) + "." + std::to_string(process % 250) + "." +
+         std::to_string(machine);
 }
 
 std::string Route(const std::string& name, const std::string& version, int timeout_ms) {
-  return R"({"name":")" + name + R"(","host_name":"h.example","path_prefix":"/)" + name + R"(/","route_type":"idempotent","timeout_ms":)" +
-         std::to_string(timeout_ms) + R"(,"target_service":"s1","config_version":")" + version + "\"}";
+  return R"({"name":")" + name + R"(","host_name":"h.example","path_prefix":"/)" + name +
+         R"(/","route_type":"idempotent","timeout_ms":)" + std::to_string(timeout_ms) +
+         R"(,"target_service":"s1","config_version":")" + version + "\"}";
 }
 std::string Call(const std::string& route) {
-  return R"({"upsert_items":{"route_table":[)" + route + R"(],"service_table":[{"name":"s1","health_path":"/h","config_version":"00000001"}]}})";
+  return R"({"upsert_items":{"route_table":[)" + route +
+         R"(],"service_table":[{"name":"s1","health_path":"/h","config_version":"00000001"}]}})";
 }
 std::string Beat(const std::string& state, int sequence) {
-  return R"({"target_service":"s1","address":"10.0.0.9:80","zone":"z","slot_count":2,"oper_state":")" + state +
-         R"(","warmup_left_ms":0,"call_sequence":)" + std::to_string(sequence) + "}";
+  return R"({"target_service":"s1","address":"10.0.0.9:80","zone":"z","slot_count":2,"oper_state":")" +
+         state + R"(","warmup_left_ms":0,"call_sequence":)" + std::to_string(sequence) + "}";
 }
 
 struct Reply {
@@ -83,7 +89,8 @@
     settings.zone = "z";
     settings.control_plane = Address(machine) + ":" + std::to_string(kDoorPort);
     settings.first_port = kFirstPort;
-    for (int seed = 1; seed <= 3; ++seed) settings.seeds.push_back(Address(seed) + ":" + std::to_string(kDoorPort));
+    for (int seed = 1; seed <= 3; ++seed)
+      settings.seeds.push_back(Address(seed) + ":" + std::to_string(kDoorPort));
     settings.initial_boot = initial_boot;
     settings.data_directory = folder + "/" + settings.node;
     return settings;
@@ -95,6 +102,9 @@
     registries[machine] = std::make_unique<angelus::Registry>(io, settings);
   }
   void Stop(int machine) {
+    if (registries.count(machine) == 0) return;
+    registries.at(machine)->Stop();
+    RunFor(0.02);  // the door's connections hold memory of the registry until they have ended
     registries.erase(machine);
     stores.erase(machine);
   }
@@ -103,7 +113,9 @@
     for (int machine : {1, 2, 3}) Start(machine, true);
     for (int machine : {1, 2, 3}) CHECK(RunUntil([&] { return InContact(machine); }));
   }
-  bool InContact(int machine) { return stores.at(machine)->node().InContact() && registries.at(machine)->node().InContact(); }
+  bool InContact(int machine) {
+    return stores.at(machine)->node().InContact() && registries.at(machine)->node().InContact();
+  }
   // Whether that machine goes by these members, in both tables.
   bool HasMembers(int machine, std::vector<int> members) {
     for (const rees::CoreNode* node : {&stores.at(machine)->node(), &registries.at(machine)->node()}) {
@@ -120,8 +132,10 @@
     Reply reply;
     double began = Now();
     tcp::socket socket(io);
-    std::string request = "POST /ivygw/rpc?call=" + call + " HTTP/1.1\r\nHost: control\r\nConnection: close\r\nContent-Length: " +
-                          std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string request =
+        "POST /ivygw/rpc?call=" + call +
+        " HTTP/1.1\r\nHost: control\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
     std::string text;
     bool ended = false;
     tcp::endpoint door(asio::ip::make_address(Address(machine)), kDoorPort);
@@ -203,7 +217,7 @@
 
 }  // namespace
 
-TEST_GROUP(CoreMachines) {};
+TEST_GROUP(CoreMachines){};
 
 TEST(CoreMachines, AnOrderIsConfirmedOnceAndReadBackAtEveryCore) {
   World world;
@@ -214,7 +228,9 @@
   CHECK_EQUAL(409, conflict.status);
   CHECK(conflict.body.find("route_table/r1") != std::string::npos);
   CHECK_EQUAL(200, world.ModifyUntilClear(3, Call(Route("r1", "00000007", 100))).status);  // the first again
-  Reply invalid = world.Modify(3, R"({"upsert_items":{"route_table":[)" + Route("r2", "00000008", 100) + R"(]},"remove_items":{"service_table":[{"name":"s1","config_version":"00000009"}]}})");
+  Reply invalid = world.Modify(
+      3, R"({"upsert_items":{"route_table":[)" + Route("r2", "00000008", 100) +
+             R"(]},"remove_items":{"service_table":[{"name":"s1","config_version":"00000009"}]}})");
   CHECK_EQUAL(400, invalid.status);
   CHECK(invalid.body.find("target_service") != std::string::npos);
   for (int machine : {1, 2, 3}) {
@@ -239,7 +255,8 @@
   world.Wipe(3);
   world.Start(3);
   CHECK(world.RunUntil([&] {
-    return world.InContact(3) && world.stores.at(3)->node().replica().IsMember() && world.registries.at(3)->node().replica().IsMember();
+    return world.InContact(3) && world.stores.at(3)->node().replica().IsMember() &&
+           world.registries.at(3)->node().replica().IsMember();
   }));
   CHECK(world.stores.at(3)->node().replica().membership().epoch > epoch);
   CHECK(world.HasMembers(3, {1, 2, 3}));
@@ -277,9 +294,11 @@
   CHECK(world.RunUntil([&] { return world.gateway->configuration.complete(); }));
   world.Stop(2);
   world.Stop(3);
-  // Whenever the others went: a caller is never left waiting, and nothing is served from what this core alone knows.
+  // Whenever the others went: a caller is never left waiting, and nothing is served from what this core alone
+  // knows.
   for (int round = 0; round < 12; ++round) {
-    for (const Reply& reply : {world.Modify(1, Call(Route("r1", "00000009", 100))), world.Show(1), world.Tell(1, "draining", 10 + round)}) {
+    for (const Reply& reply : {world.Modify(1, Call(Route("r1", "00000009", 100))), world.Show(1),
+                               world.Tell(1, "draining", 10 + round)}) {
       CHECK_EQUAL(503, reply.status);
       CHECK(reply.took < 1);
     }
--- a/tests/system/publisher_test.cpp
+++ b/tests/system/publisher_test.cpp
@@ -1,5 +1,7 @@
-// What a core tells the gateways that follow its table: lists with proof, and every change besides. The table is a real replica,
-// that of a core of one; reads and contact are told by the test.
+// What a core tells the gateways that follow its table: lists with proof, and every change besides. The table
+// is a real replica, that of a core of one; reads and contact are told by the test.
+#include "rees/publisher.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -8,7 +10,6 @@
 
 #include "angelus/roll.h"
 #include "heaphy/codec.h"
-#include "rees/publisher.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -28,7 +29,9 @@
   World() {
     rees::Publisher::Events events;
     events.send = [this](uint64_t peer, const heaphy::Message& message) { Told(peer, message); };
-    events.send_frame = [this](uint64_t peer, const std::string& frame) { Told(peer, *heaphy::Decode(frame.substr(4))); };
+    events.send_frame = [this](uint64_t peer, const std::string& frame) {
+      Told(peer, *heaphy::Decode(frame.substr(4)));
+    };
     events.read = [this](std::function<void(bool)> then) { reads.push_back(std::move(then)); };
     events.in_contact = [this] { return in_contact; };
     publisher = std::make_unique<rees::Publisher>(io, replica, "", std::move(events));
@@ -38,7 +41,8 @@
     replication::Effects effects;
     act(&effects);
     while (true) {
-      if (publisher && (!effects.changed.empty() || effects.reset)) publisher->OnChanged(effects.changed, effects.reset);
+      if (publisher && (!effects.changed.empty() || effects.reset))
+        publisher->OnChanged(effects.changed, effects.reset);
       std::vector<replication::StoreBatch> stores = std::move(effects.stores);
       effects = {};
       if (stores.empty()) return;
@@ -94,7 +98,7 @@
 
 }  // namespace
 
-TEST_GROUP(Publishing) {};
+TEST_GROUP(Publishing){};
 
 TEST(Publishing, AListWaitsForAReadThatIsLaterThanItsQuestion) {
   World world;
@@ -140,7 +144,8 @@
 TEST(Publishing, WhatChangesDuringAListIsToldWhereverItStands) {
   World world;
   std::vector<Item> items;
-  for (int i = 0; i < 40; ++i) items.push_back({"k" + std::to_string(10 + i), 1, false, std::string(20000, 'x')});
+  for (int i = 0; i < 40; ++i)
+    items.push_back({"k" + std::to_string(10 + i), 1, false, std::string(20000, 'x')});
   world.Decide(items);
   world.Follow(1);
   // The gateway has the last key's range already.
@@ -153,7 +158,9 @@
   world.EndRead(true);
   CHECK(!world.Listed(1));  // the first part waits for its acknowledgement
   CHECK(world.items[1].count("k49") == 0);
-  world.Decide({{"k10", 2, false, "behind the cursor"}, {"k48", 2, false, "before it"}, {"k49", 2, false, "not to be listed"}});
+  world.Decide({{"k10", 2, false, "behind the cursor"},
+                {"k48", 2, false, "before it"},
+                {"k49", 2, false, "not to be listed"}});
   for (int i = 0; i < 20 && !world.Listed(1); ++i) world.publisher->OnPushAck(1, {world.parts[1]});
   CHECK(world.Listed(1));
   for (const char* key : {"k10", "k48", "k49"}) CHECK_EQUAL(2u, world.items[1][key].version);
