The time for which a backend keeps a connection was read from a string that had ended

Cause: a list of parameters pointed into a temporary string (found by AddressSanitizer under backend_links_test.cpp), and a Keep-Alive with another parameter ahead of its timeout was not understood. Change: the string is named, commas part its parameters, too; a test reads it.

--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -184,7 +184,9 @@
     out.not_executed = head.find("Not-Executed") != head.end();
     out.sealed = head.find("Server-Seal") != head.end();
     out.encoded = head.find(http::field::content_encoding) != head.end();
-    for (auto part : http::param_list(std::string(";").append(View(head["Keep-Alive"])))) {
+    std::string keep_alive = std::string(";").append(View(head["Keep-Alive"]));  // the list points into it
+    std::replace(keep_alive.begin(), keep_alive.end(), ',', ';');
+    for (auto part : http::param_list(keep_alive)) {
       if (!boost::beast::iequals(part.first, "timeout")) continue;
       double told = 0;
       std::string_view text = View(part.second);
--- a/system/milford/exchanges.cpp
+++ b/system/milford/exchanges.cpp
@@ -120,7 +120,6 @@
   Held& held = held_.at(id);
   auto& head = held.message.head;
   if (!open_) return Reject(id, 503, kNotReady, "not ready");
-  held.attempt_id = View(head["Attempt-Id"]);
   held.route = routes_->Find(View(head[http::field::host]), View(head.target()));
   if (!held.route) return Reject(id, 404, 0, "no route");
   if (routes_->has_tenants() && !held.route->open) {
@@ -184,8 +183,8 @@
   Held& held = held_.at(id);
   lifecycle::RequestAdmitted event;
   event.request = id;
-  event.attempt_id = held.attempt_id;
-  event.service = routeburn::Routes::Pick(*held.route, held.attempt_id);
+  event.attempt_id = View(held.message.head["Attempt-Id"]);
+  event.service = routeburn::Routes::Pick(*held.route, event.attempt_id);
   event.idempotent = held.route->idempotent;
   event.max_attempts = held.route->max_attempts;
   event.deadline = held.deadline;
@@ -249,19 +248,21 @@
 // --- Effects to calls ---
 
 template <typename Event>
-void Exchanges::Tell(Event event) {
-  lifecycle_.On(Now(), std::move(event), &effects_);
+void Exchanges::Tell(Event&& event) {
+  lifecycle_.On(Now(), std::forward<Event>(event), &effects_);
   CarryOutAll();
 }
 
 void Exchanges::CarryOutAll() {
   if (carrying_out_) return;
   carrying_out_ = true;
-  for (size_t i = 0; i < effects_.size(); ++i) {
-    lifecycle::Effect effect = std::move(effects_[i]);
-    std::visit([this](auto& each) { CarryOut(each); }, effect);
+  while (!effects_.empty()) {
+    carried_out_.swap(effects_);
+    for (lifecycle::Effect& effect : carried_out_) {
+      std::visit([this](auto& each) { CarryOut(each); }, effect);
+    }
+    carried_out_.clear();
   }
-  effects_.clear();
   carrying_out_ = false;
 }
 
--- a/system/milford/exchanges.h
+++ b/system/milford/exchanges.h
@@ -52,7 +52,6 @@
     ClientMessage message;
     routeburn::Routes::Route route;
     routeburn::Routes::Tenant tenant;
-    std::string attempt_id;  // as the client told it
     double arrived = 0, deadline = 0;
     bool pending = false;                               // its token is on its way
     std::unique_ptr<asio::steady_timer> timer;          // of the token, then of the deadline
@@ -88,7 +87,7 @@
   // Gives the state machine an event and carries out its effects, in order. What comes while they are carried
   // out is queued behind them.
   template <typename Event>
-  void Tell(Event event);
+  void Tell(Event&& event);
   void CarryOutAll();
   void CarryOut(request_lifecycle::OpenConnection& effect);
   void CarryOut(request_lifecycle::SendRequest& effect);
@@ -113,7 +112,8 @@
   tongariro::Budget* budget_;
   ClientServer* front_ = nullptr;
   request_lifecycle::Lifecycle lifecycle_;
-  request_lifecycle::Effects effects_;
+  request_lifecycle::Effects effects_;      // still to be carried out
+  request_lifecycle::Effects carried_out_;  // those under way; kept for its memory
   bool carrying_out_ = false;
   BackendLinks links_;
   std::unordered_map<RequestId, Held, request_lifecycle::IdentityHash> held_;
--- a/system/request_lifecycle/lifecycle.cpp
+++ b/system/request_lifecycle/lifecycle.cpp
@@ -62,7 +62,7 @@
   return id;
 }
 
-void Lifecycle::On(double now, RequestAdmitted event, Effects* effects) {
+void Lifecycle::On(double now, RequestAdmitted&& event, Effects* effects) {
   Request* request = Find(event.request);
   if (!request || request->phase != Phase::kReceiving) {
     ++counters_.events_of_ended;
@@ -73,7 +73,7 @@
   request->idempotent = event.idempotent;
   request->max_attempts = event.max_attempts;
   request->deadline = event.deadline;
-  effects->push_back(ArmDeadline{event.request, event.deadline});
+  effects->emplace_back(ArmDeadline{event.request, event.deadline});
   StartAttempt(now, event.request, request, effects);
 }
 
@@ -84,7 +84,7 @@
     return;
   }
   if (std::optional<NotDone> proof = request->record.NothingDone()) {
-    effects->push_back(
+    effects->emplace_back(
         ReplyNotRun{request->client, event.request, *proof, event.status, event.retry_after_s, event.reason});
   }
   Release(event.request, effects);
@@ -117,7 +117,7 @@
     ++counters_.events_of_ended;
     return;
   }
-  effects->push_back(ReadAnswerPart{request->connection});
+  effects->emplace_back(ReadAnswerPart{request->connection});
 }
 
 void Lifecycle::StartAttempt(double now, RequestId id, Request* request, Effects* effects) {
@@ -141,7 +141,7 @@
   request->connection = ConnectionId{++last_connection_};
   connections_[request->connection] = Connection{request->backend, id, request->attempt, false, 0, 0};
   ++counters_.connections;
-  effects->push_back(OpenConnection{request->connection, request->attempt, id, request->backend});
+  effects->emplace_back(OpenConnection{request->connection, request->attempt, id, request->backend});
 }
 
 // The idle connection to the backend that was used last; those that have rested too long are closed.
@@ -153,7 +153,7 @@
     it->second.pop_back();
     if (now < connections_.at(id).keep_until) return id;
     connections_.erase(id);
-    effects->push_back(CloseConnection{id});
+    effects->emplace_back(CloseConnection{id});
   }
   return {};
 }
@@ -161,7 +161,7 @@
 void Lifecycle::Send(ConnectionId id, Connection* connection, Request* request, Effects* effects) {
   request->phase = Phase::kAwaitingAnswer;
   ++connection->written;
-  effects->push_back(SendRequest{id, connection->request, connection->backend});
+  effects->emplace_back(SendRequest{id, connection->request, connection->backend});
 }
 
 void Lifecycle::On(double, const ConnectionOpened& event, Effects* effects) {
@@ -189,7 +189,7 @@
   if (!request) return;  // it was idle
   if (request->phase == Phase::kStreaming) {
     policy_->OnAttemptEnded(now, request->backend, Met::kBroken);
-    effects->push_back(AbortReply{request->client, id});
+    effects->emplace_back(AbortReply{request->client, id});
     return Release(id, effects);
   }
   if (!open) return EndAttempt(now, id, request, Evidence::kConnectRefused, Met::kRefusedConnection, effects);
@@ -210,7 +210,7 @@
              kept ? Met::kLeft : Met::kBroken, effects);
 }
 
-void Lifecycle::On(double now, AnswerReceived event, Effects* effects) {
+void Lifecycle::On(double now, AnswerReceived&& event, Effects* effects) {
   std::optional<Exchange> exchange = FindExchange(event.connection, effects);
   if (!exchange) return;
   Request* request = exchange->request;
@@ -232,12 +232,12 @@
   policy_->OnAttemptEnded(now, request->backend, reading.met);
   if (!request->client_gone) {
     bool success = reading.met == Met::kServed;
-    effects->push_back(ForwardAnswer{request->client, id, success, std::move(event.reply.content)});
+    effects->emplace_back(ForwardAnswer{request->client, id, success, std::move(event.reply.content)});
   }
   Release(id, effects);
 }
 
-void Lifecycle::On(double now, AnswerStarted event, Effects* effects) {
+void Lifecycle::On(double now, AnswerStarted&& event, Effects* effects) {
   std::optional<Exchange> exchange = FindExchange(event.connection, effects);
   if (!exchange || exchange->request->phase != Phase::kAwaitingAnswer) return;
   Request* request = exchange->request;
@@ -250,13 +250,13 @@
     return EndAttempt(now, exchange->request_id, request, evidence, Met::kBroken, effects);
   }
   request->phase = Phase::kStreaming;
-  effects->push_back(ForwardStart{request->client, exchange->request_id, std::move(event.reply.content)});
+  effects->emplace_back(ForwardStart{request->client, exchange->request_id, std::move(event.reply.content)});
 }
 
-void Lifecycle::On(double, AnswerPart event, Effects* effects) {
+void Lifecycle::On(double, AnswerPart&& event, Effects* effects) {
   std::optional<Exchange> exchange = FindExchange(event.connection, effects);
   if (!exchange || exchange->request->phase != Phase::kStreaming) return;
-  effects->push_back(ForwardPart{exchange->request->client, std::move(event.bytes)});
+  effects->emplace_back(ForwardPart{exchange->request->client, std::move(event.bytes)});
 }
 
 void Lifecycle::On(double now, const AnswerEnded& event, Effects* effects) {
@@ -268,7 +268,7 @@
   } else {
     Close(event.connection, effects);
   }
-  effects->push_back(ForwardEnd{exchange->request->client, exchange->request_id});
+  effects->emplace_back(ForwardEnd{exchange->request->client, exchange->request_id});
   Release(exchange->request_id, effects);
 }
 
@@ -346,9 +346,9 @@
                          const char* not_run_reason, const char* unknown_reason, Effects* effects) {
   if (!request->client_gone) {
     if (std::optional<NotDone> proof = request->record.NothingDone()) {
-      effects->push_back(ReplyNotRun{request->client, id, *proof, kRefused, retry_after_s, not_run_reason});
+      effects->emplace_back(ReplyNotRun{request->client, id, *proof, kRefused, retry_after_s, not_run_reason});
     } else {
-      effects->push_back(ReplyUnknown{request->client, id, unknown_status, unknown_reason});
+      effects->emplace_back(ReplyUnknown{request->client, id, unknown_status, unknown_reason});
     }
   }
   Release(id, effects);
@@ -359,7 +359,7 @@
   auto of = of_client_.find(it->second.client);
   if (of != of_client_.end() && of->second == id) of_client_.erase(of);
   requests_.erase(it);
-  effects->push_back(ReleaseRequest{id});
+  effects->emplace_back(ReleaseRequest{id});
 }
 
 void Lifecycle::Keep(double now, ConnectionId id, Connection* connection, double keep_alive_s) {
@@ -375,7 +375,7 @@
   if (it == connections_.end()) return;
   if (auto idle = idle_.find(it->second.backend); idle != idle_.end()) std::erase(idle->second, id);
   connections_.erase(it);
-  effects->push_back(CloseConnection{id});
+  effects->emplace_back(CloseConnection{id});
 }
 
 void Lifecycle::On(double now, const IdleSweep&, Effects* effects) {
@@ -384,7 +384,7 @@
     std::erase_if(it->second, [&](ConnectionId id) {
       if (!unwanted && now < connections_.at(id).keep_until) return false;
       connections_.erase(id);
-      effects->push_back(CloseConnection{id});
+      effects->emplace_back(CloseConnection{id});
       return true;
     });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
--- a/system/request_lifecycle/lifecycle.h
+++ b/system/request_lifecycle/lifecycle.h
@@ -233,16 +233,16 @@
   // A request has begun to arrive. The client has no other one that is unanswered.
   RequestId Arrive(ClientId client);
 
-  void On(double now, RequestAdmitted event, Effects* effects);
+  void On(double now, RequestAdmitted&& event, Effects* effects);
   void On(double now, const RequestRejected& event, Effects* effects);
   void On(double now, const ClientClosed& event, Effects* effects);
   void On(double now, const ClientDrained& event, Effects* effects);
   void On(double now, const ConnectionOpened& event, Effects* effects);
   void On(double now, const ConnectionLost& event, Effects* effects);
   void On(double now, const ConnectionStale& event, Effects* effects);
-  void On(double now, AnswerReceived event, Effects* effects);
-  void On(double now, AnswerStarted event, Effects* effects);
-  void On(double now, AnswerPart event, Effects* effects);
+  void On(double now, AnswerReceived&& event, Effects* effects);
+  void On(double now, AnswerStarted&& event, Effects* effects);
+  void On(double now, AnswerPart&& event, Effects* effects);
   void On(double now, const AnswerEnded& event, Effects* effects);
   void On(double now, const DeadlineReached& event, Effects* effects);
   void On(double now, const ConnectTimedOut& event, Effects* effects);
--- a/tests/system/backend_links_test.cpp
+++ b/tests/system/backend_links_test.cpp
@@ -267,6 +267,16 @@
   }
 }
 
+TEST(Links, TheTimeThatAnIdleConnectionIsKeptIsRead) {
+  Pair pair;
+  pair.Write(false);
+  pair.PeerReads();
+  std::string answer = kAnswer;
+  pair.PeerSends(answer.insert(answer.find("Attempt-Id"), "Keep-Alive: max=100, timeout=7\r\nX-Padding: 0\r\n"));
+  pair.Told("connected written answer,keep ");
+  DOUBLES_EQUAL(7, pair.recorder.last.keep_alive_s, 0);
+}
+
 TEST(Links, InterimAnswersArePassedOverUpToABound) {
   const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
   Pair few, many;
--- a/tests/system/callers_wire_test.cpp
+++ b/tests/system/callers_wire_test.cpp
@@ -32,8 +32,8 @@
                    calls.Forget(from);
                    ++closed;
                  },
-                 [this](uint64_t caller, std::string, bool last) {
-                   last ? Pass(caller, "body") : server_.ReadBody(caller);
+                 [this](uint64_t from, std::string, bool last) {
+                   last ? Pass(from, "body") : server_.ReadBody(from);
                  }}),
         caller(io) {
     server_.Listen({asio::ip::address_v4::loopback(), 0});
