--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr char kSnapshotRole[] = "snapshot";  // of a Hello; its node names the table
+constexpr size_t kExportPartBytes = 256 * 1024;
 constexpr auto kTick = std::chrono::milliseconds(50);
 constexpr uint64_t kOwnerEvery = 2;      // ticks
 constexpr uint64_t kFiguresEvery = 100;  // ticks
@@ -110,6 +112,7 @@
 
 void CoreNode::OnHello(uint64_t peer, const heaphy::Hello& hello) {
   if (hello.role == "milford") return events_.follower_up(peer, publisher_->OnFollowerUp(peer, hello));
+  if (hello.role == kSnapshotRole && hello.node == options_.role) exports_.insert(peer);
   if (hello.role != options_.role) return;
   // What an earlier connection still holds is of the past, perhaps of an earlier life of that core.
   std::vector<uint64_t> earlier;
@@ -132,13 +135,29 @@
     replica_->OnMessage(Now(), core->second, *own, &effects);
     return Run(std::move(effects));
   }
+  if (exports_.count(peer) > 0) return OnExportMessage(peer, message);
   if (const auto* ack = std::get_if<heaphy::PushAck>(&message)) return publisher_->OnPushAck(peer, *ack);
   if (const auto* have = std::get_if<heaphy::Have>(&message)) return publisher_->OnHave(peer, *have);
   events_.message(peer, std::move(message));
 }
 
+// An operator's tool copies the table; it is no core, and the replica isn't told of it. docs/operate/snapshots.md
+void CoreNode::OnExportMessage(uint64_t peer, const heaphy::Message& message) {
+  const auto* asked = std::get_if<heaphy::PeerMessage>(&message);
+  const auto* request = asked ? std::get_if<messages::DeltaRequest>(&asked->body) : nullptr;
+  if (!request) return;
+  messages::Delta delta = replica_->table().DeltaFor(*request, replica_->revision(), kExportPartBytes);
+  delta.membership = replica_->membership();
+  heaphy::PeerMessage answer;
+  answer.header.epoch = delta.membership.epoch;
+  answer.header.revision = replica_->revision();
+  answer.body = std::move(delta);
+  host_.Send(peer, answer);
+}
+
 void CoreNode::OnPeerGone(uint64_t peer) {
   cores_in_.erase(peer);
+  exports_.erase(peer);
   auto it = followers().find(peer);
   if (it == followers().end()) return;
   Follower gone = it->second;
--- a/system/rees/core_node.h
+++ b/system/rees/core_node.h
@@ -76,6 +76,7 @@
   Publisher::Events PublisherEvents();
   void OnHello(uint64_t peer, const heaphy::Hello& hello);
   void OnPeerMessage(uint64_t peer, heaphy::Message message);
+  void OnExportMessage(uint64_t peer, const heaphy::Message& message);
   void OnPeerGone(uint64_t peer);
   void Run(replication::Effects effects);
   void Perform(replication::Effects* effects);
@@ -102,6 +103,7 @@
   KnownCores known_;
   std::map<std::string, std::unique_ptr<heaphy::Dialer>> dialers_;  // what is sent to a core goes over these
   std::map<uint64_t, std::string> cores_in_;  // connections that other cores have dialled
+  std::set<uint64_t> exports_;                // peers that copy the table for an operator
   std::map<uint64_t, OnEnded> waiting_;       // by ticket
   std::deque<replication::Effects> effects_;
   bool running_ = false;
