Promises lower a read's point only where they came after its call

A proposer that had been behind took a learner for caught up at a point as old. Change: a read's point is lowered by promises to proposals that began after it; doubt ends with the revision alone; the point of who joins is no older than this core's own fresh read.

--- a/system/replication/replica.cpp
+++ b/system/replication/replica.cpp
@@ -403,7 +403,8 @@
 uint64_t Replica::JoinPoint(double now) {
   stood_at_.push_back({now, state_.revision});
   while (stood_at_.size() > 1 && stood_at_[1].first <= now - kJoinLag) stood_at_.pop_front();
-  return stood_at_.front().second;
+  // Before it was fresh this copy itself was behind.
+  return std::max(stood_at_.front().second, contact_revision_);
 }
 
 std::optional<Membership> Replica::DueMembership(double now, uint64_t join_point) const {
--- a/system/replication/replica.h
+++ b/system/replication/replica.h
@@ -241,6 +241,7 @@
   std::map<uint64_t, double> heartbeat_sent_;
   double heartbeat_due_ = 0;
   double contact_since_ = -1;         // for how long a majority has answered; -1: it doesn't
+  uint64_t contact_revision_ = 0;     // at which this copy stood when it was fresh first
   bool fresh_since_contact_ = false;  // a read has ended since: what was missed meanwhile is here
   double membership_due_ = 0, membership_wanted_since_ = -1;
   std::deque<std::pair<double, uint64_t>> stood_at_;  // this copy's revisions of late, by time
--- a/system/replication/replica_consensus.cpp
+++ b/system/replication/replica_consensus.cpp
@@ -160,7 +160,6 @@
     Change change = std::move(proposal_.adopted->change);
     return BeginAccept(now, std::move(change), out);
   }
-  for (Order& order : orders_) order.in_doubt = false;
   NothingUndecided(now, out);
   std::optional<Change> change = BuildChange(now, out);
   if (change) BeginAccept(now, std::move(*change), out);
--- a/system/replication/replica_reads.cpp
+++ b/system/replication/replica_reads.cpp
@@ -81,7 +81,9 @@
 void Replica::NothingUndecided(double now, Effects* out) {
   for (auto& [ticket, read] : reads_) {
     bool waits = read.point && read.undecided && *read.point == state_.revision + 1;
-    if (waits) read.point = state_.revision;
+    // Promises prove only that nothing was decided before the first of them was given.
+    bool promised_since = proposal_.started >= read.point_at;
+    if (waits && promised_since) read.point = state_.revision;
   }
   SettleReads(now, out);
 }
@@ -94,6 +96,7 @@
   }
   if (ticket == contact_read_) {
     fresh_since_contact_ = outcome == Outcome::kDone && contact_since_ >= 0;
+    contact_revision_ = state_.revision;
     if (fresh_since_contact_) Propose(now, out);
     return;
   }
