--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -430,7 +430,7 @@
 TEST(Control, ReplacedAndStillReached) {
   RunDays("replaced and still reached", ReplacedAndStillReached, Seeds(10));
 }
-TEST(Control, HubLosesPower) { RunDays("hub loses power", HubLosesPower, Seeds(8)); }
+TEST(Control, HubLosesPower) { RunDays("hub loses power", HubLosesPower, Seeds()); }
 TEST(Control, SlowLearner) {
   WorldOptions options;
   options.content_size = 20000;
