--- a/system/heaphy/messages.h
+++ b/system/heaphy/messages.h
@@ -8,56 +8,56 @@
 #include <variant>
 #include <vector>
 
+#include "messages/item.h"
+#include "messages/replication.h"
+
 namespace ivygw::heaphy {
 
-inline constexpr uint16_t kForm = 1;
+using messages::Item;
+using messages::PeerMessage;
 
-// A versioned item of any replicated table; `key` is table/name.
-struct Item {
-  std::string key;
-  uint64_t version = 0;
-  bool dropped = false;
-  std::string body;
-  bool operator==(const Item&) const = default;
-};
-// An item by what tells it from every other: enough to compare copies.
-struct Mark {
-  std::string key;
-  uint64_t version = 0, digest = 0;
-  bool synced = false;  // on the disk of the one that tells it
-};
+inline constexpr uint16_t kForm = 2;
 
 // The first message of each side of a connection. `boot` is drawn anew at each start.
 struct Hello {
   uint16_t form = kForm;
   std::string node, role, zone;
   uint64_t boot = 0;
-  std::vector<std::string> cores;  // IP addresses of the core machines that the sender knows of
+  std::vector<std::string> cores;  // IP addresses: a core names the members and those it is connected to
 };
 
-// Core to core, replicated items (luxmore).
-struct Put { uint64_t number = 0; std::vector<Item> items; };  // number 0: mending, no word wanted
-struct PutDone { uint64_t number = 0; bool counts = false; };  // synced here; `counts`: this copy counts toward a majority
-struct Safe { std::vector<Mark> marks; };                      // a majority holds these on disk
-// Of all that the copy holds; `unsynced`: ranges of which its disk has not all yet.
-struct Digests { uint64_t round = 0; bool answer = false, blank = false; std::vector<uint64_t> ranges; std::vector<uint32_t> unsynced; };
-struct RangeMarks { std::vector<uint32_t> ranges; std::vector<Mark> marks; };
-struct Pull { std::vector<std::string> keys; };
+// Core to core: PeerMessage of the table (messages/replication.h), and of the registry:
 struct Heard { std::vector<std::string> ids; };  // registry: backends whose beats came here since the last of these
 
-// Gateway to core, after its Hello: digests by range of what it has of the table; the core lists what differs.
+// Gateway to core, after its Hello: digests by range of what it has of the table, tombstones left out; the core lists what
+// differs, or says by a State that isn't complete that it can't.
 struct Have { std::vector<uint64_t> ranges; };
 
 // Core to gateway.
-struct Push { uint64_t number = 0; bool full = false; std::vector<Item> items; };
+// `full`: a part of a list. `revision`: of the sender's table. `ended`: keys under which the table holds nothing any more.
+struct Push {
+  uint64_t number = 0;
+  bool full = false;
+  uint64_t revision = 0;
+  std::vector<Item> items;
+  std::vector<std::string> ended;
+};
 struct PushAck { uint64_t number = 0; };
-// `members`: the gateways that hold a lease, where they are few enough to be named.
+// `members`: the gateways that hold a lease, where they are few enough to be named. `voters`: addresses of the members of the
+// core, of that epoch. `cores`: all core machines to hold connections to. `complete`: this gateway has been told all that was
+// decided before it asked, and what came since. Where a list ends with it, `list_revision` is the table's when that began, and
+// `listed_ranges` are those of which all that the table held then, and what came since, has been told.
 struct Member { std::string node, zone; bool operator==(const Member&) const = default; };
 struct State {
   uint32_t gateways = 0;
   bool complete = false;
   std::vector<std::string> cores;
   std::vector<Member> members;
+  uint64_t epoch = 0;
+  std::vector<std::string> voters;
+  uint64_t list_revision = 0;
+  std::vector<uint32_t> listed_ranges;
+  bool operator==(const State&) const = default;
 };
 // A gateway's word on a tenant: its limit (requests a second, requests; of which version of its item), the part of the limit
 // that it wants to be lent and that it still holds of this lender, the requests that it lacks now, and all that it has sent.
@@ -79,24 +79,17 @@
 struct Call { uint64_t number = 0; std::string name, body; };
 struct CallDone { uint64_t number = 0; uint32_t status = 0; std::string body; };
 
-using Message = std::variant<Hello, Put, PutDone, Safe, Digests, RangeMarks, Pull, Heard, Have, Push, PushAck, State, Report, Loans,
-                             Ping, Pong, Call, CallDone>;
+using Message = std::variant<Hello, PeerMessage, Heard, Have, Push, PushAck, State, Report, Loans, Ping, Pong, Call, CallDone>;
 
-template <class A> void serialize(A& a, Item& m) { a(m.key, m.version, m.dropped, m.body); }
-template <class A> void serialize(A& a, Mark& m) { a(m.key, m.version, m.digest, m.synced); }
 template <class A> void serialize(A& a, Hello& m) { a(m.form, m.node, m.role, m.zone, m.boot, m.cores); }
-template <class A> void serialize(A& a, Put& m) { a(m.number, m.items); }
-template <class A> void serialize(A& a, PutDone& m) { a(m.number, m.counts); }
-template <class A> void serialize(A& a, Safe& m) { a(m.marks); }
-template <class A> void serialize(A& a, Digests& m) { a(m.round, m.answer, m.blank, m.ranges, m.unsynced); }
-template <class A> void serialize(A& a, RangeMarks& m) { a(m.ranges, m.marks); }
-template <class A> void serialize(A& a, Pull& m) { a(m.keys); }
 template <class A> void serialize(A& a, Heard& m) { a(m.ids); }
 template <class A> void serialize(A& a, Have& m) { a(m.ranges); }
-template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.items); }
+template <class A> void serialize(A& a, Push& m) { a(m.number, m.full, m.revision, m.items, m.ended); }
 template <class A> void serialize(A& a, PushAck& m) { a(m.number); }
 template <class A> void serialize(A& a, Member& m) { a(m.node, m.zone); }
-template <class A> void serialize(A& a, State& m) { a(m.gateways, m.complete, m.cores, m.members); }
+template <class A> void serialize(A& a, State& m) {
+  a(m.gateways, m.complete, m.cores, m.members, m.epoch, m.voters, m.list_revision, m.listed_ranges);
+}
 template <class A> void serialize(A& a, Use& m) { a(m.tenant, m.rate, m.burst, m.version, m.wanted, m.held, m.lacking, m.sent); }
 template <class A> void serialize(A& a, Report& m) { a(m.number, m.uses); }
 template <class A> void serialize(A& a, Loan& m) { a(m.tenant, m.fraction, m.tokens, m.total); }
