--- a/bench/proxy_cpu.cpp
+++ b/bench/proxy_cpu.cpp
@@ -1,4 +1,4 @@
-// Processor time of the proxy for one request: milford's exchanges between clients and a backend of their
+// Processor time of the proxy for one request: the proxy's exchanges between clients and a backend of their
 // own, each in a process of its own, on the loopback. Prints microseconds of the proxy's process a request,
 // median of the rounds. Usage: bench_proxy_cpu [REQUESTS] [ROUNDS]
 #include <signal.h>
@@ -13,9 +13,9 @@
 #include <string>
 #include <vector>
 
-#include "cascade/backend.h"
-#include "kepler/model.h"
-#include "milford/exchanges.h"
+#include "discovery/backend.h"
+#include "config_model/model.h"
+#include "proxy/exchanges.h"
 #include "net/message_reader.h"
 
 namespace {
@@ -113,20 +113,20 @@
 double Round(uint16_t backend_port, int requests) {
   asio::io_context io;
   bodies::BodyMemory memory(size_t{64} << 20);
-  routeburn::Routes routes;
-  kepler::Change change;
-  if (!kepler::ReadChange(kConfiguration, &change).empty()) std::abort();
+  routing::Routes routes;
+  config_model::Change change;
+  if (!config_model::ReadChange(kConfiguration, &change).empty()) std::abort();
   for (const auto& item : change.items) routes.Fold(item);
-  hollyford::Admission admission(hollyford::AdmissionOptions{});
-  tongariro::Pool pool(1, "z");
-  cascade::Backend backend;
+  rate_limit::Admission admission(rate_limit::AdmissionOptions{});
+  load_balancing::Pool pool(1, "z");
+  discovery::Backend backend;
   backend.service = "s";
   backend.address = "127.0.0.1:" + std::to_string(backend_port);
   backend.zone = "z";
   backend.slots = kClients;
-  pool.Fold(0, {"backend/b", 1, false, cascade::WriteBackend(backend)});
-  tongariro::Budget budget(0.2, 10, 60);
-  milford::Exchanges exchanges(io, &memory, &routes, &admission, &pool, &budget);
+  pool.Fold(0, {"backend/b", 1, false, discovery::WriteBackend(backend)});
+  load_balancing::Budget budget(0.2, 10, 60);
+  proxy::Exchanges exchanges(io, &memory, &routes, &admission, &pool, &budget);
   ClientServer front(
       io, 1000, &memory,
       {[&](uint64_t client, ClientMessage message) { exchanges.OnRequest(client, std::move(message)); },
--- a/system/dart/followers.cpp
+++ b/system/adapters/control_client/followers.cpp
@@ -1,11 +1,11 @@
-#include "dart/followers.h"
+#include "control_client/followers.h"
 
 #include <algorithm>
 #include <random>
 
-namespace ivygw::dart {
+namespace ivygw::control_client {
 
-using cascade::Table;
+using discovery::Table;
 
 namespace {
 
@@ -22,16 +22,16 @@
 
 }  // namespace
 
-Followers::Followers(asio::io_context& io, const rakiura::Settings& settings, Events events)
+Followers::Followers(asio::io_context& io, const process::Settings& settings, Events events)
     : io_(io), settings_(settings), events_(std::move(events)), boot_(Draw()) {
-  for (const std::string& seed : settings.seeds) seeds_.insert(rakiura::HostOf(seed));
+  for (const std::string& seed : settings.seeds) seeds_.insert(process::HostOf(seed));
   for (const std::string& core : seeds_) Dial(core);
 }
 
-heaphy::Hello Followers::Greeting() const {
-  heaphy::Hello hello;
+messages::Hello Followers::Greeting() const {
+  messages::Hello hello;
   hello.node = settings_.ip;
-  hello.role = "milford";
+  hello.role = "proxy";
   hello.zone = settings_.zone;
   hello.boot = boot_;
   return hello;
@@ -48,7 +48,7 @@
   error_code bad;
   asio::ip::address ip = asio::ip::make_address(core, bad);
   if (bad) return;
-  heaphy::Dialer::Events events;
+  transport::Dialer::Events events;
   events.up = [this, key] {
     dialers_.at(key)->Send(Greeting());
     if (key.second == Table::kBackends) events_.registry(key.first, true);
@@ -62,21 +62,21 @@
     asking.refused.erase(key.first);
     if (asking.core == key.first) AskNext(key.second);
   };
-  events.message = [this, key](heaphy::Message message) {
-    if (const auto* push = std::get_if<heaphy::Push>(&message)) {
+  events.message = [this, key](messages::Message message) {
+    if (const auto* push = std::get_if<messages::Push>(&message)) {
       events_.push(key.second, key.first, *push);
-      dialers_.at(key)->Send(heaphy::PushAck{push->number});
-    } else if (const auto* state = std::get_if<heaphy::State>(&message)) {
+      dialers_.at(key)->Send(messages::PushAck{push->number});
+    } else if (const auto* state = std::get_if<messages::State>(&message)) {
       OnState(key, *state);
-    } else if (const auto* loans = std::get_if<heaphy::Loans>(&message)) {
+    } else if (const auto* loans = std::get_if<messages::Loans>(&message)) {
       events_.loans(key.first, *loans);
     }
   };
   int port = settings_.first_port + (table == Table::kBackends ? 0 : 1);
-  dialers_[key] = std::make_unique<heaphy::Dialer>(io_, tcp::endpoint(ip, static_cast<uint16_t>(port)), std::move(events));
+  dialers_[key] = std::make_unique<transport::Dialer>(io_, tcp::endpoint(ip, static_cast<uint16_t>(port)), std::move(events));
 }
 
-void Followers::OnState(const Key& key, const heaphy::State& state) {
+void Followers::OnState(const Key& key, const messages::State& state) {
   if (key.second == Table::kBackends && state.epoch >= epoch_) {
     epoch_ = state.epoch;
     voters_ = {state.voters.begin(), state.voters.end()};
@@ -107,7 +107,7 @@
     left = true;
     if (lately || key.first == before) continue;
     asking.core = key.first;
-    dialer->Send(heaphy::Have{events_.have(table)});
+    dialer->Send(messages::Have{events_.have(table)});
     break;
   }
   if (!left) return;
@@ -141,7 +141,7 @@
   }
 }
 
-void Followers::Send(const std::string& core, const heaphy::Message& message) {
+void Followers::Send(const std::string& core, const messages::Message& message) {
   auto it = dialers_.find({core, Table::kBackends});
   if (it != dialers_.end()) it->second->Send(message);
 }
@@ -155,4 +155,4 @@
   return lenders;
 }
 
-}  // namespace ivygw::dart
+}  // namespace ivygw::control_client
--- a/system/dart/followers.h
+++ b/system/adapters/control_client/followers.h
@@ -1,7 +1,7 @@
-// Dart (a gateway's held connections to the cores): one to the registry and one to the store of each core machine that is
+// A gateway's held connections to the cores. One to the registry and one to the store of each core machine that is
 // known, by the seeds or by what cores tell. What they push is acknowledged and handed on. One thread.
-#ifndef IVYGW_SYSTEM_DART_FOLLOWERS_H_
-#define IVYGW_SYSTEM_DART_FOLLOWERS_H_
+#ifndef IVYGW_SYSTEM_CONTROL_CLIENT_FOLLOWERS_H_
+#define IVYGW_SYSTEM_CONTROL_CLIENT_FOLLOWERS_H_
 
 #include <functional>
 #include <map>
@@ -9,25 +9,25 @@
 #include <set>
 #include <string>
 
-#include "cascade/copy.h"
-#include "heaphy/links.h"
-#include "rakiura/settings.h"
+#include "discovery/copy.h"
+#include "transport/links.h"
+#include "process/settings.h"
 
-namespace ivygw::dart {
+namespace ivygw::control_client {
 
 class Followers {
  public:
   struct Events {
-    std::function<void(cascade::Table, const std::string& core, const heaphy::Push&)> push;
-    std::function<void(cascade::Table, const std::string& core, const heaphy::State&)> state;
-    std::function<void(const std::string& core, const heaphy::Loans&)> loans;
+    std::function<void(discovery::Table, const std::string& core, const messages::Push&)> push;
+    std::function<void(discovery::Table, const std::string& core, const messages::State&)> state;
+    std::function<void(const std::string& core, const messages::Loans&)> loans;
     std::function<void(const std::string& core, bool up)> registry;  // a registry's connection
-    std::function<std::vector<uint64_t>(cascade::Table)> have;       // digests of what this gateway has
+    std::function<std::vector<uint64_t>(discovery::Table)> have;       // digests of what this gateway has
   };
-  Followers(asio::io_context& io, const rakiura::Settings& settings, Events events);
+  Followers(asio::io_context& io, const process::Settings& settings, Events events);
 
   // To the registry of that core.
-  void Send(const std::string& core, const heaphy::Message& message);
+  void Send(const std::string& core, const messages::Message& message);
   // The cores that lend parts of limits, as far as their registries are in touch: the members of the newest epoch that
   // a registry has told.
   std::vector<std::string> Lenders() const;
@@ -36,16 +36,16 @@
 
  private:
   // Of a connection to one core for one table.
-  using Key = std::pair<std::string, cascade::Table>;
+  using Key = std::pair<std::string, discovery::Table>;
   void Dial(const std::string& core);
-  void Dial(const std::string& core, cascade::Table table);
-  void OnState(const Key& key, const heaphy::State& state);
-  void AskNext(cascade::Table table);
+  void Dial(const std::string& core, discovery::Table table);
+  void OnState(const Key& key, const messages::State& state);
+  void AskNext(discovery::Table table);
   std::set<std::string> Named() const;
-  heaphy::Hello Greeting() const;
+  messages::Hello Greeting() const;
 
   asio::io_context& io_;
-  const rakiura::Settings settings_;
+  const process::Settings settings_;
   Events events_;
   const uint64_t boot_;
   std::set<std::string> seeds_;
@@ -56,14 +56,14 @@
     std::map<std::string, Clock::time_point> refused;  // out of contact with a majority; when it said so
     std::unique_ptr<asio::steady_timer> patience;
   };
-  std::map<cascade::Table, Asking> asking_;
-  std::map<Key, std::unique_ptr<heaphy::Dialer>> dialers_;
+  std::map<discovery::Table, Asking> asking_;
+  std::map<Key, std::unique_ptr<transport::Dialer>> dialers_;
   std::map<Key, std::vector<std::string>> named_by_;       // the cores that each connection's core names
   std::map<std::string, Clock::time_point> named_at_;      // when an address was last a seed or named
   uint64_t epoch_ = 0;
   std::set<std::string> voters_;  // of that epoch of the registry
 };
 
-}  // namespace ivygw::dart
+}  // namespace ivygw::control_client
 
-#endif  // IVYGW_SYSTEM_DART_FOLLOWERS_H_
+#endif  // IVYGW_SYSTEM_CONTROL_CLIENT_FOLLOWERS_H_
--- a/system/rakiura/log.cpp
+++ b/system/adapters/process/log.cpp
@@ -1,13 +1,13 @@
-#include "rakiura/log.h"
+#include "process/log.h"
 
-#include "kepler/json.h"
+#include "config_model/json.h"
 
 #include <glog/logging.h>
 
 #include <chrono>
 #include <cstdio>
 
-namespace ivygw::rakiura {
+namespace ivygw::process {
 namespace {
 
 std::string* Node() {
@@ -30,7 +30,7 @@
   char at[40];
   std::snprintf(at, sizeof(at), "{\"at\":%.3f,\"event\":", now);
   line_ = at;
-  line_ += kepler::Quoted(event);
+  line_ += config_model::Quoted(event);
   if (!Node()->empty()) Add("node", *Node());
 }
 
@@ -38,9 +38,9 @@
 
 Log& Log::Add(std::string_view name, std::string_view text) {
   line_ += ',';
-  line_ += kepler::Quoted(name);
+  line_ += config_model::Quoted(name);
   line_ += ':';
-  line_ += kepler::Quoted(text);
+  line_ += config_model::Quoted(text);
   return *this;
 }
 
@@ -48,9 +48,9 @@
   char text[40];
   std::snprintf(text, sizeof(text), "%.10g", number);
   line_ += ',';
-  line_ += kepler::Quoted(name);
+  line_ += config_model::Quoted(name);
   line_.append(":").append(text);
   return *this;
 }
 
-}  // namespace ivygw::rakiura
+}  // namespace ivygw::process
--- a/system/rakiura/log.h
+++ b/system/adapters/process/log.h
@@ -1,12 +1,12 @@
-// Rakiura (logs): one JSON object a line on standard error, through glog.
-#ifndef IVYGW_SYSTEM_RAKIURA_LOG_H_
-#define IVYGW_SYSTEM_RAKIURA_LOG_H_
+// Logs. One JSON object a line on standard error, through glog.
+#ifndef IVYGW_SYSTEM_PROCESS_LOG_H_
+#define IVYGW_SYSTEM_PROCESS_LOG_H_
 
 #include <concepts>
 #include <string>
 #include <string_view>
 
-namespace ivygw::rakiura {
+namespace ivygw::process {
 
 void StartLog(const char* program, const std::string& node);
 
@@ -27,6 +27,6 @@
   std::string line_;
 };
 
-}  // namespace ivygw::rakiura
+}  // namespace ivygw::process
 
-#endif  // IVYGW_SYSTEM_RAKIURA_LOG_H_
+#endif  // IVYGW_SYSTEM_PROCESS_LOG_H_
--- a/system/rakiura/settings.cpp
+++ b/system/adapters/process/settings.cpp
@@ -1,8 +1,8 @@
-#include "rakiura/settings.h"
+#include "process/settings.h"
 
-#include "kepler/json.h"
+#include "config_model/json.h"
 
-namespace ivygw::rakiura {
+namespace ivygw::process {
 
 std::vector<std::string> ReadSettings(const std::string& json, Settings* out) {
   std::vector<std::string> faults;
@@ -10,8 +10,8 @@
     if (!fault.empty()) faults.push_back(std::move(fault));
     return fault.empty();
   };
-  kepler::Document document;
-  kepler::Object root;
+  config_model::Document document;
+  config_model::Object root;
   if (std::string fault = document.Read(json, &root); !fault.empty()) return {fault};
   note(root.Get("node_name", &out->node));
   note(root.Get("ip_address", &out->ip));
@@ -19,7 +19,7 @@
   note(root.Get("initial_boot", &out->initial_boot, false));
   note(root.Get("data_directory", &out->data_directory, false));
   note(root.Strings("seed_nodes", &out->seeds));
-  kepler::Object part;
+  config_model::Object part;
   bool there = false;
   note(root.Sub("listen_addresses", &part, &there));
   if (there) {
@@ -53,4 +53,4 @@
   return faults;
 }
 
-}  // namespace ivygw::rakiura
+}  // namespace ivygw::process
--- a/system/rakiura/settings.h
+++ b/system/adapters/process/settings.h
@@ -1,11 +1,11 @@
-// Rakiura (what a process is told): the settings file, checked; the command line; logs as JSON lines.
-#ifndef IVYGW_SYSTEM_RAKIURA_SETTINGS_H_
-#define IVYGW_SYSTEM_RAKIURA_SETTINGS_H_
+// What a process is told. The settings file, checked; the command line; logs as JSON lines.
+#ifndef IVYGW_SYSTEM_PROCESS_SETTINGS_H_
+#define IVYGW_SYSTEM_PROCESS_SETTINGS_H_
 
 #include <string>
 #include <vector>
 
-namespace ivygw::rakiura {
+namespace ivygw::process {
 
 struct Settings {
   std::string node, ip, zone;
@@ -27,6 +27,6 @@
 // All faults, each naming its field; none: the settings are sound.
 std::vector<std::string> ReadSettings(const std::string& json, Settings* out);
 
-}  // namespace ivygw::rakiura
+}  // namespace ivygw::process
 
-#endif  // IVYGW_SYSTEM_RAKIURA_SETTINGS_H_
+#endif  // IVYGW_SYSTEM_PROCESS_SETTINGS_H_
--- a/system/rees/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -1,14 +1,14 @@
-#include "rees/core_node.h"
+#include "replicated_table/core_node.h"
 
 #include <algorithm>
 #include <random>
 
-#include "rakiura/log.h"
+#include "process/log.h"
 
-namespace ivygw::rees {
+namespace ivygw::replicated_table {
 
 using messages::Member;
-using rakiura::Log;
+using process::Log;
 using replication::Effects;
 
 namespace {
@@ -24,15 +24,15 @@
   return uint64_t{source()} << 32 | source();
 }
 
-std::set<std::string> SeedHosts(const rakiura::Settings& settings) {
+std::set<std::string> SeedHosts(const process::Settings& settings) {
   std::set<std::string> hosts;
-  for (const std::string& seed : settings.seeds) hosts.insert(rakiura::HostOf(seed));
+  for (const std::string& seed : settings.seeds) hosts.insert(process::HostOf(seed));
   return hosts;
 }
 
 }  // namespace
 
-CoreNode::CoreNode(asio::io_context& io, const rakiura::Settings& settings, Options options,
+CoreNode::CoreNode(asio::io_context& io, const process::Settings& settings, Options options,
                    replication::OrderPolicy* policy, Events events)
     : io_(io),
       settings_(settings),
@@ -100,18 +100,18 @@
 
 // --- Connections ---
 
-heaphy::Host::Events CoreNode::HostEvents() {
-  heaphy::Host::Events events;
-  events.up = [this](uint64_t peer, const heaphy::Hello& hello) { OnHello(peer, hello); };
-  events.message = [this](uint64_t peer, heaphy::Message message) {
+transport::Host::Events CoreNode::HostEvents() {
+  transport::Host::Events events;
+  events.up = [this](uint64_t peer, const messages::Hello& hello) { OnHello(peer, hello); };
+  events.message = [this](uint64_t peer, messages::Message message) {
     OnPeerMessage(peer, std::move(message));
   };
   events.down = [this](uint64_t peer) { OnPeerGone(peer); };
   return events;
 }
 
-void CoreNode::OnHello(uint64_t peer, const heaphy::Hello& hello) {
-  if (hello.role == "milford") return events_.follower_up(peer, publisher_->OnFollowerUp(peer, hello));
+void CoreNode::OnHello(uint64_t peer, const messages::Hello& hello) {
+  if (hello.role == "proxy") return events_.follower_up(peer, publisher_->OnFollowerUp(peer, hello));
   if (hello.role == kSnapshotRole && hello.node == options_.role) exports_.insert(peer);
   if (hello.role != options_.role) return;
   // What an earlier connection still holds is of the past, perhaps of an earlier life of that core.
@@ -126,29 +126,29 @@
   DialWanted();
 }
 
-void CoreNode::OnPeerMessage(uint64_t peer, heaphy::Message message) {
+void CoreNode::OnPeerMessage(uint64_t peer, messages::Message message) {
   auto core = cores_in_.find(peer);
   if (core != cores_in_.end()) {
-    const auto* own = std::get_if<heaphy::PeerMessage>(&message);
+    const auto* own = std::get_if<messages::PeerMessage>(&message);
     if (!own) return events_.core_message(core->second, std::move(message));
     Effects effects;
     replica_->OnMessage(Now(), core->second, *own, &effects);
     return Run(std::move(effects));
   }
   if (exports_.count(peer) > 0) return OnExportMessage(peer, message);
-  if (const auto* ack = std::get_if<heaphy::PushAck>(&message)) return publisher_->OnPushAck(peer, *ack);
-  if (const auto* have = std::get_if<heaphy::Have>(&message)) return publisher_->OnHave(peer, *have);
+  if (const auto* ack = std::get_if<messages::PushAck>(&message)) return publisher_->OnPushAck(peer, *ack);
+  if (const auto* have = std::get_if<messages::Have>(&message)) return publisher_->OnHave(peer, *have);
   events_.message(peer, std::move(message));
 }
 
 // An operator's tool copies the table; it is no core, and the replica isn't told of it. docs/operate/snapshots.md
-void CoreNode::OnExportMessage(uint64_t peer, const heaphy::Message& message) {
-  const auto* asked = std::get_if<heaphy::PeerMessage>(&message);
+void CoreNode::OnExportMessage(uint64_t peer, const messages::Message& message) {
+  const auto* asked = std::get_if<messages::PeerMessage>(&message);
   const auto* request = asked ? std::get_if<messages::DeltaRequest>(&asked->body) : nullptr;
   if (!request) return;
   messages::Delta delta = replica_->table().DeltaFor(*request, replica_->revision(), kExportPartBytes);
   delta.membership = replica_->membership();
-  heaphy::PeerMessage answer;
+  messages::PeerMessage answer;
   answer.header.epoch = delta.membership.epoch;
   answer.header.revision = replica_->revision();
   answer.body = std::move(delta);
@@ -165,8 +165,8 @@
   events_.follower_down(peer, gone);
 }
 
-heaphy::Hello CoreNode::Greeting() const {
-  heaphy::Hello hello;
+messages::Hello CoreNode::Greeting() const {
+  messages::Hello hello;
   hello.node = settings_.ip;
   hello.role = options_.role;
   hello.zone = settings_.zone;
@@ -188,7 +188,7 @@
   error_code bad;
   asio::ip::address ip = asio::ip::make_address(core, bad);
   if (bad) return;
-  heaphy::Dialer::Events events;
+  transport::Dialer::Events events;
   events.up = [this, core] {
     dialers_.at(core)->Send(Greeting());
     Effects effects;
@@ -200,9 +200,9 @@
     replica_->OnPeer(Now(), core, false, &effects);
     Run(std::move(effects));
   };
-  events.message = [](heaphy::Message) {};
+  events.message = [](messages::Message) {};
   tcp::endpoint address(ip, static_cast<uint16_t>(options_.port));
-  dialers_[core] = std::make_unique<heaphy::Dialer>(io_, address, std::move(events));
+  dialers_[core] = std::make_unique<transport::Dialer>(io_, address, std::move(events));
 }
 
 void CoreNode::HangUpUnwanted() {
@@ -221,7 +221,7 @@
   }
 }
 
-void CoreNode::SendCores(const heaphy::Message& message) {
+void CoreNode::SendCores(const messages::Message& message) {
   for (auto& [core, dialer] : dialers_) dialer->Send(message);
 }
 
@@ -324,7 +324,7 @@
 
 Publisher::Events CoreNode::PublisherEvents() {
   Publisher::Events events;
-  events.send = [this](uint64_t peer, const heaphy::Message& message) { host_.Send(peer, message); };
+  events.send = [this](uint64_t peer, const messages::Message& message) { host_.Send(peer, message); };
   events.send_frame = [this](uint64_t peer, const std::string& frame) { host_.SendFrame(peer, frame); };
   events.read = [this](std::function<void(bool)> then) {
     Read([then = std::move(then)](const replication::Ended& ended) {
@@ -393,4 +393,4 @@
       .Add("behind", behind);
 }
 
-}  // namespace ivygw::rees
+}  // namespace ivygw::replicated_table
--- a/system/rees/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -1,7 +1,7 @@
-// Rees (the driver of a replicated table): one core's copy on its disk, joined to the other cores, and told
+// The driver of a replicated table. One core's copy on its disk, joined to the other cores, and told
 // to the gateways that follow it. What the table means is its owner's. One thread, that of the event loop.
-#ifndef IVYGW_SYSTEM_REES_CORE_NODE_H_
-#define IVYGW_SYSTEM_REES_CORE_NODE_H_
+#ifndef IVYGW_SYSTEM_REPLICATED_TABLE_CORE_NODE_H_
+#define IVYGW_SYSTEM_REPLICATED_TABLE_CORE_NODE_H_
 
 #include <deque>
 #include <functional>
@@ -12,14 +12,14 @@
 #include <string>
 #include <vector>
 
-#include "heaphy/links.h"
-#include "rakiura/settings.h"
-#include "rees/known_cores.h"
-#include "rees/publisher.h"
+#include "transport/links.h"
+#include "process/settings.h"
+#include "replicated_table/known_cores.h"
+#include "replicated_table/publisher.h"
 #include "replication/replica.h"
 #include "storage/table_store.h"
 
-namespace ivygw::rees {
+namespace ivygw::replicated_table {
 
 class CoreNode {
  public:
@@ -32,15 +32,15 @@
     std::function<void(uint64_t peer, const Follower&)> follower_up = [](uint64_t, const auto&) {};
     std::function<void(uint64_t peer, const Follower&)> follower_down = [](uint64_t, const auto&) {};
     // What isn't the table's own: of gateways, of the other process of this machine, of other cores.
-    std::function<void(uint64_t peer, heaphy::Message)> message = [](uint64_t, heaphy::Message) {};
-    std::function<void(const std::string& core, heaphy::Message)> core_message = [](const std::string&,
-                                                                                    heaphy::Message) {};
+    std::function<void(uint64_t peer, messages::Message)> message = [](uint64_t, messages::Message) {};
+    std::function<void(const std::string& core, messages::Message)> core_message = [](const std::string&,
+                                                                                    messages::Message) {};
     std::function<void()> membership_changed = [] {};
     std::function<void()> tick = [] {};  // some ten times a second
   };
   // `policy` outlives this. Throws std::runtime_error where the disk can't be read,
   // boost::system::system_error where nothing can be listened on.
-  CoreNode(asio::io_context& io, const rakiura::Settings& settings, Options options,
+  CoreNode(asio::io_context& io, const process::Settings& settings, Options options,
            replication::OrderPolicy* policy, Events events);
 
   using OnEnded = std::function<void(const replication::Ended&)>;
@@ -59,12 +59,12 @@
   const std::map<uint64_t, Follower>& followers() const { return publisher_->followers(); }
   // The members and the learners, without this core.
   std::set<std::string> OtherCores() const;
-  void Send(uint64_t peer, const heaphy::Message& message) { host_.Send(peer, message); }
-  void SendCores(const heaphy::Message& message);
+  void Send(uint64_t peer, const messages::Message& message) { host_.Send(peer, message); }
+  void SendCores(const messages::Message& message);
   // Tells gateways that follow an item that isn't decided yet.
   void PushProvisional(const messages::Item& item) { publisher_->PushProvisional(item); }
   // The gateways that hold a lease, as gateways are told.
-  void SetGateways(std::vector<heaphy::Member> gateways) { publisher_->SetGateways(std::move(gateways)); }
+  void SetGateways(std::vector<messages::Member> gateways) { publisher_->SetGateways(std::move(gateways)); }
   // Steady clock, s.
   double Now() const;
 
@@ -72,11 +72,11 @@
   replication::LoadedState OpenStore();
   replication::LoadedState WithoutDisk() const;
   storage::OpenOptions FirstState() const;
-  heaphy::Host::Events HostEvents();
+  transport::Host::Events HostEvents();
   Publisher::Events PublisherEvents();
-  void OnHello(uint64_t peer, const heaphy::Hello& hello);
-  void OnPeerMessage(uint64_t peer, heaphy::Message message);
-  void OnExportMessage(uint64_t peer, const heaphy::Message& message);
+  void OnHello(uint64_t peer, const messages::Hello& hello);
+  void OnPeerMessage(uint64_t peer, messages::Message message);
+  void OnExportMessage(uint64_t peer, const messages::Message& message);
   void OnPeerGone(uint64_t peer);
   void Run(replication::Effects effects);
   void Perform(replication::Effects* effects);
@@ -86,22 +86,22 @@
   void DialWanted();
   void Dial(const std::string& core);
   void HangUpUnwanted();
-  heaphy::Hello Greeting() const;
+  messages::Hello Greeting() const;
   void Tick();
   void ArmWake();
   void LogFigures() const;
 
   asio::io_context& io_;
-  const rakiura::Settings settings_;
+  const process::Settings settings_;
   const Options options_;
   Events events_;
   const uint64_t incarnation_;
   std::unique_ptr<storage::TableStore> store_;  // null without a data directory
   std::unique_ptr<replication::Replica> replica_;
   std::unique_ptr<Publisher> publisher_;
-  heaphy::Host host_;
+  transport::Host host_;
   KnownCores known_;
-  std::map<std::string, std::unique_ptr<heaphy::Dialer>> dialers_;  // what is sent to a core goes over these
+  std::map<std::string, std::unique_ptr<transport::Dialer>> dialers_;  // what is sent to a core goes over these
   std::map<uint64_t, std::string> cores_in_;  // connections that other cores have dialled
   std::set<uint64_t> exports_;                // peers that copy the table for an operator
   std::map<uint64_t, OnEnded> waiting_;       // by ticket
@@ -112,6 +112,6 @@
   std::optional<double> wake_at_;
 };
 
-}  // namespace ivygw::rees
+}  // namespace ivygw::replicated_table
 
-#endif  // IVYGW_SYSTEM_REES_CORE_NODE_H_
+#endif  // IVYGW_SYSTEM_REPLICATED_TABLE_CORE_NODE_H_
--- a/system/rees/known_cores.h
+++ b/system/adapters/replicated_table/known_cores.h
@@ -1,7 +1,7 @@
 // To which addresses a core holds connections: members and seeds always, others for a while after they were
 // last heard of. Pure; times are seconds of one steady clock.
-#ifndef IVYGW_SYSTEM_REES_KNOWN_CORES_H_
-#define IVYGW_SYSTEM_REES_KNOWN_CORES_H_
+#ifndef IVYGW_SYSTEM_REPLICATED_TABLE_KNOWN_CORES_H_
+#define IVYGW_SYSTEM_REPLICATED_TABLE_KNOWN_CORES_H_
 
 #include <map>
 #include <set>
@@ -10,7 +10,7 @@
 
 #include "messages/replication.h"
 
-namespace ivygw::rees {
+namespace ivygw::replicated_table {
 
 class KnownCores {
  public:
@@ -44,6 +44,6 @@
   std::map<std::string, double> heard_of_;
 };
 
-}  // namespace ivygw::rees
+}  // namespace ivygw::replicated_table
 
-#endif  // IVYGW_SYSTEM_REES_KNOWN_CORES_H_
+#endif  // IVYGW_SYSTEM_REPLICATED_TABLE_KNOWN_CORES_H_
--- a/system/rees/publisher.cpp
+++ b/system/adapters/replicated_table/publisher.cpp
@@ -1,10 +1,10 @@
-#include "rees/publisher.h"
+#include "replicated_table/publisher.h"
 
 #include <algorithm>
 
-#include "heaphy/codec.h"
+#include "messages/codec.h"
 
-namespace ivygw::rees {
+namespace ivygw::replicated_table {
 
 using messages::Item;
 using messages::Record;
@@ -22,7 +22,7 @@
                      Events events)
     : replica_(replica), shown_prefix_(std::move(shown_prefix)), events_(std::move(events)), gather_(io) {}
 
-const Follower& Publisher::OnFollowerUp(uint64_t peer, const heaphy::Hello& hello) {
+const Follower& Publisher::OnFollowerUp(uint64_t peer, const messages::Hello& hello) {
   Follower& follower = followers_[peer];
   follower.node = hello.node;
   follower.zone = hello.zone;
@@ -30,7 +30,7 @@
   return follower;
 }
 
-void Publisher::OnHave(uint64_t peer, const heaphy::Have& have) {
+void Publisher::OnHave(uint64_t peer, const messages::Have& have) {
   auto it = followers_.find(peer);
   if (it == followers_.end() || have.ranges.size() != messages::kListRanges) return;
   Follower& follower = it->second;
@@ -45,7 +45,7 @@
   AnswerQuestions();
 }
 
-void Publisher::OnPushAck(uint64_t peer, const heaphy::PushAck& ack) {
+void Publisher::OnPushAck(uint64_t peer, const messages::PushAck& ack) {
   auto it = followers_.find(peer);
   if (it == followers_.end()) return;
   Follower& follower = it->second;
@@ -109,10 +109,10 @@
 }
 
 // `listing`: a follower whose list is under way; what that list is still to tell is left out.
-heaphy::Push Publisher::NewsFor(const std::set<std::string>& keys,
+messages::Push Publisher::NewsFor(const std::set<std::string>& keys,
                                 const std::map<std::string, Item>& provisional,
                                 const Follower* listing) const {
-  heaphy::Push push;
+  messages::Push push;
   push.number = last_push_;
   push.revision = replica_.revision();
   for (const std::string& key : keys) {
@@ -141,12 +141,12 @@
   for (const auto& [key, item] : provisional) keys.insert(key);
   if (keys.empty()) return;
   ++last_push_;
-  std::string frame = heaphy::Encode(NewsFor(keys, provisional, nullptr));
+  std::string frame = messages::Encode(NewsFor(keys, provisional, nullptr));
   for (auto& [peer, follower] : followers_) {
     if (follower.listed) {
       events_.send_frame(peer, frame);
     } else if (follower.list == Follower::List::kUnderWay) {
-      heaphy::Push push = NewsFor(keys, provisional, &follower);
+      messages::Push push = NewsFor(keys, provisional, &follower);
       if (push.items.empty() && push.ended.empty()) continue;
       events_.send(peer, push);
     } else {
@@ -195,7 +195,7 @@
 
 // One part after each acknowledgement, so that none piles up here.
 void Publisher::ContinueList(uint64_t peer, Follower* follower) {
-  heaphy::Push push;
+  messages::Push push;
   size_t bytes = 0;
   const auto& records = replica_.table().records();
   for (auto it = records.upper_bound(follower->cursor); it != records.end() && bytes < kPartBytes; ++it) {
@@ -225,7 +225,7 @@
   follower->list = Follower::List::kNone;
   follower->listed = true;
   follower->have.clear();
-  heaphy::State state = StateNow();
+  messages::State state = StateNow();
   state.complete = true;
   state.list_revision = follower->list_revision;
   for (size_t range = 0; range < follower->differs.size(); ++range) {
@@ -234,8 +234,8 @@
   events_.send(peer, state);
 }
 
-heaphy::State Publisher::StateNow() const {
-  heaphy::State state;
+messages::State Publisher::StateNow() const {
+  messages::State state;
   state.gateways = static_cast<uint32_t>(gateways_.size());
   if (gateways_.size() <= kMostNamedGateways) state.members = gateways_;
   state.cores = cores_;
@@ -245,7 +245,7 @@
 }
 
 void Publisher::TellStateIfChanged() {
-  heaphy::State state = StateNow();
+  messages::State state = StateNow();
   if (state == told_) return;
   told_ = state;
   PushNews();  // a new epoch is told after all that was decided before it
@@ -255,4 +255,4 @@
   }
 }
 
-}  // namespace ivygw::rees
+}  // namespace ivygw::replicated_table
--- a/system/rees/publisher.h
+++ b/system/adapters/replicated_table/publisher.h
@@ -4,8 +4,8 @@
 // A list proves that nothing which was decided before the gateway asked is missing from it: it begins only
 // after a read that was started later than the question, and ends only while this core is in contact with a
 // majority.
-#ifndef IVYGW_SYSTEM_REES_PUBLISHER_H_
-#define IVYGW_SYSTEM_REES_PUBLISHER_H_
+#ifndef IVYGW_SYSTEM_REPLICATED_TABLE_PUBLISHER_H_
+#define IVYGW_SYSTEM_REPLICATED_TABLE_PUBLISHER_H_
 
 #include <cstdint>
 #include <functional>
@@ -14,12 +14,12 @@
 #include <string>
 #include <vector>
 
-#include "heaphy/messages.h"
+#include "messages/control.h"
 #include "net/clock.h"
 #include "net/http.h"
 #include "replication/replica.h"
 
-namespace ivygw::rees {
+namespace ivygw::replicated_table {
 
 // A gateway that follows the table.
 struct Follower {
@@ -40,7 +40,7 @@
 class Publisher {
  public:
   struct Events {
-    std::function<void(uint64_t peer, const heaphy::Message&)> send;
+    std::function<void(uint64_t peer, const messages::Message&)> send;
     std::function<void(uint64_t peer, const std::string& frame)> send_frame;
     // Ends with true once the table holds all that was decided before the call.
     std::function<void(std::function<void(bool fresh)> then)> read;
@@ -51,17 +51,17 @@
             Events events);
 
   // `peer`: a number for the connection.
-  const Follower& OnFollowerUp(uint64_t peer, const heaphy::Hello& hello);
+  const Follower& OnFollowerUp(uint64_t peer, const messages::Hello& hello);
   void OnFollowerDown(uint64_t peer) { followers_.erase(peer); }
-  void OnHave(uint64_t peer, const heaphy::Have& have);
-  void OnPushAck(uint64_t peer, const heaphy::PushAck& ack);
+  void OnHave(uint64_t peer, const messages::Have& have);
+  void OnPushAck(uint64_t peer, const messages::PushAck& ack);
 
   // Of Replica's effects.
   void OnChanged(const std::vector<std::string>& keys, bool reset);
   // Tells listed followers an item that isn't decided yet. It is not kept here.
   void PushProvisional(const messages::Item& item);
   // The gateways that hold a lease.
-  void SetGateways(std::vector<heaphy::Member> gateways) { gateways_ = std::move(gateways); }
+  void SetGateways(std::vector<messages::Member> gateways) { gateways_ = std::move(gateways); }
   // All cores that gateways should hold connections to.
   void SetCores(std::vector<std::string> cores) { cores_ = std::move(cores); }
   // Some ten times a second: lists that wait for contact, and news of the state.
@@ -75,23 +75,23 @@
   const std::vector<uint64_t>& ShownDigests();
   void StartGathering();
   void PushNews();
-  heaphy::Push NewsFor(const std::set<std::string>& keys,
+  messages::Push NewsFor(const std::set<std::string>& keys,
                        const std::map<std::string, messages::Item>& provisional,
                        const Follower* listing) const;
   void AnswerQuestions();
   void BeginList(uint64_t peer, Follower* follower);
   void ContinueList(uint64_t peer, Follower* follower);
   void EndList(uint64_t peer, Follower* follower);
-  heaphy::State StateNow() const;
+  messages::State StateNow() const;
   void TellStateIfChanged();
 
   const replication::Replica& replica_;
   const std::string shown_prefix_;
   Events events_;
   std::map<uint64_t, Follower> followers_;
-  std::vector<heaphy::Member> gateways_;
+  std::vector<messages::Member> gateways_;
   std::vector<std::string> cores_;
-  heaphy::State told_;
+  messages::State told_;
 
   // What came within a short time goes out in one message, the same bytes to all.
   std::set<std::string> news_;
@@ -105,6 +105,6 @@
   bool reading_ = false;
 };
 
-}  // namespace ivygw::rees
+}  // namespace ivygw::replicated_table
 
-#endif  // IVYGW_SYSTEM_REES_PUBLISHER_H_
+#endif  // IVYGW_SYSTEM_REPLICATED_TABLE_PUBLISHER_H_
--- a/system/snapshot/exporter.cpp
+++ b/system/adapters/snapshot/exporter.cpp
@@ -14,19 +14,19 @@
       patience_(patience),
       done_(std::move(done)),
       silence_(io) {
-  heaphy::Dialer::Events events;
+  transport::Dialer::Events events;
   events.up = [this] {
     Greet();
     Ask();
   };
-  events.message = [this](heaphy::Message message) { OnMessage(message); };
+  events.message = [this](messages::Message message) { OnMessage(message); };
   events.down = [this] { catch_up_.OnSenderLost(); };
-  dialer_ = std::make_unique<heaphy::Dialer>(io, core, std::move(events));
+  dialer_ = std::make_unique<transport::Dialer>(io, core, std::move(events));
   GiveUpLater();
 }
 
 void Exporter::Greet() {
-  heaphy::Hello hello;
+  messages::Hello hello;
   hello.node = table_;
   hello.role = kExporterRole;
   hello.boot = std::random_device{}();
@@ -40,7 +40,7 @@
   dialer_->Send(message);
 }
 
-void Exporter::OnMessage(const heaphy::Message& message) {
+void Exporter::OnMessage(const messages::Message& message) {
   const auto* peer = std::get_if<messages::PeerMessage>(&message);
   const auto* delta = peer ? std::get_if<messages::Delta>(&peer->body) : nullptr;
   if (!delta) return;
--- a/system/snapshot/exporter.h
+++ b/system/adapters/snapshot/exporter.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "heaphy/links.h"
+#include "transport/links.h"
 #include "replication/catch_up.h"
 #include "snapshot/snapshot.h"
 
@@ -30,7 +30,7 @@
  private:
   void Greet();
   void Ask();
-  void OnMessage(const heaphy::Message& message);
+  void OnMessage(const messages::Message& message);
   void Finish();
   void GiveUpLater();
   void End(ReadResult result);
@@ -41,7 +41,7 @@
   Done done_;
   replication::CatchUp catch_up_;
   asio::steady_timer silence_;
-  std::unique_ptr<heaphy::Dialer> dialer_;
+  std::unique_ptr<transport::Dialer> dialer_;
 };
 
 }  // namespace ivygw::snapshot
--- a/system/heaphy/links.cpp
+++ b/system/adapters/transport/links.cpp
@@ -1,11 +1,11 @@
-#include "heaphy/links.h"
+#include "transport/links.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 
-namespace ivygw::heaphy {
+namespace ivygw::transport {
 namespace {
 
 constexpr double kFirstPause = 0.05, kLongestPause = 0.25;  // s
@@ -222,4 +222,4 @@
   if (greeted) events_.down(peer);
 }
 
-}  // namespace ivygw::heaphy
+}  // namespace ivygw::transport
--- a/system/heaphy/links.h
+++ b/system/adapters/transport/links.h
@@ -1,4 +1,4 @@
-// Heaphy (held connections between the system's processes): frames of messages over TCP, dialled again with a pause that
+// Held connections between the system's processes. Frames of messages over TCP, dialled again with a pause that
 // grows and is drawn by chance, watched by pings so that silence ends them. One thread, that of the event loop.
 #ifndef IVYGW_SYSTEM_HEAPHY_LINKS_H_
 #define IVYGW_SYSTEM_HEAPHY_LINKS_H_
@@ -10,11 +10,11 @@
 #include <string>
 #include <unordered_map>
 
-#include "heaphy/codec.h"
+#include "messages/codec.h"
 #include "net/clock.h"
 #include "net/http.h"
 
-namespace ivygw::heaphy {
+namespace ivygw::transport {
 
 // For which a peer may say nothing before the connection counts as dead; each side pings three times in it.
 inline constexpr double kSilence = 1.5;          // s
@@ -105,6 +105,6 @@
   std::unordered_map<uint64_t, Peer> links_;
 };
 
-}  // namespace ivygw::heaphy
+}  // namespace ivygw::transport
 
 #endif  // IVYGW_SYSTEM_HEAPHY_LINKS_H_
--- a/system/kepler/json.cpp
+++ b/system/decisions/config_model/json.cpp
@@ -1,9 +1,9 @@
-#include "kepler/json.h"
+#include "config_model/json.h"
 
 #include <algorithm>
 #include <limits>
 
-namespace ivygw::kepler {
+namespace ivygw::config_model {
 
 namespace dom = simdjson::dom;
 using Fault = Object::Fault;
@@ -120,4 +120,4 @@
   return {};
 }
 
-}  // namespace ivygw::kepler
+}  // namespace ivygw::config_model
--- a/system/kepler/json.h
+++ b/system/decisions/config_model/json.h
@@ -1,6 +1,6 @@
-// Kepler (reading JSON): simdjson with faults that name the field, as values. The library's errors stay inside.
-#ifndef IVYGW_SYSTEM_KEPLER_JSON_H_
-#define IVYGW_SYSTEM_KEPLER_JSON_H_
+// Reading JSON. Simdjson with faults that name the field, as values. The library's errors stay inside.
+#ifndef IVYGW_SYSTEM_CONFIG_MODEL_JSON_H_
+#define IVYGW_SYSTEM_CONFIG_MODEL_JSON_H_
 
 #include <simdjson.h>
 
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace ivygw::kepler {
+namespace ivygw::config_model {
 
 // As a JSON text, quotes included; control characters are left out.
 std::string Quoted(std::string_view text);
@@ -52,6 +52,6 @@
   simdjson::dom::parser parser_;
 };
 
-}  // namespace ivygw::kepler
+}  // namespace ivygw::config_model
 
-#endif  // IVYGW_SYSTEM_KEPLER_JSON_H_
+#endif  // IVYGW_SYSTEM_CONFIG_MODEL_JSON_H_
--- a/system/kepler/model.cpp
+++ b/system/decisions/config_model/model.cpp
@@ -1,13 +1,13 @@
-#include "kepler/model.h"
+#include "config_model/model.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <set>
 
-#include "kepler/json.h"
+#include "config_model/json.h"
 
-namespace ivygw::kepler {
+namespace ivygw::config_model {
 namespace {
 
 namespace dom = simdjson::dom;
@@ -142,7 +142,7 @@
   if (Fault fault = document.Read(json, &root); !fault.empty()) return fault;
   std::map<std::string, size_t> seen;
   auto take = [&](std::string_view table, const Object& item, bool dropped) -> Fault {
-    heaphy::Item made;
+    messages::Item made;
     std::string name;
     Fault fault;
     if (table != kLimits && !(fault = item.Get("name", &name)).empty()) return fault;
@@ -188,7 +188,7 @@
   return {};
 }
 
-void Index::Fold(const heaphy::Item& item) {
+void Index::Fold(const messages::Item& item) {
   versions_[item.key] = item.version;
   auto [table, name_view] = SplitKey(item.key);
   std::string name(name_view);
@@ -231,16 +231,16 @@
 
 Fault CheckChange(const Change& change, const Index& standing) {
   // Items that a higher version holds back are checked, too: a call is valid whole or not at all.
-  std::map<std::string, const heaphy::Item*> winning;  // of the call, over what stands
+  std::map<std::string, const messages::Item*> winning;  // of the call, over what stands
   std::set<std::string_view> services, dropped;
-  for (const heaphy::Item& item : change.items) {
+  for (const messages::Item& item : change.items) {
     auto [table, name] = SplitKey(item.key);
     bool wins = item.version > standing.VersionOf(item.key);
     if (wins) winning[item.key] = &item;
     if (table == kServices && wins) (item.dropped ? dropped : services).insert(name);
   }
   std::map<std::string, std::string> owner;  // of each key that the call names, within the call
-  for (const heaphy::Item& item : change.items) {
+  for (const messages::Item& item : change.items) {
     if (item.dropped) continue;
     auto [table, name] = SplitKey(item.key);
     if (table == kTenants) {
@@ -268,11 +268,11 @@
   return {};
 }
 
-std::string WriteAll(const std::vector<heaphy::Item>& items) {
+std::string WriteAll(const std::vector<messages::Item>& items) {
   std::map<std::string_view, std::string> tables;
   for (std::string_view table : {kRoutes, kTenants, kServices}) tables[table];
   std::string limits;
-  for (const heaphy::Item& item : items) {
+  for (const messages::Item& item : items) {
     if (item.dropped) continue;
     auto [table, name] = SplitKey(item.key);
     if (table == kLimits) {
@@ -293,4 +293,4 @@
   return out += "}";
 }
 
-}  // namespace ivygw::kepler
+}  // namespace ivygw::config_model
--- a/system/kepler/model.h
+++ b/system/decisions/config_model/model.h
@@ -1,6 +1,6 @@
-// Kepler (the configuration): its items as values, read from JSON by simdjson and checked. Pure.
-#ifndef IVYGW_SYSTEM_KEPLER_MODEL_H_
-#define IVYGW_SYSTEM_KEPLER_MODEL_H_
+// The configuration. Its items as values, read from JSON by simdjson and checked. Pure.
+#ifndef IVYGW_SYSTEM_CONFIG_MODEL_MODEL_H_
+#define IVYGW_SYSTEM_CONFIG_MODEL_MODEL_H_
 
 #include <cstdint>
 #include <map>
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "heaphy/messages.h"
+#include "messages/control.h"
 
-namespace ivygw::kepler {
+namespace ivygw::config_model {
 
 // What went wrong, for an operator's eyes: empty where nothing did. Outcomes are values here.
 using Fault = std::string;
@@ -54,7 +54,7 @@
 
 // A call of configuration.modify: its items, those to be removed among them as dropped ones.
 struct Change {
-  std::vector<heaphy::Item> items;
+  std::vector<messages::Item> items;
 };
 // The whole call is read before anything of it counts.
 Fault ReadChange(const std::string& json, Change* out);
@@ -62,7 +62,7 @@
 // What a check of a change needs to know of all that stands, kept up item by item.
 class Index {
  public:
-  void Fold(const heaphy::Item& item);  // the newest of its key
+  void Fold(const messages::Item& item);  // the newest of its key
   void Erase(const std::string& key);   // nothing stands under it any more
   // Of a tenant's key, the tenants that hold it; whether there is such a service.
   const std::set<std::string>* Holders(const std::string& api_key) const;
@@ -80,8 +80,8 @@
 Fault CheckChange(const Change& change, const Index& standing);
 
 // The answer to configuration.show.
-std::string WriteAll(const std::vector<heaphy::Item>& items);
+std::string WriteAll(const std::vector<messages::Item>& items);
 
-}  // namespace ivygw::kepler
+}  // namespace ivygw::config_model
 
-#endif  // IVYGW_SYSTEM_KEPLER_MODEL_H_
+#endif  // IVYGW_SYSTEM_CONFIG_MODEL_MODEL_H_
--- a/system/cascade/backend.cpp
+++ b/system/decisions/discovery/backend.cpp
@@ -1,11 +1,11 @@
-#include "cascade/backend.h"
+#include "discovery/backend.h"
 
-#include "kepler/json.h"
+#include "config_model/json.h"
 
-namespace ivygw::cascade {
+namespace ivygw::discovery {
 namespace {
 
-std::string Read(const kepler::Object& root, Backend* out) {
+std::string Read(const config_model::Object& root, Backend* out) {
   std::string state, fault;
   if (!(fault = root.Get("target_service", &out->service)).empty()) return fault;
   if (!(fault = root.Get("address", &out->address)).empty()) return fault;
@@ -23,8 +23,8 @@
 }  // namespace
 
 std::string ReadBeat(const std::string& json, Backend* out) {
-  kepler::Document document;
-  kepler::Object root;
+  config_model::Document document;
+  config_model::Object root;
   std::string fault = document.Read(json, &root);
   if (fault.empty()) fault = Read(root, out);
   double sequence = 0;
@@ -35,17 +35,17 @@
 }
 
 std::string WriteBackend(const Backend& b) {
-  using kepler::Quoted;
+  using config_model::Quoted;
   return "{\"target_service\":" + Quoted(b.service) + ",\"address\":" + Quoted(b.address) + ",\"zone\":" + Quoted(b.zone) +
          ",\"slot_count\":" + std::to_string(b.slots) + ",\"oper_state\":\"" + (b.draining ? "draining" : "ready") +
          "\",\"warmup_left_ms\":" + std::to_string(b.warm_ms) + "}";
 }
 
 std::string ReadBackend(const std::string& json, Backend* out) {
-  kepler::Document document;
-  kepler::Object root;
+  config_model::Document document;
+  config_model::Object root;
   if (std::string fault = document.Read(json, &root); !fault.empty()) return fault;
   return Read(root, out);
 }
 
-}  // namespace ivygw::cascade
+}  // namespace ivygw::discovery
--- a/system/cascade/backend.h
+++ b/system/decisions/discovery/backend.h
@@ -1,11 +1,11 @@
-// Cascade (what is known of backends): one start of a backend as the registry keeps it, and as gateways are told.
-#ifndef IVYGW_SYSTEM_CASCADE_BACKEND_H_
-#define IVYGW_SYSTEM_CASCADE_BACKEND_H_
+// What is known of backends. One start of a backend as the registry keeps it, and as gateways are told.
+#ifndef IVYGW_SYSTEM_DISCOVERY_BACKEND_H_
+#define IVYGW_SYSTEM_DISCOVERY_BACKEND_H_
 
 #include <cstdint>
 #include <string>
 
-namespace ivygw::cascade {
+namespace ivygw::discovery {
 
 struct Backend {
   std::string id, service, address, zone;
@@ -21,6 +21,6 @@
 std::string WriteBackend(const Backend& backend);
 std::string ReadBackend(const std::string& json, Backend* out);
 
-}  // namespace ivygw::cascade
+}  // namespace ivygw::discovery
 
-#endif  // IVYGW_SYSTEM_CASCADE_BACKEND_H_
+#endif  // IVYGW_SYSTEM_DISCOVERY_BACKEND_H_
--- a/system/cascade/copy.h
+++ b/system/decisions/discovery/copy.h
@@ -1,10 +1,10 @@
-// Cascade (a gateway's copy of a table): what several cores push is merged item by item, so that within one life nothing
+// A gateway's copy of a table. What several cores push is merged item by item, so that within one life nothing
 // goes back. Pure; one thread.
 //
 // Cores tell the revision of their table with what they push. What was told at an older one is never taken for news of a
 // key that a later list, or a later word of a core, has shown to have ended.
-#ifndef IVYGW_SYSTEM_CASCADE_COPY_H_
-#define IVYGW_SYSTEM_CASCADE_COPY_H_
+#ifndef IVYGW_SYSTEM_DISCOVERY_COPY_H_
+#define IVYGW_SYSTEM_DISCOVERY_COPY_H_
 
 #include <algorithm>
 #include <map>
@@ -12,15 +12,15 @@
 #include <string>
 #include <vector>
 
-#include "cascade/journal.h"
-#include "heaphy/messages.h"
+#include "discovery/journal.h"
+#include "messages/control.h"
 
-namespace ivygw::cascade {
+namespace ivygw::discovery {
 
 enum class Table { kConfiguration, kBackends };
 struct Changed {
   Table table;
-  heaphy::Item item;
+  messages::Item item;
   double at = 0;  // s, when it was told
 };
 
@@ -28,15 +28,15 @@
  public:
   Copy(Table table, Journal<Changed>* journal) : table_(table), journal_(journal), digests_(messages::kListRanges, 0) {}
 
-  void OnPush(double now, const heaphy::Push& push) {
-    for (const heaphy::Item& item : push.items) Take(now, item, push.revision);
+  void OnPush(double now, const messages::Push& push) {
+    for (const messages::Item& item : push.items) Take(now, item, push.revision);
     for (const std::string& key : push.ended) {
       auto it = held_.find(key);
       if (it != held_.end()) EndIfOlder(now, &it->second, push.revision);
     }
   }
 
-  void OnState(double now, const heaphy::State& state) {
+  void OnState(double now, const messages::State& state) {
     epoch_ = std::max(epoch_, state.epoch);
     complete_ = complete_ || (state.complete && state.epoch >= epoch_);
     if (state.list_revision > 0) OnListEnd(now, state);
@@ -51,13 +51,13 @@
 
  private:
   struct Held {
-    heaphy::Item item;
+    messages::Item item;
     uint64_t told_at_revision = 0;  // the latest of a core's table
     bool ended = false;             // the table holds nothing under this key any more
     bool Counts() const { return !ended && !item.dropped; }
   };
 
-  void OnListEnd(double now, const heaphy::State& state) {
+  void OnListEnd(double now, const messages::State& state) {
     std::set<size_t> ranges(state.listed_ranges.begin(), state.listed_ranges.end());
     for (auto& [key, held] : held_) {
       if (ranges.count(messages::RangeOf(key, messages::kListRanges)) > 0) EndIfOlder(now, &held, state.list_revision);
@@ -70,7 +70,7 @@
     });
   }
 
-  void Take(double now, const heaphy::Item& item, uint64_t revision) {
+  void Take(double now, const messages::Item& item, uint64_t revision) {
     auto it = held_.find(item.key);
     if (it == held_.end()) {
       if (revision < list_revision_) return;
@@ -95,7 +95,7 @@
     held->ended = true;
     held->told_at_revision = revision;
     if (held->item.dropped) return;
-    heaphy::Item end = held->item;
+    messages::Item end = held->item;
     end.dropped = true;
     end.body.clear();
     journal_->Append({table_, std::move(end), now});
@@ -116,6 +116,6 @@
   bool complete_ = false;
 };
 
-}  // namespace ivygw::cascade
+}  // namespace ivygw::discovery
 
-#endif  // IVYGW_SYSTEM_CASCADE_COPY_H_
+#endif  // IVYGW_SYSTEM_DISCOVERY_COPY_H_
--- a/system/cascade/journal.h
+++ b/system/decisions/discovery/journal.h
@@ -1,7 +1,7 @@
-// Cascade (events in memory): what has happened is appended to a journal, and views are folded from it, each at its own
+// Events in memory. What has happened is appended to a journal, and views are folded from it, each at its own
 // pace. What all views have read is dropped. Pure; one thread.
-#ifndef IVYGW_SYSTEM_CASCADE_JOURNAL_H_
-#define IVYGW_SYSTEM_CASCADE_JOURNAL_H_
+#ifndef IVYGW_SYSTEM_DISCOVERY_JOURNAL_H_
+#define IVYGW_SYSTEM_DISCOVERY_JOURNAL_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <functional>
 #include <vector>
 
-namespace ivygw::cascade {
+namespace ivygw::discovery {
 
 template <typename Event>
 class Journal {
@@ -45,6 +45,6 @@
   uint64_t begin_ = 0;
 };
 
-}  // namespace ivygw::cascade
+}  // namespace ivygw::discovery
 
-#endif  // IVYGW_SYSTEM_CASCADE_JOURNAL_H_
+#endif  // IVYGW_SYSTEM_DISCOVERY_JOURNAL_H_
--- a/system/tongariro/budget.h
+++ b/system/decisions/load_balancing/budget.h
@@ -1,13 +1,13 @@
-// Tongariro (budget): how many further tries of requests may be made. Pure.
-#ifndef IVYGW_SYSTEM_TONGARIRO_BUDGET_H_
-#define IVYGW_SYSTEM_TONGARIRO_BUDGET_H_
+// Budget. How many further tries of requests may be made. Pure.
+#ifndef IVYGW_SYSTEM_LOAD_BALANCING_BUDGET_H_
+#define IVYGW_SYSTEM_LOAD_BALANCING_BUDGET_H_
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 
-namespace ivygw::tongariro {
+namespace ivygw::load_balancing {
 
 // The budget of further tries of each service, kept by each gateway for itself: a part of its own requests,
 // and an even part of the slack that all gateways have together.
@@ -43,6 +43,6 @@
   std::map<std::string, Use> uses_;
 };
 
-}  // namespace ivygw::tongariro
+}  // namespace ivygw::load_balancing
 
-#endif  // IVYGW_SYSTEM_TONGARIRO_BUDGET_H_
+#endif  // IVYGW_SYSTEM_LOAD_BALANCING_BUDGET_H_
--- a/system/tongariro/pool.cpp
+++ b/system/decisions/load_balancing/pool.cpp
@@ -1,9 +1,9 @@
-#include "tongariro/pool.h"
+#include "load_balancing/pool.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace ivygw::tongariro {
+namespace ivygw::load_balancing {
 namespace {
 
 constexpr double kAvoidFirst = 0.4, kAvoidLongest = 4;  // s, after a failure and growing
@@ -13,12 +13,12 @@
 
 }  // namespace
 
-void Pool::Fold(double now, const heaphy::Item& item) {
+void Pool::Fold(double now, const messages::Item& item) {
   size_t slash = item.key.find('/');
   std::string id = item.key.substr(slash + 1);
-  cascade::Backend told;
+  discovery::Backend told;
   told.id = id;
-  if (!item.dropped && !cascade::ReadBackend(item.body, &told).empty()) return;
+  if (!item.dropped && !discovery::ReadBackend(item.body, &told).empty()) return;
   auto it = seen_.find(id);
   if (item.dropped) {
     if (it == seen_.end()) return;
@@ -35,7 +35,7 @@
   dealt_ = false;
 }
 
-void Pool::OnMembers(const std::vector<heaphy::Member>& members, const std::string& self) {
+void Pool::OnMembers(const std::vector<messages::Member>& members, const std::string& self) {
   if (members == members_ && self == self_) return;
   members_ = members;
   self_ = self;
@@ -49,7 +49,7 @@
   std::vector<std::string> peers;
   std::set<std::string> zones;
   bool member = false;
-  for (const heaphy::Member& other : members_) {
+  for (const messages::Member& other : members_) {
     zones.insert(other.zone);
     if (other.zone == zone_) peers.push_back(other.node);
     member = member || other.node == self_;
@@ -147,4 +147,4 @@
   return it == seen_.end() || (it->second.out == 0 && (it->second.gone || it->second.backend.draining));
 }
 
-}  // namespace ivygw::tongariro
+}  // namespace ivygw::load_balancing
--- a/system/tongariro/pool.h
+++ b/system/decisions/load_balancing/pool.h
@@ -1,11 +1,11 @@
-// Tongariro (choice of backends): the backends of each service as one gateway sees them, and which one a request goes to.
+// Choice of backends. The backends of each service as one gateway sees them, and which one a request goes to.
 // Folded from the registry's items and from what this gateway's own requests met. Pure: the time of each event is told
 // (seconds of one steady clock), chance is a generator's. One thread.
 //
 // How choices of gateways that know nothing of each other add up: the slots of each service are dealt out to the gateways,
 // so that each has some of its own which it takes first; only past these does it take a place at another's backend.
-#ifndef IVYGW_SYSTEM_TONGARIRO_POOL_H_
-#define IVYGW_SYSTEM_TONGARIRO_POOL_H_
+#ifndef IVYGW_SYSTEM_LOAD_BALANCING_POOL_H_
+#define IVYGW_SYSTEM_LOAD_BALANCING_POOL_H_
 
 #include <cstdint>
 #include <map>
@@ -14,16 +14,16 @@
 #include <string>
 #include <vector>
 
-#include "cascade/backend.h"
-#include "heaphy/messages.h"
+#include "discovery/backend.h"
+#include "messages/control.h"
 
-namespace ivygw::tongariro {
+namespace ivygw::load_balancing {
 
 // How an attempt ended, as far as its backend is concerned.
 enum class Met { kServed, kFailed, kFull, kGone, kRefusedConnection, kSilent, kBroken, kLeft };
 
 struct Seen {
-  cascade::Backend backend;
+  discovery::Backend backend;
   int out = 0;               // attempts of this gateway
   double warm_until = 0;
   double avoid_until = 0;    // after failures
@@ -37,9 +37,9 @@
  public:
   explicit Pool(uint64_t seed, std::string zone) : zone_(std::move(zone)), dice_(seed) {}
 
-  void Fold(double now, const heaphy::Item& item);
+  void Fold(double now, const messages::Item& item);
   // The gateways that there are, this one by its place among them.
-  void OnMembers(const std::vector<heaphy::Member>& members, const std::string& self);
+  void OnMembers(const std::vector<messages::Member>& members, const std::string& self);
 
   // Where a request for the service should go now; empty where nobody can take it. `tried` are left out.
   std::string Choose(double now, const std::string& service, const std::set<std::string>& tried);
@@ -57,11 +57,11 @@
   std::mt19937_64 dice_;
   std::map<std::string, Seen> seen_;                        // by id
   std::map<std::string, std::set<std::string>> services_;   // ids of each
-  std::vector<heaphy::Member> members_;
+  std::vector<messages::Member> members_;
   std::string self_;
   bool dealt_ = true;
 };
 
-}  // namespace ivygw::tongariro
+}  // namespace ivygw::load_balancing
 
-#endif  // IVYGW_SYSTEM_TONGARIRO_POOL_H_
+#endif  // IVYGW_SYSTEM_LOAD_BALANCING_POOL_H_
--- a/system/heaphy/codec.cpp
+++ b/system/decisions/messages/codec.cpp
@@ -1,10 +1,10 @@
-#include "heaphy/codec.h"
+#include "messages/codec.h"
 
 #include <cstdlib>
 
 #include "messages/bounded_archive.h"
 
-namespace ivygw::heaphy {
+namespace ivygw::messages {
 
 std::string Encode(const Message& message) {
   std::string out(4, '\0');
@@ -42,4 +42,4 @@
   return Got::kFrame;
 }
 
-}  // namespace ivygw::heaphy
+}  // namespace ivygw::messages
--- a/system/heaphy/codec.h
+++ b/system/decisions/messages/codec.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
-#include "heaphy/messages.h"
+#include "messages/control.h"
 
-namespace ivygw::heaphy {
+namespace ivygw::messages {
 
 inline constexpr size_t kMostFrame = size_t{32} << 20;  // bytes; a longer frame ends its connection
 
@@ -30,6 +30,6 @@
   size_t at_ = 0;
 };
 
-}  // namespace ivygw::heaphy
+}  // namespace ivygw::messages
 
 #endif  // IVYGW_SYSTEM_HEAPHY_CODEC_H_
--- a/system/heaphy/messages.h
+++ b/system/decisions/messages/control.h
@@ -1,4 +1,4 @@
-// Heaphy (the messages between the system's processes): what they tell each other, as values. Serialised by cereal; the
+// The messages between the system's processes. What they tell each other, as values. Serialised by cereal; the
 // form number goes up with every change that an older program can't read. No I/O.
 #ifndef IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
 #define IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
@@ -11,7 +11,7 @@
 #include "messages/item.h"
 #include "messages/replication.h"
 
-namespace ivygw::heaphy {
+namespace ivygw::messages {
 
 using messages::Item;
 using messages::PeerMessage;
@@ -99,6 +99,6 @@
 template <class A> void serialize(A& a, Call& m) { a(m.number, m.name, m.body); }
 template <class A> void serialize(A& a, CallDone& m) { a(m.number, m.status, m.body); }
 
-}  // namespace ivygw::heaphy
+}  // namespace ivygw::messages
 
 #endif  // IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
--- a/system/hollyford/admission.cpp
+++ b/system/decisions/rate_limit/admission.cpp
@@ -1,9 +1,9 @@
-#include "hollyford/admission.h"
+#include "rate_limit/admission.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace ivygw::hollyford {
+namespace ivygw::rate_limit {
 namespace {
 
 constexpr double kLift = 0.03;       // of the guarantee, by the share term
@@ -96,7 +96,7 @@
   return std::clamp(kSpread * behind / flow, 0.2, kLongestWait);
 }
 
-Verdict Admission::Ask(double now, const kepler::Tenant& tenant) {
+Verdict Admission::Ask(double now, const config_model::Tenant& tenant) {
   if (tenant.rate_per_s <= 0) return {};
   auto [it, fresh] = buckets_.try_emplace(tenant.name);
   Bucket& bucket = it->second;
@@ -162,9 +162,9 @@
   return {};
 }
 
-heaphy::Report Admission::Report(double now, const std::string& core, size_t lenders, bool all, bool draw) {
+messages::Report Admission::Report(double now, const std::string& core, size_t lenders, bool all, bool draw) {
   if (draw) urgent_ = false;
-  heaphy::Report report;
+  messages::Report report;
   report.number = ++last_report_;
   Out& out = reports_[report.number];
   out.core = core;
@@ -191,7 +191,7 @@
     told.told_at = now;
     told.told_sent = bucket.sent;
     told.told_wanted = wanted;
-    heaphy::Use use;
+    messages::Use use;
     use.tenant = it->first;
     use.rate = static_cast<float>(bucket.rate);
     use.burst = static_cast<float>(bucket.burst);
@@ -213,13 +213,13 @@
   return report;
 }
 
-void Admission::OnLoans(double now, const std::string& core, const heaphy::Loans& loans) {
+void Admission::OnLoans(double now, const std::string& core, const messages::Loans& loans) {
   auto out = reports_.find(loans.number);
   if (out == reports_.end() || out->second.core != core) return;
   Out report = std::move(out->second);
   reports_.erase(out);
   heard_ = now;
-  for (const heaphy::Loan& loan : loans.loans) {
+  for (const messages::Loan& loan : loans.loans) {
     auto it = buckets_.find(loan.tenant);
     if (it == buckets_.end()) continue;
     Bucket& bucket = it->second;
@@ -275,4 +275,4 @@
   return figures_;
 }
 
-}  // namespace ivygw::hollyford
+}  // namespace ivygw::rate_limit
--- a/system/hollyford/admission.h
+++ b/system/decisions/rate_limit/admission.h
@@ -1,4 +1,4 @@
-// Hollyford (admission): whether a tenant's request may pass at this gateway, on arrival, before any backend is chosen. Pure:
+// Admission. Whether a tenant's request may pass at this gateway, on arrival, before any backend is chosen. Pure:
 // the time of each event is told (seconds of one steady clock of this gateway). One thread.
 //
 // Each tenant has a bucket here. Every tick it is refilled by
@@ -10,8 +10,8 @@
 // the cores' pools in small batches ahead of need. Beside that stands the counter check: in windows of burst / rate, the store
 // estimate S = clip(S + rate * window - last total, 0, burst); refused is what passes S + rate * window by the counter's total
 // and this gateway's newer count. A gateway that is cut off goes on with what it was lent until that ends.
-#ifndef IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
-#define IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
+#ifndef IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
+#define IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
 
 #include <cstdint>
 #include <map>
@@ -19,11 +19,11 @@
 #include <string>
 #include <vector>
 
-#include "heaphy/messages.h"
-#include "hollyford/terms.h"
-#include "kepler/model.h"
+#include "messages/control.h"
+#include "rate_limit/terms.h"
+#include "config_model/model.h"
 
-namespace ivygw::hollyford {
+namespace ivygw::rate_limit {
 
 // `pending`: its token is on its way from a core's pool; Again tells more once loans have come. Nobody waits longer than
 // kAsked for that.
@@ -43,7 +43,7 @@
  public:
   explicit Admission(AdmissionOptions options) : options_(options) {}
 
-  Verdict Ask(double now, const kepler::Tenant& tenant);
+  Verdict Ask(double now, const config_model::Tenant& tenant);
   Verdict Again(double now, const std::string& tenant);
   void GiveUp(const std::string& tenant);  // one that was pending waits no longer
   // What this gateway's requests met at the backends.
@@ -53,8 +53,8 @@
   void OnMembers(size_t gateways) { gateways_ = gateways; }
   void OnLenders(size_t in_touch) { none_ = in_touch == 0; }
   // To that lender: of all tenants, or of those alone that lack something now. `draw`: from this one's pool.
-  heaphy::Report Report(double now, const std::string& core, size_t lenders, bool all, bool draw);
-  void OnLoans(double now, const std::string& core, const heaphy::Loans& loans);
+  messages::Report Report(double now, const std::string& core, size_t lenders, bool all, bool draw);
+  void OnLoans(double now, const std::string& core, const messages::Loans& loans);
   // Looks whether any core answers still; to be told of time some ten times a second.
   void OnTime(double now);
   // A tenant's bucket has run low, and nothing has been asked for it yet.
@@ -123,6 +123,6 @@
   Figures figures_;
 };
 
-}  // namespace ivygw::hollyford
+}  // namespace ivygw::rate_limit
 
-#endif  // IVYGW_SYSTEM_HOLLYFORD_ADMISSION_H_
+#endif  // IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
--- a/system/hollyford/lender.cpp
+++ b/system/decisions/rate_limit/lender.cpp
@@ -1,11 +1,11 @@
-#include "hollyford/lender.h"
+#include "rate_limit/lender.h"
 
 #include <algorithm>
 #include <vector>
 
-#include "hollyford/terms.h"
+#include "rate_limit/terms.h"
 
-namespace ivygw::hollyford {
+namespace ivygw::rate_limit {
 namespace {
 
 constexpr double kShareEvery = 0.2;  // s
@@ -59,13 +59,13 @@
   return mine;
 }
 
-heaphy::Loans Lender::OnReport(double now, const std::string& gateway, uint64_t boot, const heaphy::Report& report, size_t lenders) {
-  heaphy::Loans out;
+messages::Loans Lender::OnReport(double now, const std::string& gateway, uint64_t boot, const messages::Report& report, size_t lenders) {
+  messages::Loans out;
   out.number = report.number;
   double part = 1 / static_cast<double>(std::max<size_t>(lenders, 1)), most = kLent * part;
   reported_.insert(gateway);
   awaited_.erase(gateway);
-  for (const heaphy::Use& use : report.uses) {
+  for (const messages::Use& use : report.uses) {
     Tenant& tenant = tenants_[use.tenant];
     if (use.version >= tenant.version) {
       if (tenant.begun) Fill(now, &tenant, part);
@@ -120,4 +120,4 @@
   }
 }
 
-}  // namespace ivygw::hollyford
+}  // namespace ivygw::rate_limit
--- a/system/hollyford/lender.h
+++ b/system/decisions/rate_limit/lender.h
@@ -1,17 +1,17 @@
-// Hollyford (the lender at a core): parts of tenants' limits, lent to gateways for a term, and the counter of what they have
+// The lender at a core. Parts of tenants' limits, lent to gateways for a term, and the counter of what they have
 // sent. Every core lends its own even part by itself, so that none has to be asked for another's loans: all that is lent stays
 // within the limit whoever is in touch with whom. Pure: times are told. One thread.
-#ifndef IVYGW_SYSTEM_HOLLYFORD_LENDER_H_
-#define IVYGW_SYSTEM_HOLLYFORD_LENDER_H_
+#ifndef IVYGW_SYSTEM_RATE_LIMIT_LENDER_H_
+#define IVYGW_SYSTEM_RATE_LIMIT_LENDER_H_
 
 #include <map>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "heaphy/messages.h"
+#include "messages/control.h"
 
-namespace ivygw::hollyford {
+namespace ivygw::rate_limit {
 
 class Lender {
  public:
@@ -22,7 +22,7 @@
   void OnHolders(const std::vector<std::string>& holders);
 
   // `lenders`: how many cores lend; each an even part.
-  heaphy::Loans OnReport(double now, const std::string& gateway, uint64_t boot, const heaphy::Report& report, size_t lenders);
+  messages::Loans OnReport(double now, const std::string& gateway, uint64_t boot, const messages::Report& report, size_t lenders);
   void OnTime(double now);  // lets go of what has ended
 
   // Lends on only what gateways show that they hold.
@@ -54,6 +54,6 @@
   std::set<std::string> awaited_, reported_;
 };
 
-}  // namespace ivygw::hollyford
+}  // namespace ivygw::rate_limit
 
-#endif  // IVYGW_SYSTEM_HOLLYFORD_LENDER_H_
+#endif  // IVYGW_SYSTEM_RATE_LIMIT_LENDER_H_
--- a/system/request_lifecycle/answer_reading.cpp
+++ b/system/decisions/request_lifecycle/answer_reading.cpp
@@ -2,7 +2,7 @@
 
 namespace ivygw::request_lifecycle {
 
-using tongariro::Met;
+using load_balancing::Met;
 
 namespace {
 
--- a/system/request_lifecycle/answer_reading.h
+++ b/system/decisions/request_lifecycle/answer_reading.h
@@ -3,7 +3,7 @@
 #define IVYGW_SYSTEM_REQUEST_LIFECYCLE_ANSWER_READING_H_
 
 #include "request_lifecycle/outcome.h"
-#include "tongariro/pool.h"
+#include "load_balancing/pool.h"
 
 namespace ivygw::request_lifecycle {
 
@@ -20,7 +20,7 @@
 
 struct AnswerReading {
   Evidence evidence = Evidence::kUnidentifiedAnswer;
-  tongariro::Met met = tongariro::Met::kBroken;  // for the choice of backends
+  load_balancing::Met met = load_balancing::Met::kBroken;  // for the choice of backends
   bool trusted = false;                          // the answer to this request: its connection isn't in doubt
   bool forwardable = false;                      // may go to the client as it stands
 };
--- a/system/request_lifecycle/lifecycle.h
+++ b/system/decisions/request_lifecycle/lifecycle.h
@@ -18,7 +18,7 @@
 #include "request_lifecycle/answer_reading.h"
 #include "request_lifecycle/identities.h"
 #include "request_lifecycle/outcome.h"
-#include "tongariro/pool.h"
+#include "load_balancing/pool.h"
 
 namespace ivygw::request_lifecycle {
 
@@ -47,7 +47,7 @@
   // A backend for the service that is not among `tried`; empty where there is none.
   virtual std::string Choose(double now, const std::string& service, const std::set<std::string>& tried) = 0;
   virtual void OnAttemptStarted(const std::string& backend) = 0;
-  virtual void OnAttemptEnded(double now, const std::string& backend, tongariro::Met met) = 0;
+  virtual void OnAttemptEnded(double now, const std::string& backend, load_balancing::Met met) = 0;
   // Whether the budget allows one more arrival at the service beyond the first of a request.
   virtual bool MayRetry(double now, const std::string& service) = 0;
   virtual void OnRetry(double now, const std::string& service) = 0;
@@ -275,7 +275,7 @@
   void Send(ConnectionId id, Connection* connection, Request* request, Effects* effects);
   // The attempt that is out has ended without an answer that goes to the client: again, or the proxy's own
   // answer.
-  void EndAttempt(double now, RequestId id, Request* request, Evidence evidence, tongariro::Met met,
+  void EndAttempt(double now, RequestId id, Request* request, Evidence evidence, load_balancing::Met met,
                   Effects* effects);
   bool MayTryAgain(double now, const Request& request, Evidence evidence);
   bool Repeatable(const Request& request) const;
--- a/system/routeburn/routes.cpp
+++ b/system/decisions/routing/routes.cpp
@@ -1,10 +1,10 @@
-#include "routeburn/routes.h"
+#include "routing/routes.h"
 
 #include <algorithm>
 
 #include "base/text_hash.h"
 
-namespace ivygw::routeburn {
+namespace ivygw::routing {
 namespace {
 
 std::string Lower(std::string_view text) {
@@ -17,25 +17,25 @@
 
 }  // namespace
 
-kepler::Fault Routes::Fold(const heaphy::Item& item) {
-  auto [table, name_view] = kepler::SplitKey(item.key);
+config_model::Fault Routes::Fold(const messages::Item& item) {
+  auto [table, name_view] = config_model::SplitKey(item.key);
   std::string name(name_view);
-  if (table == kepler::kRoutes) {
-    kepler::Route route;
+  if (table == config_model::kRoutes) {
+    config_model::Route route;
     if (!item.dropped) {
-      if (kepler::Fault fault = kepler::ReadRoute(item.body, &route); !fault.empty()) return fault;
+      if (config_model::Fault fault = config_model::ReadRoute(item.body, &route); !fault.empty()) return fault;
     }
     Unlink(name);
     if (item.dropped) return {};
     route.host = Lower(route.host);
-    auto made = std::make_shared<const kepler::Route>(std::move(route));
+    auto made = std::make_shared<const config_model::Route>(std::move(route));
     routes_[name] = made;
     hosts_[made->host][made->prefix][name] = made;
-  } else if (table == kepler::kTenants) {
+  } else if (table == config_model::kTenants) {
     tenants_seen_ = true;
-    kepler::Tenant tenant;
+    config_model::Tenant tenant;
     if (!item.dropped) {
-      if (kepler::Fault fault = kepler::ReadTenant(item.body, &tenant); !fault.empty()) return fault;
+      if (config_model::Fault fault = config_model::ReadTenant(item.body, &tenant); !fault.empty()) return fault;
     }
     auto old = tenants_.find(name);
     if (old != tenants_.end()) {
@@ -49,11 +49,11 @@
     }
     if (item.dropped) return {};
     tenant.version = item.version;
-    auto made = std::make_shared<const kepler::Tenant>(std::move(tenant));
+    auto made = std::make_shared<const config_model::Tenant>(std::move(tenant));
     tenants_[name] = made;
     for (const std::string& key : made->keys) keys_[key][name] = made;
-  } else if (table == kepler::kLimits && !item.dropped) {
-    return kepler::ReadLimits(item.body, &limits_);
+  } else if (table == config_model::kLimits && !item.dropped) {
+    return config_model::ReadLimits(item.body, &limits_);
   }
   return {};
 }
@@ -88,7 +88,7 @@
   return it == keys_.end() ? nullptr : it->second.begin()->second;
 }
 
-const std::string& Routes::Pick(const kepler::Route& route, const std::string& id) {
+const std::string& Routes::Pick(const config_model::Route& route, const std::string& id) {
   double sum = 0;
   for (const auto& [service, weight] : route.targets) sum += weight;
   double at = micadock::Dice(micadock::TextHash(id)).Unit() * sum;
@@ -102,4 +102,4 @@
   return *last;
 }
 
-}  // namespace ivygw::routeburn
+}  // namespace ivygw::routing
--- a/system/routeburn/routes.h
+++ b/system/decisions/routing/routes.h
@@ -1,7 +1,7 @@
-// Routeburn (routing): which route a request is on, which tenant it is of, which service it goes to. Folded from the
+// Routing. Which route a request is on, which tenant it is of, which service it goes to. Folded from the
 // configuration's items. Pure; one thread.
-#ifndef IVYGW_SYSTEM_ROUTEBURN_ROUTES_H_
-#define IVYGW_SYSTEM_ROUTEBURN_ROUTES_H_
+#ifndef IVYGW_SYSTEM_ROUTING_ROUTES_H_
+#define IVYGW_SYSTEM_ROUTING_ROUTES_H_
 
 #include <map>
 #include <memory>
@@ -9,28 +9,28 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "heaphy/messages.h"
-#include "kepler/model.h"
+#include "messages/control.h"
+#include "config_model/model.h"
 
-namespace ivygw::routeburn {
+namespace ivygw::routing {
 
 class Routes {
  public:
-  using Route = std::shared_ptr<const kepler::Route>;
-  using Tenant = std::shared_ptr<const kepler::Tenant>;
+  using Route = std::shared_ptr<const config_model::Route>;
+  using Tenant = std::shared_ptr<const config_model::Tenant>;
 
   // An item that can't be read is told as a fault and changes nothing.
-  kepler::Fault Fold(const heaphy::Item& item);
+  config_model::Fault Fold(const messages::Item& item);
 
   // Of the routes of that host, the one whose prefix begins the path and is longest. `host` may have a port.
   Route Find(std::string_view host, std::string_view path) const;
   Tenant Owner(const std::string& key) const;
   bool any() const { return !routes_.empty(); }
   bool has_tenants() const { return tenants_seen_; }
-  const kepler::Limits& limits() const { return limits_; }
+  const config_model::Limits& limits() const { return limits_; }
 
   // A service of the route by weight; the same for the same request's id on every gateway.
-  static const std::string& Pick(const kepler::Route& route, const std::string& id);
+  static const std::string& Pick(const config_model::Route& route, const std::string& id);
 
  private:
   void Unlink(const std::string& name);
@@ -39,10 +39,10 @@
   std::unordered_map<std::string, std::map<std::string, std::map<std::string, Route>>> hosts_;
   std::map<std::string, Tenant> tenants_;
   std::unordered_map<std::string, std::map<std::string, Tenant>> keys_;  // holders of each key by name
-  kepler::Limits limits_;
+  config_model::Limits limits_;
   bool tenants_seen_ = false;
 };
 
-}  // namespace ivygw::routeburn
+}  // namespace ivygw::routing
 
-#endif  // IVYGW_SYSTEM_ROUTEBURN_ROUTES_H_
+#endif  // IVYGW_SYSTEM_ROUTING_ROUTES_H_
--- a/system/apps/daemon.cpp
+++ b/system/programs/apps/daemon.cpp
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <iterator>
 
-#include "rakiura/log.h"
+#include "process/log.h"
 
 namespace ivygw::apps {
 namespace {
@@ -42,13 +42,13 @@
       std::fprintf(stderr, "%s: %s: cannot be read\n", daemon.name, path.c_str());
       return 2;
     }
-    rakiura::Settings settings;
-    std::vector<std::string> faults = rakiura::ReadSettings(text, &settings);
+    process::Settings settings;
+    std::vector<std::string> faults = process::ReadSettings(text, &settings);
     for (const std::string& fault : faults) std::fprintf(stderr, "%s: %s: %s\n", daemon.name, path.c_str(), fault.c_str());
     if (!faults.empty()) return 2;
     if (told.count("check")) return std::puts("the settings are sound") < 0;
     std::signal(SIGPIPE, SIG_IGN);
-    rakiura::StartLog(daemon.name, settings.node);
+    process::StartLog(daemon.name, settings.node);
     asio::io_context io(1);
     std::function<void()> stop = daemon.start(io, settings);
     asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
@@ -57,10 +57,10 @@
         if (error) return;
         if (number == SIGHUP) {
           // The addresses and bounds of a start hold for its life; a file that can't be read changes nothing.
-          rakiura::Settings again;
+          process::Settings again;
           std::string content;
-          bool read = ReadFile(path, &content) && rakiura::ReadSettings(content, &again).empty();
-          rakiura::Log(read ? "settings_read" : "settings_unreadable");
+          bool read = ReadFile(path, &content) && process::ReadSettings(content, &again).empty();
+          process::Log(read ? "settings_read" : "settings_unreadable");
           return wait();
         }
         stop();
--- a/system/apps/daemon.h
+++ b/system/programs/apps/daemon.h
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "net/http.h"
-#include "rakiura/settings.h"
+#include "process/settings.h"
 
 namespace ivygw::apps {
 
@@ -13,7 +13,7 @@
   const char* name;
   const char* what;
   // Starts it, and gives what stops it.
-  std::function<std::function<void()>(asio::io_context&, const rakiura::Settings&)> start;
+  std::function<std::function<void()>(asio::io_context&, const process::Settings&)> start;
 };
 
 int Run(const Daemon& daemon, int argc, char** argv);
--- a/system/apps/taranaki.cpp
+++ b/system/programs/apps/load_test.cpp
@@ -1,4 +1,4 @@
-// taranaki: load and experiments for control, with hollow gateways and backends beside real cores.
+// ivygw-load-test: load and experiments for control, with hollow gateways and backends beside real cores.
 #include <cstdio>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -7,23 +7,23 @@
 #include <map>
 #include <sstream>
 
-#include "taranaki/fit.h"
-#include "taranaki/run.h"
+#include "load_test/fit.h"
+#include "load_test/run.h"
 
-using ivygw::taranaki::Plan;
-using ivygw::taranaki::Result;
+using ivygw::load_test::Plan;
+using ivygw::load_test::Result;
 
 int main(int argc, char** argv) {
   try {
     Plan plan;
-    cxxopts::Options options("taranaki", "hollow gateways and backends beside real cores, over loopback");
+    cxxopts::Options options("load_test", "hollow gateways and backends beside real cores, over loopback");
     auto number = [](int value) { return cxxopts::value<int>()->default_value(std::to_string(value)); };
     options.add_options()("cores", "core machines", number(3))("gateways", "hollow gateways", number(100))("backends", "hollow backends", number(300))(
         "services", "services", number(20))("routes", "routes", number(100))("tenants", "tenants", number(100))(
         "active", "tenants with traffic at each gateway", number(8))("changes", "changes of a route a second", cxxopts::value<double>()->default_value("0.5"))(
         "restarts", "gateways started anew a second", cxxopts::value<double>()->default_value("0"))("seconds", "of the load", number(10))(
         "seed", "of what is drawn", number(1))("port", "first of three", number(21000))(
-        "programs", "folder of angelus and mueller", cxxopts::value<std::string>()->default_value(std::filesystem::path(argv[0]).parent_path().string()))(
+        "programs", "folder of ivygw-registry and ivygw-config-store", cxxopts::value<std::string>()->default_value(std::filesystem::path(argv[0]).parent_path().string()))(
         "over", "NAME=A,B,C: one run for each, and slopes by least squares", cxxopts::value<std::string>())("help", "print this");
     auto told = options.parse(argc, argv);
     if (told.count("help")) return std::puts(options.help().c_str()) < 0;
@@ -43,23 +43,23 @@
       values.clear();
       for (std::string part; std::getline(text, part, ',');) values.push_back(std::atoi(part.c_str()));
       if (!fields.count(over) || values.size() < 2) {
-        std::fprintf(stderr, "taranaki: over: NAME=A,B,C is wanted, NAME one of the counts\n");
+        std::fprintf(stderr, "ivygw-load-test: over: NAME=A,B,C is wanted, NAME one of the counts\n");
         return 2;
       }
     }
     std::vector<std::pair<double, Result>> results;
     for (int value : values) {
       if (!over.empty()) *fields.at(over) = value;
-      if (std::string fault = ivygw::taranaki::Check(plan); !fault.empty()) {
-        std::fprintf(stderr, "taranaki: %s\n", fault.c_str());
+      if (std::string fault = ivygw::load_test::Check(plan); !fault.empty()) {
+        std::fprintf(stderr, "ivygw-load-test: %s\n", fault.c_str());
         return 2;
       }
-      char folder[] = "/tmp/taranaki.XXXXXX";
+      char folder[] = "/tmp/ivygw_load_test.XXXXXX";
       if (!mkdtemp(folder)) return 1;
       plan.folder = folder;
-      Result result = ivygw::taranaki::Run(plan);
+      Result result = ivygw::load_test::Run(plan);
       std::filesystem::remove_all(folder);
-      std::puts(ivygw::taranaki::Line(plan, result).c_str());
+      std::puts(ivygw::load_test::Line(plan, result).c_str());
       std::fflush(stdout);
       if (!result.failed.empty()) return 1;
       results.push_back({value, result});
@@ -69,7 +69,7 @@
     auto row = [&](const char* name, double (*pick)(const Result&)) {
       std::vector<std::pair<double, double>> points;
       for (const auto& [value, result] : results) points.push_back({value, pick(result)});
-      auto fit = ivygw::taranaki::LeastSquares(points);
+      auto fit = ivygw::load_test::LeastSquares(points);
       std::printf("%-16s %12.5g %14.5g %12.2g\n", name, fit.base, fit.slope, fit.spread);
     };
     row("registry cpu", [](const Result& r) { return r.registry.cores; });
@@ -83,7 +83,7 @@
     row("change ms", [](const Result& r) { return r.change_ms; });
     return 0;
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "taranaki: %s\n", error.what());
+    std::fprintf(stderr, "ivygw-load-test: %s\n", error.what());
     return 1;
   }
 }
--- a/system/apps/snapshot_tool.cpp
+++ b/system/programs/apps/snapshot_tool.cpp
@@ -96,7 +96,7 @@
     options.add_options()("verb", "export, verify or import", cxxopts::value<std::string>())(
         "core", "export: IP of a running core", cxxopts::value<std::string>())(
         "port", "export: the core's internal port of the table", cxxopts::value<uint16_t>())(
-        "table", "export, import: its name, mueller or angelus", cxxopts::value<std::string>())(
+        "table", "export, import: its name, config_store or registry", cxxopts::value<std::string>())(
         "out", "export: the file to write", cxxopts::value<std::string>())(
         "in", "verify, import: the file to read", cxxopts::value<std::string>())(
         "data-directory", "import: as in the settings of the core", cxxopts::value<std::string>())(
--- a/system/mueller/configuration_policy.cpp
+++ b/system/programs/config_store/configuration_policy.cpp
@@ -1,8 +1,8 @@
-#include "mueller/configuration_policy.h"
+#include "config_store/configuration_policy.h"
 
 #include <cstdio>
 
-namespace ivygw::mueller {
+namespace ivygw::config_store {
 
 using replication::Item;
 using replication::ItemJudgement;
@@ -49,11 +49,11 @@
     return judgement;
   }
   if (judgement.records.empty()) return judgement;
-  if (kepler::Fault fault = kepler::CheckChange({items}, index_); !fault.empty()) {
+  if (config_model::Fault fault = config_model::CheckChange({items}, index_); !fault.empty()) {
     return Refused(RefusalCode::kInvalid, "", fault);
   }
   judgement.kind = Judgement::Kind::kChanges;
   return judgement;
 }
 
-}  // namespace ivygw::mueller
+}  // namespace ivygw::config_store
--- a/system/mueller/configuration_policy.h
+++ b/system/programs/config_store/configuration_policy.h
@@ -1,30 +1,30 @@
 // Which orders the table of the configuration takes: a call is taken whole or not at all, each number of an
 // item is confirmed to one content only, and what stands is always a valid configuration. Pure; one thread.
-#ifndef IVYGW_SYSTEM_MUELLER_CONFIGURATION_POLICY_H_
-#define IVYGW_SYSTEM_MUELLER_CONFIGURATION_POLICY_H_
+#ifndef IVYGW_SYSTEM_CONFIG_STORE_CONFIGURATION_POLICY_H_
+#define IVYGW_SYSTEM_CONFIG_STORE_CONFIGURATION_POLICY_H_
 
 #include <string>
 #include <vector>
 
-#include "kepler/model.h"
+#include "config_model/model.h"
 #include "replication/order_policy.h"
 
-namespace ivygw::mueller {
+namespace ivygw::config_store {
 
 class ConfigurationPolicy : public replication::OrderPolicy {
  public:
   void OnRecord(const replication::Record& record) override { index_.Fold(record.item); }
   void OnErased(const std::string& key) override { index_.Erase(key); }
-  void OnReset() override { index_ = kepler::Index(); }
+  void OnReset() override { index_ = config_model::Index(); }
   replication::Judgement Judge(const std::vector<replication::Item>& items,
                                const replication::TableOverlay& overlay) const override;
   // Each call is checked against all that stands, so it is decided by itself.
   size_t MostOrdersInChange() const override { return 1; }
 
  private:
-  kepler::Index index_;  // of all that stands
+  config_model::Index index_;  // of all that stands
 };
 
-}  // namespace ivygw::mueller
+}  // namespace ivygw::config_store
 
-#endif  // IVYGW_SYSTEM_MUELLER_CONFIGURATION_POLICY_H_
+#endif  // IVYGW_SYSTEM_CONFIG_STORE_CONFIGURATION_POLICY_H_
--- a/system/mueller/store.cpp
+++ b/system/programs/config_store/store.cpp
@@ -1,16 +1,16 @@
-#include "mueller/store.h"
+#include "config_store/store.h"
 
 #include <memory>
 #include <utility>
 
-#include "kepler/json.h"
-#include "kepler/model.h"
-#include "rakiura/log.h"
+#include "config_model/json.h"
+#include "config_model/model.h"
+#include "process/log.h"
 
-namespace ivygw::mueller {
+namespace ivygw::config_store {
 
-using kepler::ErrorBody;
-using rakiura::Log;
+using config_model::ErrorBody;
+using process::Log;
 using replication::Outcome;
 using replication::Refusal;
 using replication::RefusalCode;
@@ -28,28 +28,28 @@
 
 }  // namespace
 
-Store::Store(asio::io_context& io, const rakiura::Settings& settings)
-    : node_(io, settings, {"mueller", settings.first_port + 1, ""}, &policy_, [this] {
-        rees::CoreNode::Events events;
-        events.message = [this](uint64_t peer, heaphy::Message message) {
-          const auto* call = std::get_if<heaphy::Call>(&message);
+Store::Store(asio::io_context& io, const process::Settings& settings)
+    : node_(io, settings, {"config_store", settings.first_port + 1, ""}, &policy_, [this] {
+        replicated_table::CoreNode::Events events;
+        events.message = [this](uint64_t peer, messages::Message message) {
+          const auto* call = std::get_if<messages::Call>(&message);
           if (!call) return;
           Take(*call, [this, peer, number = call->number](uint32_t status, std::string body) {
-            node_.Send(peer, heaphy::CallDone{number, status, std::move(body)});
+            node_.Send(peer, messages::CallDone{number, status, std::move(body)});
           });
         };
         return events;
       }()) {}
 
-void Store::Take(const heaphy::Call& call, Answer answer) {
+void Store::Take(const messages::Call& call, Answer answer) {
   if (call.name == "configuration.modify") return Modify(call.body, std::move(answer));
   if (call.name == "configuration.show") return Show(std::move(answer));
   answer(404, ErrorBody("call: " + call.name + " is not known"));
 }
 
 void Store::Modify(const std::string& body, Answer answer) {
-  kepler::Change change;
-  if (kepler::Fault fault = kepler::ReadChange(body, &change); !fault.empty()) {
+  config_model::Change change;
+  if (config_model::Fault fault = config_model::ReadChange(body, &change); !fault.empty()) {
     Log("change_refused").Add("fault", fault);
     return answer(400, ErrorBody(fault));
   }
@@ -76,11 +76,11 @@
   node_.Read([this, answer = std::move(answer)](const replication::Ended& ended) {
     if (ended.outcome != Outcome::kDone)
       return answer(503, ErrorBody("a majority of the core did not answer in time"));
-    std::vector<heaphy::Item> items;
+    std::vector<messages::Item> items;
     for (const auto& [key, record] : node_.replica().table().records()) items.push_back(record.item);
     if (items.empty()) return answer(503, ErrorBody("there is no configuration yet"));
-    answer(200, kepler::WriteAll(items));
+    answer(200, config_model::WriteAll(items));
   });
 }
 
-}  // namespace ivygw::mueller
+}  // namespace ivygw::config_store
--- a/system/taranaki/fit.h
+++ b/system/programs/load_test/fit.h
@@ -1,12 +1,12 @@
-// Taranaki (slopes): a straight line through measured points by least squares, with its spread. Pure.
-#ifndef IVYGW_SYSTEM_TARANAKI_FIT_H_
-#define IVYGW_SYSTEM_TARANAKI_FIT_H_
+// Slopes. A straight line through measured points by least squares, with its spread. Pure.
+#ifndef IVYGW_SYSTEM_LOAD_TEST_FIT_H_
+#define IVYGW_SYSTEM_LOAD_TEST_FIT_H_
 
 #include <cmath>
 #include <utility>
 #include <vector>
 
-namespace ivygw::taranaki {
+namespace ivygw::load_test {
 
 struct Fit {
   double base = 0, slope = 0;
@@ -26,6 +26,6 @@
   return out;
 }
 
-}  // namespace ivygw::taranaki
+}  // namespace ivygw::load_test
 
-#endif  // IVYGW_SYSTEM_TARANAKI_FIT_H_
+#endif  // IVYGW_SYSTEM_LOAD_TEST_FIT_H_
--- a/system/taranaki/run.cpp
+++ b/system/programs/load_test/run.cpp
@@ -1,4 +1,4 @@
-#include "taranaki/run.h"
+#include "load_test/run.h"
 
 #include <spawn.h>
 #include <sys/resource.h>
@@ -17,12 +17,12 @@
 #include <sstream>
 
 #include "messages/item.h"
-#include "heaphy/links.h"
+#include "transport/links.h"
 #include "net/message_reader.h"
 
 extern char** environ;
 
-namespace ivygw::taranaki {
+namespace ivygw::load_test {
 namespace {
 
 constexpr int kMostCallers = 1800;
@@ -42,7 +42,7 @@
           << "\",\"listen_addresses\":{\"control_plane\":\"" << CoreIp(i) << ":" << plan.first_port + 2 << "\"},\"internal_port_range\":["
           << plan.first_port << "," << plan.first_port + 1 << "],\"seed_nodes\":[" << seeds << "],\"limits\":{\"max_file_descriptors\":20000},\"initial_boot\":true,\"data_directory\":\""
           << base << "/data\"}";
-      for (const char* program : {"angelus", "mueller"}) Start(program, base);
+      for (const char* program : {"ivygw-registry", "ivygw-config-store"}) Start(program, base);
     }
   }
   ~Cores() {
@@ -180,7 +180,7 @@
 
  private:
   struct Gateway {
-    std::vector<std::unique_ptr<heaphy::Dialer>> dialers;
+    std::vector<std::unique_ptr<transport::Dialer>> dialers;
     std::vector<bool> listed;
     std::vector<uint64_t> sums[2];  // in the place of its copies of both tables
     bool asked[2] = {false, false};
@@ -268,11 +268,11 @@
     }
     gateway.listed.assign(static_cast<size_t>(2 * plan_.cores), false);
     for (int i = 0; i < 2 * plan_.cores; ++i) {
-      heaphy::Dialer::Events events;
+      transport::Dialer::Events events;
       events.up = [this, g, i] {
-        heaphy::Hello hello;
+        messages::Hello hello;
         hello.node = "10.9." + std::to_string(g / 250) + "." + std::to_string(g % 250);
-        hello.role = "milford";
+        hello.role = "proxy";
         hello.zone = "z" + std::to_string(g % 15);
         hello.boot = gateways_[static_cast<size_t>(g)].boot;
         Send(g, i, hello);
@@ -280,27 +280,27 @@
         if (!mine.asked[i % 2]) Ask(g, i);
       };
       events.down = [] {};
-      events.message = [this, g, i](heaphy::Message message) { Told(g, i, message); };
+      events.message = [this, g, i](messages::Message message) { Told(g, i, message); };
       tcp::endpoint to(asio::ip::make_address(CoreIp(i / 2)), static_cast<uint16_t>(plan_.first_port + i % 2));
-      gateway.dialers.push_back(std::make_unique<heaphy::Dialer>(io_, to, std::move(events)));
+      gateway.dialers.push_back(std::make_unique<transport::Dialer>(io_, to, std::move(events)));
     }
   }
   void Ask(int g, int i) {
     Gateway& gateway = gateways_[static_cast<size_t>(g)];
     gateway.asked[i % 2] = true;
-    Send(g, i, heaphy::Have{gateway.sums[i % 2]});
+    Send(g, i, messages::Have{gateway.sums[i % 2]});
   }
-  void Send(int g, int i, const heaphy::Message& message) {
-    out_bytes_ += heaphy::Encode(message).size();
+  void Send(int g, int i, const messages::Message& message) {
+    out_bytes_ += messages::Encode(message).size();
     gateways_[static_cast<size_t>(g)].dialers[static_cast<size_t>(i)]->Send(message);
   }
-  void Told(int g, int i, const heaphy::Message& message) {
+  void Told(int g, int i, const messages::Message& message) {
     Gateway& gateway = gateways_[static_cast<size_t>(g)];
-    size_t bytes = heaphy::Encode(message).size();
+    size_t bytes = messages::Encode(message).size();
     in_bytes_ += bytes;
     if (!gateway.ready) list_bytes_ += bytes;
-    if (const auto* push = std::get_if<heaphy::Push>(&message)) {
-      Send(g, i, heaphy::PushAck{push->number});
+    if (const auto* push = std::get_if<messages::Push>(&message)) {
+      Send(g, i, messages::PushAck{push->number});
       for (const auto& item : push->items) {
         if (!gateway.ready && push->full && !item.dropped) gateway.sums[i % 2][messages::RangeOf(item.key, messages::kListRanges)] ^= messages::DigestOf(item);
       }
@@ -312,7 +312,7 @@
         spread_ms_.push_back((Now() - it->second.at) * 1000);
         spreading_.erase(it);
       }
-    } else if (const auto* state = std::get_if<heaphy::State>(&message)) {
+    } else if (const auto* state = std::get_if<messages::State>(&message)) {
       bool first = !gateway.listed[static_cast<size_t>(i)];
       gateway.listed[static_cast<size_t>(i)] = state->complete;
       if (first && !state->complete) return After(0.1, [this, g, i] { Ask(g, i); });
@@ -337,7 +337,7 @@
   }
   void Measure() {
     measuring_ = true;
-    use_ = {cores_.Use("angelus"), cores_.Use("mueller")};
+    use_ = {cores_.Use("ivygw-registry"), cores_.Use("ivygw-config-store")};
     in_bytes_ = out_bytes_ = 0;
     measured_from_ = Now();
     Change();
@@ -357,8 +357,8 @@
       }
       return out;
     };
-    result_.registry = role(use_[0], "angelus");
-    result_.store = role(use_[1], "mueller");
+    result_.registry = role(use_[0], "ivygw-registry");
+    result_.store = role(use_[1], "ivygw-config-store");
     result_.gateway_in = static_cast<double>(in_bytes_) / s / plan_.gateways;
     result_.gateway_out = static_cast<double>(out_bytes_) / s / plan_.gateways;
     result_.change_ms = Median(spread_ms_);
@@ -374,7 +374,7 @@
       ++ticks_;
       for (int g = static_cast<int>(ticks_ % 10); g < plan_.gateways; g += 10) {
         Gateway& gateway = gateways_[static_cast<size_t>(g)];
-        heaphy::Report report;
+        messages::Report report;
         report.number = ++gateway.reports;
         gateway.sent += 2;
         for (int n = 0; n < std::min(plan_.active, plan_.tenants); ++n) {
@@ -450,7 +450,7 @@
                             within(plan.first_port, 1024, 65000, "port")}) {
     if (!fault.empty()) return fault;
   }
-  if (!std::filesystem::exists(plan.programs + "/angelus")) return "programs: there is no angelus in " + plan.programs;
+  if (!std::filesystem::exists(plan.programs + "/ivygw-registry")) return "programs: there is no ivygw-registry in " + plan.programs;
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
   size_t need = static_cast<size_t>(plan.gateways * plan.cores * 2 + std::min(plan.backends, kMostCallers) + 200);
@@ -471,4 +471,4 @@
   return out.str();
 }
 
-}  // namespace ivygw::taranaki
+}  // namespace ivygw::load_test
--- a/system/taranaki/run.h
+++ b/system/programs/load_test/run.h
@@ -1,12 +1,12 @@
-// Taranaki (load and experiments for control): hollow gateways, backends and tenants in one process, which speak the real
+// Load and experiments for control. Hollow gateways, backends and tenants in one process, which speak the real
 // messages over loopback with real cores that it starts and ends. One thread. Bounded in number and time.
-#ifndef IVYGW_SYSTEM_TARANAKI_RUN_H_
-#define IVYGW_SYSTEM_TARANAKI_RUN_H_
+#ifndef IVYGW_SYSTEM_LOAD_TEST_RUN_H_
+#define IVYGW_SYSTEM_LOAD_TEST_RUN_H_
 
 #include <string>
 #include <vector>
 
-namespace ivygw::taranaki {
+namespace ivygw::load_test {
 
 struct Plan {
   int cores = 3, gateways = 100, backends = 300, services = 20, routes = 100, tenants = 100;
@@ -15,7 +15,7 @@
   double beat_s = 1.5, report_s = 0.25, seconds = 10;
   uint64_t seed = 1;
   int first_port = 21000;
-  std::string programs;    // folder of angelus and mueller
+  std::string programs;    // folder of ivygw-registry and ivygw-config-store
   std::string folder;      // for settings and disks
 };
 // Empty, or what is wrong, with the field.
@@ -39,6 +39,6 @@
 Result Run(const Plan& plan);
 std::string Line(const Plan& plan, const Result& result);  // JSON
 
-}  // namespace ivygw::taranaki
+}  // namespace ivygw::load_test
 
-#endif  // IVYGW_SYSTEM_TARANAKI_RUN_H_
+#endif  // IVYGW_SYSTEM_LOAD_TEST_RUN_H_
--- a/system/milford/exchanges.cpp
+++ b/system/programs/proxy/exchanges.cpp
@@ -1,4 +1,4 @@
-#include "milford/exchanges.h"
+#include "proxy/exchanges.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,12 +6,12 @@
 
 #include "net/address.h"
 
-namespace ivygw::milford {
+namespace ivygw::proxy {
 
 namespace lifecycle = request_lifecycle;
 using lifecycle::ClientId;
 using lifecycle::ConnectionId;
-using tongariro::Met;
+using load_balancing::Met;
 
 namespace {
 
@@ -55,8 +55,8 @@
 
 }  // namespace
 
-Exchanges::Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routeburn::Routes* routes,
-                     hollyford::Admission* admission, tongariro::Pool* pool, tongariro::Budget* budget)
+Exchanges::Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routing::Routes* routes,
+                     rate_limit::Admission* admission, load_balancing::Pool* pool, load_balancing::Budget* budget)
     : io_(io),
       routes_(routes),
       admission_(admission),
@@ -138,7 +138,7 @@
   Judged(id, admission_->Ask(held.arrived, *held.tenant));
 }
 
-void Exchanges::Judged(RequestId id, const hollyford::Verdict& verdict) {
+void Exchanges::Judged(RequestId id, const rate_limit::Verdict& verdict) {
   Held& held = held_.at(id);
   held.pending = verdict.pending && !verdict.admitted;
   if (verdict.admitted) return Admitted(id);
@@ -149,7 +149,7 @@
   pending_.push_back(id);
   if (held.timer) return;
   held.timer = std::make_unique<asio::steady_timer>(io_);
-  held.timer->expires_after(Seconds(hollyford::kAsked));
+  held.timer->expires_after(Seconds(rate_limit::kAsked));
   held.timer->async_wait([this, id](error_code cancelled) {
     if (!cancelled) OnTokenLate(id);
   });
@@ -161,7 +161,7 @@
   it->second.pending = false;
   std::erase(pending_, id);
   const std::string& tenant = it->second.tenant->name;
-  hollyford::Verdict last = admission_->Again(Now(), tenant);
+  rate_limit::Verdict last = admission_->Again(Now(), tenant);
   if (last.admitted) return Admitted(id);
   if (last.pending) admission_->GiveUp(tenant);
   ++figures_.limited;
@@ -184,7 +184,7 @@
   lifecycle::RequestAdmitted event;
   event.request = id;
   event.attempt_id = View(held.message.head["Attempt-Id"]);
-  event.service = routeburn::Routes::Pick(*held.route, event.attempt_id);
+  event.service = routing::Routes::Pick(*held.route, event.attempt_id);
   event.idempotent = held.route->idempotent;
   event.max_attempts = held.route->max_attempts;
   event.deadline = held.deadline;
@@ -268,7 +268,7 @@
 
 void Exchanges::CarryOut(lifecycle::OpenConnection& effect) {
   uint64_t connection = effect.connection.value;
-  const tongariro::Seen* seen = pool_->Find(effect.backend);
+  const load_balancing::Seen* seen = pool_->Find(effect.backend);
   tcp::endpoint address;
   try {
     address = ParseAddress("address", seen ? seen->backend.address : std::string());
@@ -379,4 +379,4 @@
   within_aim ? admission_->OnServed() : admission_->OnCrowded();
 }
 
-}  // namespace ivygw::milford
+}  // namespace ivygw::proxy
--- a/system/milford/exchanges.h
+++ b/system/programs/proxy/exchanges.h
@@ -1,9 +1,9 @@
-// Milford (requests in the proxy): joins the sockets of clients and of backends to the state machine of
+// Requests in the proxy. Joins the sockets of clients and of backends to the state machine of
 // requests (request_lifecycle). Callbacks of sockets and timers become its events, its effects become calls.
-// Who may pass and where to is decided by routeburn and hollyford before a request is admitted. One thread,
+// Who may pass and where to is decided by routing and rate_limit before a request is admitted. One thread,
 // that of the event loop.
-#ifndef IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
-#define IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
+#ifndef IVYGW_SYSTEM_PROXY_EXCHANGES_H_
+#define IVYGW_SYSTEM_PROXY_EXCHANGES_H_
 
 #include <deque>
 #include <memory>
@@ -11,15 +11,15 @@
 #include <string>
 #include <unordered_map>
 
-#include "hollyford/admission.h"
+#include "rate_limit/admission.h"
 #include "net/backend_links.h"
 #include "net/client_server.h"
 #include "request_lifecycle/lifecycle.h"
-#include "routeburn/routes.h"
-#include "tongariro/budget.h"
-#include "tongariro/pool.h"
+#include "routing/routes.h"
+#include "load_balancing/budget.h"
+#include "load_balancing/pool.h"
 
-namespace ivygw::milford {
+namespace ivygw::proxy {
 
 struct Figures {
   uint64_t requests = 0, served = 0, refused = 0, limited = 0, failed = 0, late = 0, tries = 0, not_sent = 0,
@@ -29,8 +29,8 @@
 class Exchanges : private BackendEvents, private request_lifecycle::BackendPolicy {
  public:
   // Everything given outlives this.
-  Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routeburn::Routes* routes,
-            hollyford::Admission* admission, tongariro::Pool* pool, tongariro::Budget* budget);
+  Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routing::Routes* routes,
+            rate_limit::Admission* admission, load_balancing::Pool* pool, load_balancing::Budget* budget);
   void Serve(ClientServer* front) { front_ = front; }
 
   void OnRequest(uint64_t client, ClientMessage message);
@@ -50,8 +50,8 @@
   // What a request consists of, and the timers of its stages.
   struct Held {
     ClientMessage message;
-    routeburn::Routes::Route route;
-    routeburn::Routes::Tenant tenant;
+    routing::Routes::Route route;
+    routing::Routes::Tenant tenant;
     double arrived = 0, deadline = 0;
     bool pending = false;                               // its token is on its way
     std::unique_ptr<asio::steady_timer> timer;          // of the token, then of the deadline
@@ -71,14 +71,14 @@
   // Of the state machine.
   std::string Choose(double now, const std::string& service, const std::set<std::string>& tried) override;
   void OnAttemptStarted(const std::string& backend) override;
-  void OnAttemptEnded(double now, const std::string& backend, tongariro::Met met) override;
+  void OnAttemptEnded(double now, const std::string& backend, load_balancing::Met met) override;
   bool MayRetry(double now, const std::string& service) override;
   void OnRetry(double now, const std::string& service) override;
   bool Unwanted(const std::string& backend) override;
 
   double Now() const;
   void Begin(RequestId id);
-  void Judged(RequestId id, const hollyford::Verdict& verdict);
+  void Judged(RequestId id, const rate_limit::Verdict& verdict);
   void OnTokenLate(RequestId id);
   void Admitted(RequestId id);
   void Reject(RequestId id, int status, double retry_after_s, const char* reason);
@@ -106,10 +106,10 @@
   void CountServed(RequestId id);
 
   asio::io_context& io_;
-  routeburn::Routes* routes_;
-  hollyford::Admission* admission_;
-  tongariro::Pool* pool_;
-  tongariro::Budget* budget_;
+  routing::Routes* routes_;
+  rate_limit::Admission* admission_;
+  load_balancing::Pool* pool_;
+  load_balancing::Budget* budget_;
   ClientServer* front_ = nullptr;
   request_lifecycle::Lifecycle lifecycle_;
   request_lifecycle::Effects effects_;      // still to be carried out
@@ -122,6 +122,6 @@
   bool open_ = false;
 };
 
-}  // namespace ivygw::milford
+}  // namespace ivygw::proxy
 
-#endif  // IVYGW_SYSTEM_MILFORD_EXCHANGES_H_
+#endif  // IVYGW_SYSTEM_PROXY_EXCHANGES_H_
--- a/system/milford/gateway.cpp
+++ b/system/programs/proxy/gateway.cpp
@@ -1,16 +1,16 @@
-#include "milford/gateway.h"
+#include "proxy/gateway.h"
 
 #include <algorithm>
 #include <random>
 
 #include "net/address.h"
-#include "rakiura/log.h"
+#include "process/log.h"
 
-namespace ivygw::milford {
+namespace ivygw::proxy {
 
-using cascade::Changed;
-using cascade::Table;
-using rakiura::Log;
+using discovery::Changed;
+using discovery::Table;
+using process::Log;
 
 namespace {
 
@@ -19,7 +19,7 @@
 constexpr double kSeenLeaving = 2.5; // s, within which the platform has seen that it is not ready any more
 constexpr double kGraceMargin = 0.4; // s, before the platform's patience with a stopping process ends
 
-size_t MostClients(const rakiura::Settings& settings) {
+size_t MostClients(const process::Settings& settings) {
   return static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000));
 }
 uint64_t Seed() {
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-Gateway::Gateway(asio::io_context& io, const rakiura::Settings& settings, std::function<void()> ended)
+Gateway::Gateway(asio::io_context& io, const process::Settings& settings, std::function<void()> ended)
     : io_(io),
       settings_(settings),
       ended_(std::move(ended)),
@@ -43,7 +43,7 @@
       timer_(io) {
   journal_.Attach([this](const Changed& event) {
     if (event.table != Table::kConfiguration) return;
-    if (kepler::Fault fault = routes_.Fold(event.item); !fault.empty()) {
+    if (config_model::Fault fault = routes_.Fold(event.item); !fault.empty()) {
       Log("item_unreadable").Add("key", event.item.key).Add("fault", fault);
     }
   });
@@ -73,12 +73,12 @@
                                                                      readiness_->Reply(client, std::move(answer));
                                                                    },
                                                                    [](uint64_t, bool) {}});
-  dart::Followers::Events events;
-  events.push = [this](Table table, const std::string&, const heaphy::Push& push) {
+  control_client::Followers::Events events;
+  events.push = [this](Table table, const std::string&, const messages::Push& push) {
     (table == Table::kBackends ? backends_ : configuration_).OnPush(Now(), push);
     Told();
   };
-  events.state = [this](Table table, const std::string&, const heaphy::State& state) {
+  events.state = [this](Table table, const std::string&, const messages::State& state) {
     (table == Table::kBackends ? backends_ : configuration_).OnState(Now(), state);
     if (table == Table::kBackends) {
       admission_.OnMembers(std::max<size_t>(1, state.gateways));
@@ -89,7 +89,7 @@
     Told();
   };
   events.have = [this](Table table) { return (table == Table::kBackends ? backends_ : configuration_).digests(); };
-  events.loans = [this](const std::string& core, const heaphy::Loans& loans) {
+  events.loans = [this](const std::string& core, const messages::Loans& loans) {
     admission_.OnLoans(Now(), core, loans);
     exchanges_.OnLoans();
     if (admission_.urgent()) Draw();
@@ -98,7 +98,7 @@
     admission_.OnLenders(followers_->Lenders().size());
     if (up) ReportTo(core, true, false);
   };
-  followers_ = std::make_unique<dart::Followers>(io, settings, std::move(events));
+  followers_ = std::make_unique<control_client::Followers>(io, settings, std::move(events));
   readiness_->Listen(ParseAddress("listen_addresses.readiness", settings.readiness));
   front_->Listen(ParseAddress("listen_addresses.front_http", settings.front_http));
   Log("started").Add("zone", settings.zone);
@@ -117,7 +117,7 @@
 
 void Gateway::ReportTo(const std::string& core, bool all, bool draw) {
   size_t lenders = std::max<size_t>(1, followers_->Lenders().size());
-  heaphy::Report report = admission_.Report(Now(), core, lenders, all, draw);
+  messages::Report report = admission_.Report(Now(), core, lenders, all, draw);
   if (all || !report.uses.empty()) followers_->Send(core, report);
 }
 
@@ -166,4 +166,4 @@
   Log("stopping").Add("held", exchanges_.held());
 }
 
-}  // namespace ivygw::milford
+}  // namespace ivygw::proxy
--- a/system/milford/gateway.h
+++ b/system/programs/proxy/gateway.h
@@ -1,23 +1,23 @@
-// Milford (the proxy): one gateway of the whole system. It serves clients by what the cores have told it, and goes on with
+// The proxy. One gateway of the whole system. It serves clients by what the cores have told it, and goes on with
 // what it knows when they are silent. One thread, one event loop.
-#ifndef IVYGW_SYSTEM_MILFORD_GATEWAY_H_
-#define IVYGW_SYSTEM_MILFORD_GATEWAY_H_
+#ifndef IVYGW_SYSTEM_PROXY_GATEWAY_H_
+#define IVYGW_SYSTEM_PROXY_GATEWAY_H_
 
 #include <functional>
 #include <memory>
 
-#include "cascade/copy.h"
-#include "dart/followers.h"
-#include "hollyford/admission.h"
-#include "milford/exchanges.h"
-#include "rakiura/settings.h"
+#include "discovery/copy.h"
+#include "control_client/followers.h"
+#include "rate_limit/admission.h"
+#include "proxy/exchanges.h"
+#include "process/settings.h"
 
-namespace ivygw::milford {
+namespace ivygw::proxy {
 
 class Gateway {
  public:
   // Throws boost::system::system_error where it can't listen.
-  Gateway(asio::io_context& io, const rakiura::Settings& settings, std::function<void()> ended);
+  Gateway(asio::io_context& io, const process::Settings& settings, std::function<void()> ended);
 
   // On SIGTERM: no longer ready, what is held is served to its end, then `ended`.
   void Stop();
@@ -31,18 +31,18 @@
   bool ready() const { return open_ && !stopping_; }
 
   asio::io_context& io_;
-  const rakiura::Settings settings_;
+  const process::Settings settings_;
   std::function<void()> ended_;
   bodies::BodyMemory memory_;
-  cascade::Journal<cascade::Changed> journal_;
-  cascade::Copy configuration_, backends_;
-  routeburn::Routes routes_;
-  hollyford::Admission admission_;
-  tongariro::Pool pool_;
-  tongariro::Budget budget_;
+  discovery::Journal<discovery::Changed> journal_;
+  discovery::Copy configuration_, backends_;
+  routing::Routes routes_;
+  rate_limit::Admission admission_;
+  load_balancing::Pool pool_;
+  load_balancing::Budget budget_;
   Exchanges exchanges_;
   std::unique_ptr<ClientServer> front_, readiness_;
-  std::unique_ptr<dart::Followers> followers_;
+  std::unique_ptr<control_client::Followers> followers_;
   asio::steady_timer timer_;
   uint64_t ticks_ = 0, draws_ = 0;
   bool drawing_ = false;
@@ -50,6 +50,6 @@
   double stop_at_ = 0;
 };
 
-}  // namespace ivygw::milford
+}  // namespace ivygw::proxy
 
-#endif  // IVYGW_SYSTEM_MILFORD_GATEWAY_H_
+#endif  // IVYGW_SYSTEM_PROXY_GATEWAY_H_
--- a/system/angelus/heard.h
+++ b/system/programs/registry/heard.h
@@ -1,10 +1,10 @@
-// Angelus (who has been heard): when each backend beat last, at any core, and which have been silent so long that they count as
+// Who has been heard. When each backend beat last, at any core, and which have been silent so long that they count as
 // gone. Pure: times are told (seconds of one steady clock). One thread.
 //
 // A silent core is no silence of backends: whoever beats at a core that this one doesn't hear of would seem to have gone. So
 // nothing is dropped unless every known core has told what it heard without a pause for the whole of that time.
-#ifndef IVYGW_SYSTEM_ANGELUS_HEARD_H_
-#define IVYGW_SYSTEM_ANGELUS_HEARD_H_
+#ifndef IVYGW_SYSTEM_REGISTRY_HEARD_H_
+#define IVYGW_SYSTEM_REGISTRY_HEARD_H_
 
 #include <algorithm>
 #include <map>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace ivygw::angelus {
+namespace ivygw::registry {
 
 class Heard {
  public:
@@ -61,6 +61,6 @@
   std::set<std::string> news_;
 };
 
-}  // namespace ivygw::angelus
+}  // namespace ivygw::registry
 
-#endif  // IVYGW_SYSTEM_ANGELUS_HEARD_H_
+#endif  // IVYGW_SYSTEM_REGISTRY_HEARD_H_
--- a/system/angelus/lending_right.h
+++ b/system/programs/registry/lending_right.h
@@ -5,25 +5,25 @@
 // replaces, or that is added, therefore waits for a term, and for the time after which the other members go
 // by the new epoch. The store of a member that lends notes the epoch under its address, so that a restart
 // knows whether that wait has been held.
-#ifndef IVYGW_SYSTEM_ANGELUS_LENDING_RIGHT_H_
-#define IVYGW_SYSTEM_ANGELUS_LENDING_RIGHT_H_
+#ifndef IVYGW_SYSTEM_REGISTRY_LENDING_RIGHT_H_
+#define IVYGW_SYSTEM_REGISTRY_LENDING_RIGHT_H_
 
 #include <algorithm>
 #include <cstdint>
 #include <string>
 #include <utility>
 
-#include "hollyford/terms.h"
+#include "rate_limit/terms.h"
 #include "messages/replication.h"
 #include "replication/timing.h"
 
-namespace ivygw::angelus {
+namespace ivygw::registry {
 
 class LendingRight {
  public:
   // The loans of another core may stand so long after this one has learnt of the epoch that removed it: that
   // core lends on until it is out of contact.
-  static constexpr double kWait = hollyford::kTerm + replication::kContactBound + 0.5;  // s
+  static constexpr double kWait = rate_limit::kTerm + replication::kContactBound + 0.5;  // s
 
   // `noted_epoch`: under which this address has noted last that it lends; 0: never.
   LendingRight(double now, std::string address, uint64_t store_id, messages::Membership membership,
@@ -68,6 +68,6 @@
   double lends_from_ = 0;
 };
 
-}  // namespace ivygw::angelus
+}  // namespace ivygw::registry
 
-#endif  // IVYGW_SYSTEM_ANGELUS_LENDING_RIGHT_H_
+#endif  // IVYGW_SYSTEM_REGISTRY_LENDING_RIGHT_H_
--- a/system/angelus/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -1,16 +1,16 @@
-#include "angelus/registry.h"
+#include "registry/registry.h"
 
-#include "kepler/json.h"
+#include "config_model/json.h"
 #include "net/address.h"
-#include "rakiura/log.h"
+#include "process/log.h"
 
-namespace ivygw::angelus {
+namespace ivygw::registry {
 
-using cascade::Backend;
-using kepler::ErrorBody;
+using discovery::Backend;
+using config_model::ErrorBody;
 using messages::Item;
 using messages::Record;
-using rakiura::Log;
+using process::Log;
 using replication::Outcome;
 
 namespace {
@@ -50,24 +50,24 @@
 
 }  // namespace
 
-Registry::Registry(asio::io_context& io, const rakiura::Settings& settings)
+Registry::Registry(asio::io_context& io, const process::Settings& settings)
     : io_(io),
       self_(settings.ip),
-      node_(io, settings, {"angelus", settings.first_port, kBackends}, &policy_, [this] {
-        rees::CoreNode::Events events;
-        events.follower_up = [this](uint64_t, const rees::Follower& follower) { members_[follower.node] = {follower.zone, 1e300}; };
-        events.follower_down = [this](uint64_t, const rees::Follower& gone) {
+      node_(io, settings, {"registry", settings.first_port, kBackends}, &policy_, [this] {
+        replicated_table::CoreNode::Events events;
+        events.follower_up = [this](uint64_t, const replicated_table::Follower& follower) { members_[follower.node] = {follower.zone, 1e300}; };
+        events.follower_down = [this](uint64_t, const replicated_table::Follower& gone) {
           for (const auto& [peer, follower] : node_.followers()) {
             if (follower.node == gone.node) return;
           }
           members_[gone.node] = {gone.zone, node_.Now() + kLease};
         };
-        events.message = [this](uint64_t peer, heaphy::Message message) {
-          const auto* report = std::get_if<heaphy::Report>(&message);
+        events.message = [this](uint64_t peer, messages::Message message) {
+          const auto* report = std::get_if<messages::Report>(&message);
           if (report) Lend(peer, *report);
         };
-        events.core_message = [this](const std::string& core, heaphy::Message message) {
-          if (const auto* heard = std::get_if<heaphy::Heard>(&message)) heard_.OnTold(node_.Now(), core, heard->ids);
+        events.core_message = [this](const std::string& core, messages::Message message) {
+          if (const auto* heard = std::get_if<messages::Heard>(&message)) heard_.OnTold(node_.Now(), core, heard->ids);
         };
         events.membership_changed = [this] {
           right_.OnMembership(node_.Now(), node_.replica().membership(), NotedEpoch());
@@ -93,24 +93,24 @@
                  reading_.erase(it);
                  Dispatch(connection, message);
                }}) {
-  heaphy::Dialer::Events events;
+  transport::Dialer::Events events;
   events.up = [this, settings] {
-    heaphy::Hello hello;
+    messages::Hello hello;
     hello.node = settings.ip;
-    hello.role = "angelus";
+    hello.role = "registry";
     store_->Send(hello);
   };
   events.down = [this] {
     // What was passed on may have been taken.
     for (uint64_t connection : passed_.TakeAll()) Reply(connection, 503, ErrorBody("may have been taken: the store has gone"));
   };
-  events.message = [this](heaphy::Message message) {
-    const auto* done = std::get_if<heaphy::CallDone>(&message);
+  events.message = [this](messages::Message message) {
+    const auto* done = std::get_if<messages::CallDone>(&message);
     if (!done) return;
     if (auto connection = passed_.Complete(done->number)) Reply(*connection, static_cast<int>(done->status), done->body);
   };
   tcp::endpoint store(asio::ip::make_address(settings.ip), static_cast<uint16_t>(settings.first_port + 1));
-  store_ = std::make_unique<heaphy::Dialer>(io, store, std::move(events));
+  store_ = std::make_unique<transport::Dialer>(io, store, std::move(events));
   if (!settings.control_plane.empty()) server_.Listen(ParseAddress("listen_addresses.control_plane", settings.control_plane));
 }
 
@@ -151,7 +151,7 @@
 void Registry::Beat(uint64_t connection, const std::string& id, const std::string& body) {
   Backend told;
   told.id = id;
-  if (std::string fault = cascade::ReadBeat(body, &told); !fault.empty()) {
+  if (std::string fault = discovery::ReadBeat(body, &told); !fault.empty()) {
     Log("beat_refused").Add("backend", id).Add("fault", fault);
     return Reply(connection, 400, ErrorBody(fault));
   }
@@ -168,7 +168,7 @@
 void Registry::Deregister(uint64_t connection, const std::string& id, const std::string& body) {
   if (!node_.InContact()) return Reply(connection, 503, ErrorBody(kOutOfContact));
   Backend told;
-  uint64_t sequence = cascade::ReadBeat(body, &told).empty() ? told.sequence : 0;
+  uint64_t sequence = discovery::ReadBeat(body, &told).empty() ? told.sequence : 0;
   Log("backend_gone").Add("id", id);
   Settle(connection, OnDeregister(id, sequence, Find(kBackends + id)));
 }
@@ -192,7 +192,7 @@
 
 void Registry::Pass(uint64_t connection, const std::string& name, const std::string& body) {
   if (!store_->up()) return Reply(connection, 503, ErrorBody("the store is not there"));
-  store_->Send(heaphy::Call{passed_.Add(connection, node_.Now() + kPassed), name, body});
+  store_->Send(messages::Call{passed_.Add(connection, node_.Now() + kPassed), name, body});
 }
 
 // --- Lending ---
@@ -209,7 +209,7 @@
 
 // Whoever is lent something is known as a holder on a majority's disks before, so that a later life of this core, with its
 // disk or without, knows whom to wait for.
-void Registry::Lend(uint64_t peer, const heaphy::Report& report) {
+void Registry::Lend(uint64_t peer, const messages::Report& report) {
   auto follower = node_.followers().find(peer);
   if (follower == node_.followers().end() || !MayLend(node_.Now())) return;
   const std::string& gateway = follower->second.node;
@@ -242,7 +242,7 @@
   for (auto it = records.lower_bound(prefix); it != records.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
     std::string gateway = it->first.substr(prefix.size());
     double reported_at = reported_at_.try_emplace(gateway, now).first->second;
-    bool over = now > reported_at + hollyford::kTerm + 1;
+    bool over = now > reported_at + rate_limit::kTerm + 1;
     if (it->second.item.dropped || !over || noting_.count(gateway) > 0) continue;
     ends.push_back({it->first, it->second.item.version + 1, true, ""});
     least_note_[gateway] = it->second.item.version + 2;
@@ -332,7 +332,7 @@
 
 void Registry::TellGateways(double now) {
   std::erase_if(members_, [&](const auto& entry) { return now >= entry.second.until; });
-  std::vector<heaphy::Member> members;
+  std::vector<messages::Member> members;
   for (const auto& [member, lease] : members_) members.push_back({member, lease.zone});
   node_.SetGateways(std::move(members));
 }
@@ -341,11 +341,11 @@
   double now = node_.Now();
   ++ticks_;
   LendingOnTime(now);
-  if (ticks_ % kHeardEvery == 0) node_.SendCores(heaphy::Heard{heard_.News()});
+  if (ticks_ % kHeardEvery == 0) node_.SendCores(messages::Heard{heard_.News()});
   if (ticks_ % kSilentEvery == 0) DropSilent(now);
   if (ticks_ % kPruneEvery == 0) PruneOld(now);
   ExpirePassed(now);
   TellGateways(now);
 }
 
-}  // namespace ivygw::angelus
+}  // namespace ivygw::registry
--- a/system/angelus/registry.h
+++ b/system/programs/registry/registry.h
@@ -1,7 +1,7 @@
-// Angelus (the registry): which backends there are, from their beats, over a replicated table; and the one door of a core
+// The registry. Which backends there are, from their beats, over a replicated table; and the one door of a core
 // machine for outside calls, of which those on the configuration go on to the store beside it.
-#ifndef IVYGW_SYSTEM_ANGELUS_REGISTRY_H_
-#define IVYGW_SYSTEM_ANGELUS_REGISTRY_H_
+#ifndef IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
+#define IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
 
 #include <map>
 #include <memory>
@@ -10,22 +10,22 @@
 #include <string>
 
 #include "bodies/body_memory.h"
-#include "angelus/heard.h"
-#include "angelus/lending_right.h"
-#include "angelus/roll.h"
+#include "registry/heard.h"
+#include "registry/lending_right.h"
+#include "registry/roll.h"
 #include "call_routing/pending_calls.h"
-#include "cascade/backend.h"
-#include "hollyford/lender.h"
+#include "discovery/backend.h"
+#include "rate_limit/lender.h"
 #include "net/client_server.h"
-#include "rees/core_node.h"
+#include "replicated_table/core_node.h"
 
-namespace ivygw::angelus {
+namespace ivygw::registry {
 
 class Registry {
  public:
-  Registry(asio::io_context& io, const rakiura::Settings& settings);
+  Registry(asio::io_context& io, const process::Settings& settings);
   void Stop();  // takes no more calls
-  const rees::CoreNode& node() const { return node_; }
+  const replicated_table::CoreNode& node() const { return node_; }
 
  private:
   void OnCall(uint64_t connection, ClientMessage message);
@@ -42,7 +42,7 @@
   void TellGateways(double now);
   void ExpirePassed(double now);
   // Lending.
-  void Lend(uint64_t peer, const heaphy::Report& report);
+  void Lend(uint64_t peer, const messages::Report& report);
   void LendingOnTime(double now);
   void ReadHolders();
   bool IsNoted(const std::string& gateway) const;
@@ -57,12 +57,12 @@
   asio::io_context& io_;
   const std::string self_;
   RollPolicy policy_;
-  rees::CoreNode node_;
+  replicated_table::CoreNode node_;
   bodies::BodyMemory memory_;
-  hollyford::Lender lender_;
+  rate_limit::Lender lender_;
   LendingRight right_;
   ClientServer server_;
-  std::unique_ptr<heaphy::Dialer> store_;
+  std::unique_ptr<transport::Dialer> store_;
   call_routing::PendingCalls passed_{std::random_device()()};
   std::map<uint64_t, ClientMessage> reading_;  // calls whose body is still coming
   struct Lease {
@@ -84,6 +84,6 @@
   bool holders_told_ = false, reading_holders_ = false, lending_ = false;
 };
 
-}  // namespace ivygw::angelus
+}  // namespace ivygw::registry
 
-#endif  // IVYGW_SYSTEM_ANGELUS_REGISTRY_H_
+#endif  // IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
--- a/system/angelus/roll.cpp
+++ b/system/programs/registry/roll.cpp
@@ -1,10 +1,10 @@
-#include "angelus/roll.h"
+#include "registry/roll.h"
 
 #include <algorithm>
 
-namespace ivygw::angelus {
+namespace ivygw::registry {
 
-using cascade::Backend;
+using discovery::Backend;
 using messages::Item;
 using replication::Judgement;
 
@@ -16,7 +16,7 @@
 
 bool Drains(const Item& item) {
   Backend backend;
-  return !item.dropped && cascade::ReadBackend(item.body, &backend).empty() && backend.draining;
+  return !item.dropped && discovery::ReadBackend(item.body, &backend).empty() && backend.draining;
 }
 
 // Whether `item`, of a higher version, would bring back a backend that has said that it goes.
@@ -34,7 +34,7 @@
   bool back = known && known->dropped && known->body == kSilent && told.sequence > known->version;
   if (known && !back) {
     Backend before;
-    cascade::ReadBackend(known->body, &before);
+    discovery::ReadBackend(known->body, &before);
     // Late, or of one that has said that it goes: what it says stands already, or is out of date.
     bool late = known->dropped || known->version >= told.sequence || (before.draining && !told.draining);
     bool same = before.service == told.service && before.address == told.address && before.slots == told.slots &&
@@ -46,7 +46,7 @@
   }
   out.item.key = kBackends + told.id;
   out.item.version = told.sequence;
-  out.item.body = cascade::WriteBackend(told);
+  out.item.body = discovery::WriteBackend(told);
   out.write = true;
   return out;
 }
@@ -80,4 +80,4 @@
   return judgement;
 }
 
-}  // namespace ivygw::angelus
+}  // namespace ivygw::registry
--- a/system/angelus/roll.h
+++ b/system/programs/registry/roll.h
@@ -1,16 +1,16 @@
-// Angelus (the roll): what a call of a backend changes in the registry's table, when it may be acknowledged, and which orders
+// The roll. What a call of a backend changes in the registry's table, when it may be acknowledged, and which orders
 // the table takes. Pure.
-#ifndef IVYGW_SYSTEM_ANGELUS_ROLL_H_
-#define IVYGW_SYSTEM_ANGELUS_ROLL_H_
+#ifndef IVYGW_SYSTEM_REGISTRY_ROLL_H_
+#define IVYGW_SYSTEM_REGISTRY_ROLL_H_
 
 #include <string>
 #include <vector>
 
-#include "cascade/backend.h"
+#include "discovery/backend.h"
 #include "messages/item.h"
 #include "replication/order_policy.h"
 
-namespace ivygw::angelus {
+namespace ivygw::registry {
 
 inline constexpr char kBackends[] = "backend/";
 
@@ -21,7 +21,7 @@
 };
 
 // `known`: what is decided to stand under the backend's key; none: null.
-Entry OnBeat(const cascade::Backend& told, const messages::Item* known);
+Entry OnBeat(const discovery::Backend& told, const messages::Item* known);
 // One that has been silent too long: it may come back, with a later beat.
 messages::Item OnSilent(const messages::Item& known);
 // `sequence`: of the call, 0 where it tells none.
@@ -39,6 +39,6 @@
   size_t MostOrdersInChange() const override { return 256; }
 };
 
-}  // namespace ivygw::angelus
+}  // namespace ivygw::registry
 
-#endif  // IVYGW_SYSTEM_ANGELUS_ROLL_H_
+#endif  // IVYGW_SYSTEM_REGISTRY_ROLL_H_
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -13,15 +13,15 @@
 #include <string>
 #include <vector>
 
-#include "angelus/registry.h"
-#include "cascade/copy.h"
-#include "dart/followers.h"
-#include "mueller/store.h"
+#include "registry/registry.h"
+#include "discovery/copy.h"
+#include "control_client/followers.h"
+#include "config_store/store.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
 using namespace ivygw;
-using cascade::Table;
+using discovery::Table;
 
 namespace {
 
@@ -82,8 +82,8 @@
     RunUntil([] { return false; }, seconds);
   }
 
-  rakiura::Settings SettingsOf(int machine, bool initial_boot) const {
-    rakiura::Settings settings;
+  process::Settings SettingsOf(int machine, bool initial_boot) const {
+    process::Settings settings;
     settings.node = "m" + std::to_string(machine);
     settings.ip = Address(machine);
     settings.zone = "z";
@@ -96,10 +96,10 @@
     return settings;
   }
   void Start(int machine, bool initial_boot = false) {
-    rakiura::Settings settings = SettingsOf(machine, initial_boot);
+    process::Settings settings = SettingsOf(machine, initial_boot);
     std::filesystem::create_directories(settings.data_directory);
-    stores[machine] = std::make_unique<mueller::Store>(io, settings);
-    registries[machine] = std::make_unique<angelus::Registry>(io, settings);
+    stores[machine] = std::make_unique<config_store::Store>(io, settings);
+    registries[machine] = std::make_unique<registry::Registry>(io, settings);
   }
   void Stop(int machine) {
     if (registries.count(machine) == 0) return;
@@ -118,7 +118,7 @@
   }
   // Whether that machine goes by these members, in both tables.
   bool HasMembers(int machine, std::vector<int> members) {
-    for (const rees::CoreNode* node : {&stores.at(machine)->node(), &registries.at(machine)->node()}) {
+    for (const replicated_table::CoreNode* node : {&stores.at(machine)->node(), &registries.at(machine)->node()}) {
       const auto& held = node->replica().membership().members;
       if (held.size() != members.size()) return false;
       for (size_t i = 0; i < members.size(); ++i) {
@@ -174,7 +174,7 @@
   // A gateway's copies of both tables, which live on while its connections come and go.
   struct Gateway {
     Gateway() {
-      journal.Attach([this](const cascade::Changed& event) {
+      journal.Attach([this](const discovery::Changed& event) {
         uint64_t& version = versions[event.item.key];
         if (event.item.version < version) went_back = true;
         version = event.item.version;
@@ -182,36 +182,36 @@
       });
     }
     void Connect(World* world) {
-      rakiura::Settings settings = world->SettingsOf(9, false);
-      dart::Followers::Events events;
-      events.push = [this](Table table, const std::string&, const heaphy::Push& push) {
+      process::Settings settings = world->SettingsOf(9, false);
+      control_client::Followers::Events events;
+      events.push = [this](Table table, const std::string&, const messages::Push& push) {
         CopyOf(table).OnPush(Now(), push);
         journal.Run();
       };
-      events.state = [this](Table table, const std::string&, const heaphy::State& state) {
+      events.state = [this](Table table, const std::string&, const messages::State& state) {
         CopyOf(table).OnState(Now(), state);
         ends += state.list_revision > 0;
         journal.Run();
       };
-      events.loans = [](const std::string&, const heaphy::Loans&) {};
+      events.loans = [](const std::string&, const messages::Loans&) {};
       events.registry = [](const std::string&, bool) {};
       events.have = [this](Table table) { return CopyOf(table).digests(); };
-      followers = std::make_unique<dart::Followers>(world->io, settings, std::move(events));
+      followers = std::make_unique<control_client::Followers>(world->io, settings, std::move(events));
     }
-    cascade::Copy& CopyOf(Table table) { return table == Table::kBackends ? backends : configuration; }
-    cascade::Journal<cascade::Changed> journal;
-    cascade::Copy configuration{Table::kConfiguration, &journal}, backends{Table::kBackends, &journal};
+    discovery::Copy& CopyOf(Table table) { return table == Table::kBackends ? backends : configuration; }
+    discovery::Journal<discovery::Changed> journal;
+    discovery::Copy configuration{Table::kConfiguration, &journal}, backends{Table::kBackends, &journal};
     std::map<std::string, uint64_t> versions;
     std::map<std::string, bool> live;
-    std::unique_ptr<dart::Followers> followers;
+    std::unique_ptr<control_client::Followers> followers;
     bool went_back = false;
     int ends = 0;  // lists
   };
 
   std::string folder;
   asio::io_context io{1};
-  std::map<int, std::unique_ptr<mueller::Store>> stores;
-  std::map<int, std::unique_ptr<angelus::Registry>> registries;
+  std::map<int, std::unique_ptr<config_store::Store>> stores;
+  std::map<int, std::unique_ptr<registry::Registry>> registries;
   std::unique_ptr<Gateway> gateway;
 };
 
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -6,24 +6,24 @@
 #include <set>
 #include <string>
 
-#include "angelus/heard.h"
-#include "angelus/lending_right.h"
-#include "angelus/roll.h"
-#include "cascade/copy.h"
-#include "heaphy/codec.h"
-#include "kepler/model.h"
-#include "mueller/configuration_policy.h"
-#include "rakiura/settings.h"
-#include "rees/known_cores.h"
-#include "routeburn/routes.h"
-#include "tongariro/budget.h"
-#include "tongariro/pool.h"
+#include "registry/heard.h"
+#include "registry/lending_right.h"
+#include "registry/roll.h"
+#include "discovery/copy.h"
+#include "messages/codec.h"
+#include "config_model/model.h"
+#include "config_store/configuration_policy.h"
+#include "process/settings.h"
+#include "replicated_table/known_cores.h"
+#include "routing/routes.h"
+#include "load_balancing/budget.h"
+#include "load_balancing/pool.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
 using namespace ivygw;
-using kepler::Change;
-using tongariro::Met;
+using config_model::Change;
+using load_balancing::Met;
 
 namespace {
 
@@ -40,20 +40,20 @@
 }
 std::string FaultOf(const std::string& json) {
   Change change;
-  kepler::Fault fault = kepler::ReadChange(json, &change);
-  return fault.empty() ? kepler::CheckChange(change, kepler::Index()) : fault;
+  config_model::Fault fault = config_model::ReadChange(json, &change);
+  return fault.empty() ? config_model::CheckChange(change, config_model::Index()) : fault;
 }
 void Has(const std::string& text, const std::string& part) {
   if (text.find(part) == std::string::npos) FAIL(("'" + text + "' does not tell of '" + part + "'").c_str());
 }
-heaphy::Item Backend(const std::string& id, const std::string& service, const std::string& zone, uint64_t version = 1, bool draining = false) {
-  cascade::Backend b;
+messages::Item Backend(const std::string& id, const std::string& service, const std::string& zone, uint64_t version = 1, bool draining = false) {
+  discovery::Backend b;
   b.service = service;
   b.address = "10.0.0." + std::to_string(std::hash<std::string>()(id) % 200) + ":80";
   b.zone = zone;
   b.slots = 2;
   b.draining = draining;
-  return {"backend/" + id, version, false, cascade::WriteBackend(b)};
+  return {"backend/" + id, version, false, discovery::WriteBackend(b)};
 }
 
 }  // namespace
@@ -62,13 +62,13 @@
 
 TEST(Configuration, AGoodCallIsReadWhole) {
   Change change;
-  STRCMP_EQUAL("", kepler::ReadChange(Call(Route("r1"), Tenant("t1", "k1"), R"({"name":"old","config_version":"0000000a"})"), &change).c_str());
+  STRCMP_EQUAL("", config_model::ReadChange(Call(Route("r1"), Tenant("t1", "k1"), R"({"name":"old","config_version":"0000000a"})"), &change).c_str());
   CHECK_EQUAL(4u, change.items.size());
   CHECK(change.items.back().dropped || change.items.front().dropped || change.items[2].dropped || change.items[1].dropped);
   for (const auto& item : change.items) {
     if (item.dropped) CHECK_EQUAL(10u, item.version);
   }
-  STRCMP_EQUAL("", kepler::CheckChange(change, kepler::Index()).c_str());
+  STRCMP_EQUAL("", config_model::CheckChange(change, config_model::Index()).c_str());
 }
 
 TEST(Configuration, EachBadCallIsNamedByItsField) {
@@ -91,30 +91,30 @@
 
 TEST(Configuration, AKeyOfAnotherTenantThatStandsIsRefusedAndItsMoveIsNot) {
   Change first;
-  kepler::ReadChange(Call("", Tenant("t1", "k1")), &first);
-  kepler::Index standing;
+  config_model::ReadChange(Call("", Tenant("t1", "k1")), &first);
+  config_model::Index standing;
   for (const auto& item : first.items) standing.Fold(item);
   Change second;
-  kepler::ReadChange(Call("", Tenant("t2", "k1")), &second);
-  Has(kepler::CheckChange(second, standing), "share a key");
+  config_model::ReadChange(Call("", Tenant("t2", "k1")), &second);
+  Has(config_model::CheckChange(second, standing), "share a key");
   // Moved in one call: taken from the one, given to the other.
   Change moved;
   std::string empty = R"({"name":"t1","api_keys":["k9"],"config_version":"00000009"})";
-  kepler::ReadChange(Call("", empty + "," + Tenant("t2", "k1")), &moved);
-  STRCMP_EQUAL("", kepler::CheckChange(moved, standing).c_str());
+  config_model::ReadChange(Call("", empty + "," + Tenant("t2", "k1")), &moved);
+  STRCMP_EQUAL("", config_model::CheckChange(moved, standing).c_str());
 }
 
 TEST(Configuration, WhatIsShownCanBeSetAgain) {
   Change change, again;
-  kepler::ReadChange(Call(Route("r1") + "," + Route("r2"), Tenant("t1", "k1")), &change);
-  std::string all = kepler::WriteAll(change.items);
-  STRCMP_EQUAL("", kepler::ReadChange(R"({"upsert_items":)" + all + "}", &again).c_str());
+  config_model::ReadChange(Call(Route("r1") + "," + Route("r2"), Tenant("t1", "k1")), &change);
+  std::string all = config_model::WriteAll(change.items);
+  STRCMP_EQUAL("", config_model::ReadChange(R"({"upsert_items":)" + all + "}", &again).c_str());
   CHECK(change.items.size() == again.items.size());
 }
 
 TEST(Configuration, ANameThatIsSetAndDroppedInOneCallGoesByItsHighestVersion) {
   Change change;
-  kepler::ReadChange(Call(Route("r1"), "", R"({"name":"r1","config_version":"00000009"})"), &change);
+  config_model::ReadChange(Call(Route("r1"), "", R"({"name":"r1","config_version":"00000009"})"), &change);
   for (const auto& item : change.items) {
     if (item.key == "route_table/r1") CHECK(item.dropped);
   }
@@ -123,7 +123,7 @@
 TEST_GROUP(Routing) {};
 
 TEST(Routing, TheLongestPrefixOfTheHostWins) {
-  routeburn::Routes routes;
+  routing::Routes routes;
   auto put = [&](const std::string& name, const std::string& host, const std::string& prefix, uint64_t version, bool dropped = false) {
     std::string body = R"({"name":")" + name + R"(","host_name":")" + host + R"(","path_prefix":")" + prefix +
                        R"(","route_type":"idempotent","timeout_ms":9,"target_service":"s"})";
@@ -147,7 +147,7 @@
 }
 
 TEST(Routing, KeysFollowTheirTenant) {
-  routeburn::Routes routes;
+  routing::Routes routes;
   auto put = [&](const std::string& name, const std::string& keys, uint64_t version, bool dropped = false) {
     routes.Fold({"tenant_table/" + name, version, dropped, R"({"name":")" + name + R"(","api_keys":[)" + keys + "]}"});
   };
@@ -162,14 +162,14 @@
 }
 
 TEST(Routing, SplitsGoByWeight) {
-  kepler::Route route;
+  config_model::Route route;
   route.targets = {{"a", 90}, {"b", 10}, {"none", 0}};
   int b = 0;
   for (int i = 0; i < 1000; ++i) {
     std::string id = "id" + std::to_string(i);
-    const std::string& to = routeburn::Routes::Pick(route, id);
+    const std::string& to = routing::Routes::Pick(route, id);
     CHECK(to != "none");
-    CHECK(to == routeburn::Routes::Pick(route, id));
+    CHECK(to == routing::Routes::Pick(route, id));
     b += to == "b";
   }
   CHECK(b > 70 && b < 130);
@@ -179,7 +179,7 @@
 
 TEST(Budgets, TheBudgetOfAllGatewaysHolds) {
   // Eleven gateways, each for itself, of a service that fails all the time.
-  std::vector<tongariro::Budget> budgets(11, tongariro::Budget(0.2, 10, 62));
+  std::vector<load_balancing::Budget> budgets(11, load_balancing::Budget(0.2, 10, 62));
   std::deque<double> requests, again;
   std::mt19937 dice(5);
   for (auto& budget : budgets) budget.OnMembers(11);
@@ -206,10 +206,10 @@
 TEST_GROUP(Choice) {};
 
 TEST(Choice, OwnSlotsOfTheZoneComeFirstAndAllGatewaysOwnAll) {
-  std::vector<heaphy::Member> members = {{"g1", "z1"}, {"g2", "z1"}, {"g3", "z2"}};
+  std::vector<messages::Member> members = {{"g1", "z1"}, {"g2", "z1"}, {"g3", "z2"}};
   std::map<std::string, int> taken;
   for (const auto& member : members) {
-    tongariro::Pool pool(1, member.zone);
+    load_balancing::Pool pool(1, member.zone);
     for (const char* id : {"a", "b"}) pool.Fold(0, Backend(id, "s", "z1"));
     pool.Fold(0, Backend("c", "s", "z2"));
     pool.OnMembers(members, member.node);
@@ -223,7 +223,7 @@
 }
 
 TEST(Choice, WhoDrainsHasGoneOrFailsIsLeftOut) {
-  tongariro::Pool pool(1, "z1");
+  load_balancing::Pool pool(1, "z1");
   for (const char* id : {"a", "b", "c"}) pool.Fold(0, Backend(id, "s", "z1"));
   pool.Fold(0, Backend("a", "s", "z1", 2, true));
   pool.OnSent("b");
@@ -241,37 +241,37 @@
 TEST_GROUP(Roll) {};
 
 TEST(Roll, ADrainWaitsForAMajorityAndIsNeverTakenBack) {
-  cascade::Backend b;
+  discovery::Backend b;
   b.id = "i1";
   b.service = "s";
   b.address = "10.0.0.1:80";
   b.sequence = 4;
-  angelus::Entry ready = angelus::OnBeat(b, nullptr);
+  registry::Entry ready = registry::OnBeat(b, nullptr);
   CHECK(ready.write && !ready.wait);
   b.sequence = 5;
-  CHECK(!angelus::OnBeat(b, &ready.item).write);  // the same again
+  CHECK(!registry::OnBeat(b, &ready.item).write);  // the same again
   b.draining = true;
   b.sequence = 6;
-  angelus::Entry drain = angelus::OnBeat(b, &ready.item);
+  registry::Entry drain = registry::OnBeat(b, &ready.item);
   CHECK(drain.write && drain.wait);
   CHECK(messages::Newer(drain.item, ready.item));
   // Said again where the drain was only proposed: still not acknowledged without a majority.
   b.sequence = 7;
-  CHECK(angelus::OnBeat(b, &ready.item).write && angelus::OnBeat(b, &ready.item).wait);
-  CHECK(!angelus::OnBeat(b, &drain.item).write);
+  CHECK(registry::OnBeat(b, &ready.item).write && registry::OnBeat(b, &ready.item).wait);
+  CHECK(!registry::OnBeat(b, &drain.item).write);
   b.draining = false;
   b.sequence = 9;  // late in the network, or confused
-  CHECK(angelus::OnBeat(b, &drain.item).item == drain.item);
-  CHECK(!angelus::OnBeat(b, &drain.item).write);
-  angelus::Entry gone = angelus::OnDeregister("i1", 0, &drain.item);
+  CHECK(registry::OnBeat(b, &drain.item).item == drain.item);
+  CHECK(!registry::OnBeat(b, &drain.item).write);
+  registry::Entry gone = registry::OnDeregister("i1", 0, &drain.item);
   CHECK(gone.write && gone.wait && gone.item.dropped && messages::Newer(gone.item, drain.item));
-  CHECK(angelus::OnBeat(b, &gone.item).item.dropped);
+  CHECK(registry::OnBeat(b, &gone.item).item.dropped);
 }
 
 TEST(Roll, AnOrderThatRacedWithADrainOrAnEndDoesNotTakeItBack) {
-  angelus::RollPolicy policy;
+  registry::RollPolicy policy;
   replication::Table table;
-  auto changes = [&](const heaphy::Item& item) {
+  auto changes = [&](const messages::Item& item) {
     return policy.Judge({item}, replication::TableOverlay(table)).kind == replication::Judgement::Kind::kChanges;
   };
   table.Put({Backend("i", "s", "z", 5, true), 1, {}});
@@ -280,13 +280,13 @@
   CHECK(changes(Backend("i", "s", "z", 9, true)));
   table.Put({{"backend/i", 6, true, ""}, 2, {}});
   CHECK(!changes(Backend("i", "s", "z", 9)));
-  table.Put({angelus::OnSilent(Backend("i", "s", "z", 5)), 3, {}});
+  table.Put({registry::OnSilent(Backend("i", "s", "z", 5)), 3, {}});
   CHECK(changes(Backend("i", "s", "z", 9)));
   CHECK(changes({"holder/c1/g1", 1, false, ""}));
 }
 
 TEST(Roll, WhoIsSilentForLongIsDroppedOnlyWhileEveryCoreTellsAndMayComeBack) {
-  angelus::Heard heard;
+  registry::Heard heard;
   std::set<std::string> others = {"c2", "c3"};
   heard.OnBeat(0, "here");
   bool cut = false;
@@ -310,32 +310,32 @@
   CHECK(!silent.empty());
   for (const std::string& id : silent) CHECK(id != "there");
 
-  heaphy::Item item = Backend("i", "s", "z", 7);
-  heaphy::Item gone = angelus::OnSilent(item);
+  messages::Item item = Backend("i", "s", "z", 7);
+  messages::Item gone = registry::OnSilent(item);
   CHECK(messages::Newer(gone, item) && gone.dropped);
-  cascade::Backend b;
-  cascade::ReadBackend(item.body, &b);
+  discovery::Backend b;
+  discovery::ReadBackend(item.body, &b);
   b.id = "i";
   b.sequence = 8;
-  CHECK(!angelus::OnBeat(b, &gone).write);  // as late as the word that dropped it
+  CHECK(!registry::OnBeat(b, &gone).write);  // as late as the word that dropped it
   b.sequence = 20;
-  angelus::Entry back = angelus::OnBeat(b, &gone);
+  registry::Entry back = registry::OnBeat(b, &gone);
   CHECK(back.write && messages::Newer(back.item, gone) && !back.item.dropped);
 }
 
 TEST(Roll, ABadBeatIsNamedByItsField) {
-  cascade::Backend b;
-  Has(cascade::ReadBeat("{", &b), "JSON");
-  Has(cascade::ReadBeat(R"({"target_service":"s","address":"nowhere","oper_state":"ready","call_sequence":1})", &b), "address");
-  Has(cascade::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"odd","call_sequence":1})", &b), "oper_state");
-  Has(cascade::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready"})", &b), "call_sequence");
+  discovery::Backend b;
+  Has(discovery::ReadBeat("{", &b), "JSON");
+  Has(discovery::ReadBeat(R"({"target_service":"s","address":"nowhere","oper_state":"ready","call_sequence":1})", &b), "address");
+  Has(discovery::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"odd","call_sequence":1})", &b), "oper_state");
+  Has(discovery::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready"})", &b), "call_sequence");
 }
 
 TEST_GROUP(Orders) {};
 
 TEST(Orders, OneOrderOverAnyContents) {
   using messages::Newer;
-  heaphy::Item a{"k", 3, false, "x"}, b{"k", 3, false, "y"}, c{"k", 3, true, ""}, d{"k", 4, false, "x"};
+  messages::Item a{"k", 3, false, "x"}, b{"k", 3, false, "y"}, c{"k", 3, true, ""}, d{"k", 4, false, "x"};
   for (const auto& one : {a, b, c}) {
     CHECK(Newer(d, one));
     CHECK(!Newer(one, d));
@@ -347,11 +347,11 @@
 
 TEST(Orders, OneNumberIsConfirmedToOneContentAndARepeatStands) {
   using Kind = replication::Judgement::Kind;
-  mueller::ConfigurationPolicy policy;
+  config_store::ConfigurationPolicy policy;
   replication::Table table;
   auto judge = [&](const std::string& call) {
     Change change;
-    STRCMP_EQUAL("", kepler::ReadChange(call, &change).c_str());
+    STRCMP_EQUAL("", config_model::ReadChange(call, &change).c_str());
     return policy.Judge(change.items, replication::TableOverlay(table));
   };
   auto apply = [&](const replication::Judgement& judgement) {
@@ -378,18 +378,18 @@
 }
 
 TEST(Orders, WhatIsForgottenDoesNotStandInTheCheck) {
-  mueller::ConfigurationPolicy policy;
+  config_store::ConfigurationPolicy policy;
   replication::Table table;
   Change change;
-  kepler::ReadChange(Call("", Tenant("t1", "k1")), &change);
-  for (const heaphy::Item& item : change.items) policy.OnRecord({item, 1, {}});
+  config_model::ReadChange(Call("", Tenant("t1", "k1")), &change);
+  for (const messages::Item& item : change.items) policy.OnRecord({item, 1, {}});
   Change second;
-  kepler::ReadChange(Call("", Tenant("t2", "k1")), &second);
+  config_model::ReadChange(Call("", Tenant("t2", "k1")), &second);
   auto kind = [&] { return policy.Judge(second.items, replication::TableOverlay(table)).kind; };
   CHECK(kind() == replication::Judgement::Kind::kRefused);
   policy.OnErased("tenant_table/t1");
   CHECK(kind() == replication::Judgement::Kind::kChanges);
-  for (const heaphy::Item& item : change.items) policy.OnRecord({item, 1, {}});
+  for (const messages::Item& item : change.items) policy.OnRecord({item, 1, {}});
   policy.OnReset();
   CHECK(kind() == replication::Judgement::Kind::kChanges);
 }
@@ -403,7 +403,7 @@
 }  // namespace
 
 TEST(Members, WhoTakesAnothersPlaceLendsOnlyOnceThatOnesLoansAreOver) {
-  using angelus::LendingRight;
+  using registry::LendingRight;
   messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, c{"10.0.0.3", 1, ""}, d{"10.0.0.4", 7, ""}, c_anew{"10.0.0.3", 9, ""};
   LendingRight founder(0, a.address, a.store_id, Epoch(1, {a, b, c}), 0);
   CHECK(founder.May(0));
@@ -413,7 +413,7 @@
   founder.OnMembership(100, Epoch(2, {a, b, d}), 1);
   successor.OnMembership(100, Epoch(2, {a, b, d}), 0);
   CHECK(founder.May(100));
-  CHECK(!successor.May(100 + hollyford::kTerm + replication::kContactBound));
+  CHECK(!successor.May(100 + rate_limit::kTerm + replication::kContactBound));
   CHECK(successor.May(100 + LendingRight::kWait));
   // One that was replaced does not lend; one that comes back waits for its successor's loans, also where it saw neither epoch.
   LendingRight replaced(0, c.address, c.store_id, Epoch(1, {a, b, c}), 1);
@@ -433,7 +433,7 @@
 }
 
 TEST(Members, ARestartInTheWaitBeginsItAnew) {
-  using angelus::LendingRight;
+  using registry::LendingRight;
   messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, d{"10.0.0.4", 7, ""};
   LendingRight again(100, d.address, d.store_id, Epoch(2, {a, b, d}), 0);
   CHECK(!again.May(110));
@@ -443,7 +443,7 @@
 }
 
 TEST(Members, AddressesThatNobodyNamesAreDialledNoLonger) {
-  rees::KnownCores known("10.0.0.1", {"10.0.0.1", "10.0.0.2"});
+  replicated_table::KnownCores known("10.0.0.1", {"10.0.0.1", "10.0.0.2"});
   known.SetMembers(Epoch(1, {{"10.0.0.1", 1, ""}, {"10.0.0.3", 1, ""}}));
   known.OnHeardOf(5, "10.0.0.4");
   CHECK((known.Wanted(5) == std::set<std::string>{"10.0.0.2", "10.0.0.3", "10.0.0.4"}));
@@ -456,24 +456,24 @@
 TEST_GROUP(Plumbing) {};
 
 TEST(Plumbing, MessagesSurviveAndGarbageDoesNotHurt) {
-  heaphy::Push push{7, true, 5, {{"k", 3, false, "body"}, {"q", 9, true, ""}}, {"e"}};
-  std::string frame = heaphy::Encode(push);
-  heaphy::FrameReader reader;
+  messages::Push push{7, true, 5, {{"k", 3, false, "body"}, {"q", 9, true, ""}}, {"e"}};
+  std::string frame = messages::Encode(push);
+  messages::FrameReader reader;
   for (char c : frame) reader.Add(std::string_view(&c, 1));
   std::string_view content;
-  CHECK(reader.Next(&content) == heaphy::FrameReader::Got::kFrame);
-  auto back = heaphy::Decode(content);
-  CHECK(back && std::get<heaphy::Push>(*back).items == push.items);
-  CHECK(std::get<heaphy::Push>(*back).ended == push.ended);
+  CHECK(reader.Next(&content) == messages::FrameReader::Got::kFrame);
+  auto back = messages::Decode(content);
+  CHECK(back && std::get<messages::Push>(*back).items == push.items);
+  CHECK(std::get<messages::Push>(*back).ended == push.ended);
   std::mt19937 dice(3);
   for (int i = 0; i < 20000; ++i) {
     std::string bad = frame.substr(4, dice() % (frame.size() - 3));
     for (int n = 0; n < 3 && !bad.empty(); ++n) bad[dice() % bad.size()] = static_cast<char>(dice());
-    heaphy::Decode(bad);
+    messages::Decode(bad);
   }
-  heaphy::FrameReader large;
+  messages::FrameReader large;
   large.Add(std::string("\xff\xff\xff\xff", 4));
-  CHECK(large.Next(&content) == heaphy::FrameReader::Got::kBad);
+  CHECK(large.Next(&content) == messages::FrameReader::Got::kBad);
 }
 
 namespace {
@@ -481,17 +481,17 @@
 // A gateway's copy, and what its views were told last of each key.
 struct Followed {
   Followed() {
-    journal.Attach([this](const cascade::Changed& event) {
+    journal.Attach([this](const discovery::Changed& event) {
       CHECK(event.item.version >= told[event.item.key].version);
       told[event.item.key] = event.item;
     });
   }
-  void Push(uint64_t revision, std::vector<heaphy::Item> items, std::vector<std::string> ended = {}) {
+  void Push(uint64_t revision, std::vector<messages::Item> items, std::vector<std::string> ended = {}) {
     copy.OnPush(1, {1, false, revision, std::move(items), std::move(ended)});
     journal.Run();
   }
   void State(uint64_t epoch, bool complete, uint64_t list_revision, bool all_ranges) {
-    heaphy::State state;
+    messages::State state;
     state.epoch = epoch;
     state.complete = complete;
     state.list_revision = list_revision;
@@ -502,9 +502,9 @@
   bool Empty() const {
     return std::all_of(copy.digests().begin(), copy.digests().end(), [](uint64_t digest) { return digest == 0; });
   }
-  cascade::Journal<cascade::Changed> journal;
-  cascade::Copy copy{cascade::Table::kConfiguration, &journal};
-  std::map<std::string, heaphy::Item> told;
+  discovery::Journal<discovery::Changed> journal;
+  discovery::Copy copy{discovery::Table::kConfiguration, &journal};
+  std::map<std::string, messages::Item> told;
 };
 
 }  // namespace
@@ -558,8 +558,8 @@
 }
 
 TEST(Plumbing, SettingsTellEveryFaultByItsField) {
-  rakiura::Settings settings;
-  auto faults = rakiura::ReadSettings(R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","timing_bounds":{"grace_s":"long"}})", &settings);
+  process::Settings settings;
+  auto faults = process::ReadSettings(R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","timing_bounds":{"grace_s":"long"}})", &settings);
   std::string all;
   for (const auto& fault : faults) all += fault + "\n";
   for (const char* field : {"node_name", "ip_address", "internal_port_range", "seed_nodes", "timing_bounds.grace_s"}) Has(all, field);
--- a/tests/system/lifecycle_search_test.cpp
+++ b/tests/system/lifecycle_search_test.cpp
@@ -20,7 +20,7 @@
 
 using namespace ivygw;
 using namespace ivygw::request_lifecycle;
-using tongariro::Met;
+using load_balancing::Met;
 
 namespace {
 
@@ -614,7 +614,7 @@
   Move move;
 };
 
-std::string Trail(const std::vector<Step>& steps, size_t at) {
+std::string StepsUpTo(const std::vector<Step>& steps, size_t at) {
   std::string text;
   for (; at != 0; at = steps[at].before) {
     const Move& move = steps[at].move;
@@ -633,7 +633,7 @@
     auto [world, at] = std::move(stack.back());
     stack.pop_back();
     world.CheckLateEvents();
-    if (!world.broken.empty()) FAIL(("broken: " + world.broken + Trail(steps, at)).c_str());
+    if (!world.broken.empty()) FAIL(("broken: " + world.broken + StepsUpTo(steps, at)).c_str());
     for (const Move& move : world.Moves()) {
       bool asked_backend = false, asked_budget = false;
       for (int choice = 0; choice < 4; ++choice) {
@@ -649,7 +649,7 @@
         ++transitions;
         if (!next.broken.empty()) {
           steps.push_back({at, move});
-          std::string told = "broken: " + next.broken + Trail(steps, steps.size() - 1);
+          std::string told = "broken: " + next.broken + StepsUpTo(steps, steps.size() - 1);
           FAIL(told.c_str());
         }
         if (!seen.insert(next.Key()).second) continue;
--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -10,14 +10,14 @@
 #include <string>
 #include <vector>
 
-#include "hollyford/admission.h"
-#include "hollyford/lender.h"
+#include "rate_limit/admission.h"
+#include "rate_limit/lender.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
 using namespace ivygw;
-using hollyford::Admission;
-using hollyford::Lender;
+using rate_limit::Admission;
+using rate_limit::Lender;
 
 namespace {
 
@@ -55,11 +55,11 @@
         std::poisson_distribution<int> arrivals(0.62 * options_.rate * options_.overload * gateway.weight * 0.005);
         for (int n = arrivals(dice_); n > 0; --n) {
           ++asked;
-          hollyford::Verdict verdict = gateway.admission->Ask(now_, tenant_);
+          rate_limit::Verdict verdict = gateway.admission->Ask(now_, tenant_);
           if (verdict.pending) gateway.pending.push_back(now_);
           if (verdict.admitted) Admitted(&gateway);
         }
-        while (!gateway.pending.empty() && gateway.pending.front() < now_ - hollyford::kAsked) {
+        while (!gateway.pending.empty() && gateway.pending.front() < now_ - rate_limit::kAsked) {
           gateway.admission->GiveUp("t");
           gateway.pending.pop_front();
         }
@@ -96,7 +96,7 @@
   void StartGateway(size_t g) {
     if (gateways_.size() <= g) gateways_.resize(g + 1);
     Gateway& gateway = gateways_[g];
-    gateway.admission = std::make_unique<Admission>(hollyford::AdmissionOptions{0.1, 20, 5, 30});
+    gateway.admission = std::make_unique<Admission>(rate_limit::AdmissionOptions{0.1, 20, 5, 30});
     gateway.admission->OnMembers(options_.gateways);
     if (gateway.weight == 0) gateway.weight = 1.0 / static_cast<double>(options_.gateways);
   }
@@ -123,8 +123,8 @@
     double at;
     size_t gateway, core;
     uint64_t boot, life;
-    std::optional<heaphy::Report> report;
-    std::optional<heaphy::Loans> loans;
+    std::optional<messages::Report> report;
+    std::optional<messages::Loans> loans;
     bool operator<(const Message& other) const { return at > other.at; }
   };
   void Admitted(Gateway* gateway) {
@@ -136,7 +136,7 @@
   static std::string CoreName(size_t c) { return "c" + std::to_string(c); }
   bool Joined(size_t g, size_t c) const { return cores_[c].lender && gateways_[g].admission && !gateway_cut_[g][c]; }
   void Report(size_t g, size_t c, size_t lenders, bool all, bool draw) {
-    heaphy::Report report = gateways_[g].admission->Report(now_, CoreName(c), lenders, all, draw);
+    messages::Report report = gateways_[g].admission->Report(now_, CoreName(c), lenders, all, draw);
     if (all || !report.uses.empty()) Send({now_ + 0.001 + 0.002 * Chance(), g, c, gateways_[g].boot, cores_[c].life, report, {}});
   }
   std::vector<size_t> InTouch(size_t g) const {
@@ -162,7 +162,7 @@
       messages_.pop();
       if (!Joined(m.gateway, m.core) || gateways_[m.gateway].boot != m.boot || cores_[m.core].life != m.life) continue;
       if (m.report) {
-        heaphy::Loans loans = cores_[m.core].lender->OnReport(now_, Name(m.gateway), m.boot, *m.report, options_.cores);
+        messages::Loans loans = cores_[m.core].lender->OnReport(now_, Name(m.gateway), m.boot, *m.report, options_.cores);
         Send({now_ + 0.001 + 0.002 * Chance(), m.gateway, m.core, m.boot, m.life, {}, loans});
       } else {
         Gateway& gateway = gateways_[m.gateway];
@@ -170,7 +170,7 @@
         for (size_t n = gateway.pending.size(); n > 0; --n) {
           double since = gateway.pending.front();
           gateway.pending.pop_front();
-          hollyford::Verdict verdict = gateway.admission->Again(now_, "t");
+          rate_limit::Verdict verdict = gateway.admission->Again(now_, "t");
           if (verdict.pending) gateway.pending.push_back(since);
           if (verdict.admitted) Admitted(&gateway);
         }
@@ -204,7 +204,7 @@
 
   Options options_;
   std::mt19937_64 dice_;
-  kepler::Tenant tenant_;
+  config_model::Tenant tenant_;
   std::vector<Core> cores_;
   std::vector<Gateway> gateways_;
   std::vector<std::vector<bool>> gateway_cut_;
@@ -314,7 +314,7 @@
 
 TEST(Limits, NoLimitAdmitsAll) {
   Admission admission({0.1, 20, 5, 30});
-  kepler::Tenant tenant;
+  config_model::Tenant tenant;
   tenant.name = "free";
   for (int i = 0; i < 1000; ++i) CHECK(admission.Ask(1.0, tenant).admitted);
 }
@@ -322,12 +322,12 @@
 TEST(Limits, ARefusalTellsWhenToComeBack) {
   Admission admission({0.1, 20, 5, 30});
   admission.OnMembers(11);
-  kepler::Tenant tenant;
+  config_model::Tenant tenant;
   tenant.name = "t";
   tenant.rate_per_s = 10;
   tenant.burst = 10;
   CHECK(admission.Ask(1.0, tenant).admitted);
-  hollyford::Verdict verdict = admission.Ask(1.0, tenant);
+  rate_limit::Verdict verdict = admission.Ask(1.0, tenant);
   CHECK(!verdict.admitted);
   CHECK(verdict.retry_after_s > 0 && verdict.retry_after_s <= 1);
   CHECK(admission.urgent());
@@ -336,15 +336,15 @@
 TEST(Limits, TheCounterCheckRefusesWhatOthersHaveSent) {
   // One gateway with plenty in its bucket; the counter tells that the others have sent a whole window's worth.
   Admission admission({0.1, 20, 5, 30});
-  kepler::Tenant tenant;
+  config_model::Tenant tenant;
   tenant.name = "t";
   tenant.rate_per_s = 10;
   tenant.burst = 10;
   admission.Ask(1.0, tenant);
   uint64_t total = 0;
   auto word = [&](double now, uint64_t others) {
-    heaphy::Report report = admission.Report(now, "c", 1, true, true);
-    heaphy::Loans loans;
+    messages::Report report = admission.Report(now, "c", 1, true, true);
+    messages::Loans loans;
     loans.number = report.number;
     total = others;
     loans.loans.push_back({"t", 0.6f, 50, total});
--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -20,7 +20,7 @@
     file(WRITE ${copy} "${text}")
   endif()
   add_executable(planted_${name} ${copy} $<TARGET_OBJECTS:${PLANTED_OBJECTS}>)
-  target_include_directories(planted_${name} PRIVATE ${CMAKE_SOURCE_DIR}/system)
+  target_include_directories(planted_${name} PRIVATE ${IVYGW_SYSTEM_LAYERS})
   target_link_libraries(planted_${name} PRIVATE ${PLANTED_LIBRARY} ${CPPUTEST_LIBRARY})
   target_compile_options(planted_${name} PRIVATE -Wno-unused-parameter)  # a mistake may leave one over
   add_test(NAME planted_${name} COMMAND planted_${name} -sn ${PLANTED_RUN})
@@ -31,36 +31,36 @@
   planted_mistake(${name} OBJECTS system_lifecycle_search_tests_objects LIBRARY system_request_lifecycle ${ARGN})
 endfunction()
 
-planted_in_lifecycle(id_not_checked SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(id_not_checked SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "facts.own_id = facts.has_id && reply.attempt_id == expected_id" TO "facts.own_id = facts.has_id"
   TOLD "broken: mixed")
-planted_in_lifecycle(kept_after_doubt SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(kept_after_doubt SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "if (reading.trusted && event.reply.reusable" TO "if (event.reply.reusable"
   TOLD "broken: doubt")
-planted_in_lifecycle(not_done_after_a_partial_write SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(not_done_after_a_partial_write SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "if (event.bytes_written)" TO "if (event.bytes_written && request->idempotent)"
   TOLD "broken: (twice|refused)")
-planted_in_lifecycle(refusal_of_a_stranger_believed SOURCE system/request_lifecycle/answer_reading.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(refusal_of_a_stranger_believed SOURCE system/decisions/request_lifecycle/answer_reading.cpp RUN TwoRequestsThatMayRunOnce
   FROM "if (!answer.sole_request) return Distrusted(Evidence::kUnprovenRefusal)" TO ""
   TOLD "broken: (twice|refused)")
-planted_in_lifecycle(promise_for_what_may_have_run SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(promise_for_what_may_have_run SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "    if (std::optional<NotDone> proof = request->record.NothingDone())"
   TO "    if (std::optional<NotDone> proof = ExecutionRecord().NothingDone())"
   TOLD "broken: refused")
-planted_in_lifecycle(late_timer_on_a_new_attempt SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(late_timer_on_a_new_attempt SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "connection->attempt != event.attempt || connection->open" TO "!connection->request.valid()"
   TOLD "broken: late")
-planted_in_lifecycle(retry_of_what_may_run_only_once SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(retry_of_what_may_run_only_once SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "return request.idempotent || request.record.NothingDone().has_value()" TO "return true"
   TOLD "broken: twice")
-planted_in_lifecycle(budget_ignored SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoThatMayBeRepeated
+planted_in_lifecycle(budget_ignored SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoThatMayBeRepeated
   FROM "return !further_arrival || policy_->MayRetry(now, request.service)" TO "return further_arrival || !further_arrival"
   TOLD "broken: budget")
-planted_in_lifecycle(deadline_after_the_answer_has_begun SOURCE system/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
+planted_in_lifecycle(deadline_after_the_answer_has_begun SOURCE system/decisions/request_lifecycle/lifecycle.cpp RUN TwoRequestsThatMayRunOnce
   FROM "if (!request || request->phase == Phase::kStreaming) {" TO "if (!request) {"
   TOLD "broken: (late|answered once)")
 
-planted_mistake(answer_to_an_earlier_life SOURCE system/call_routing/pending_calls.cpp
+planted_mistake(answer_to_an_earlier_life SOURCE system/decisions/call_routing/pending_calls.cpp
   OBJECTS system_pending_calls_tests_objects LIBRARY system_call_routing RUN EveryAnswerReachesTheCallerOfItsCallOrNobody
   FROM "static_cast<CallNumber>(life_) << kLifeShift | ++last_" TO "++last_"
   TOLD "broken: ")
@@ -79,21 +79,21 @@
 
 # The same by bytes, through the whole proxy.
 function(planted_on_the_wire name)
-  planted_mistake(${name} OBJECTS system_proxy_wire_tests_objects LIBRARY system_milford
+  planted_mistake(${name} OBJECTS system_proxy_wire_tests_objects LIBRARY system_proxy
                   RUN TwoThousandSeedsOfBackendsThatGoWrong ${ARGN})
 endfunction()
-planted_on_the_wire(wire_id_not_checked SOURCE system/request_lifecycle/lifecycle.cpp
+planted_on_the_wire(wire_id_not_checked SOURCE system/decisions/request_lifecycle/lifecycle.cpp
   FROM "facts.own_id = facts.has_id && reply.attempt_id == expected_id" TO "facts.own_id = facts.has_id"
   TOLD "broken: (mixed|twice|refused)")
 planted_on_the_wire(wire_kept_after_extra_bytes SOURCE src/net/backend_links.cpp
   FROM "reader_.unread() == 0 && !eof_ && !sending_" TO "!eof_ && !sending_"
   TOLD "broken: doubt")
-planted_on_the_wire(wire_refusal_of_a_stranger_believed SOURCE system/request_lifecycle/answer_reading.cpp
+planted_on_the_wire(wire_refusal_of_a_stranger_believed SOURCE system/decisions/request_lifecycle/answer_reading.cpp
   FROM "if (!answer.sole_request) return Distrusted(Evidence::kUnprovenRefusal)" TO ""
   TOLD "broken: (twice|refused)")
-planted_on_the_wire(wire_retry_of_what_may_run_only_once SOURCE system/request_lifecycle/lifecycle.cpp
+planted_on_the_wire(wire_retry_of_what_may_run_only_once SOURCE system/decisions/request_lifecycle/lifecycle.cpp
   FROM "return request.idempotent || request.record.NothingDone().has_value()" TO "return true"
   TOLD "broken: twice")
-planted_on_the_wire(wire_kept_after_doubt SOURCE system/request_lifecycle/lifecycle.cpp
+planted_on_the_wire(wire_kept_after_doubt SOURCE system/decisions/request_lifecycle/lifecycle.cpp
   FROM "if (reading.trusted && event.reply.reusable" TO "if (event.reply.reusable"
   TOLD "broken: doubt")
--- a/tests/system/proxy_wire_test.cpp
+++ b/tests/system/proxy_wire_test.cpp
@@ -1,6 +1,6 @@
 // The proxy's requests against backends that go wrong at the level of bytes: answers cut, split, doubled,
 // glued, late, of others, garbage, resets, ends and silence, at every offset, by seeds. All is the running
-// code (milford's exchanges, the links, the server of clients) over real sockets of one process. What clients
+// code (the proxy's exchanges, the links, the server of clients) over real sockets of one process. What clients
 // and backends saw must agree in the end.
 #include <array>
 #include <cstdio>
@@ -12,8 +12,8 @@
 #include <string>
 #include <vector>
 
-#include "kepler/model.h"
-#include "milford/exchanges.h"
+#include "config_model/model.h"
+#include "proxy/exchanges.h"
 #include "net/message_reader.h"
 
 // clang-format off
@@ -400,7 +400,7 @@
 
 struct Proxy {
   Proxy(asio::io_context& io, uint64_t seed, const std::vector<std::string>& addresses)
-      : admission(hollyford::AdmissionOptions{}),
+      : admission(rate_limit::AdmissionOptions{}),
         pool(seed, "z"),
         budget(1, 10, 1000),
         exchanges(io, &memory, &routes, &admission, &pool, &budget),
@@ -413,30 +413,30 @@
                  exchanges.OnClientBody(client, std::move(bytes), last);
                },
                [this](uint64_t client) { exchanges.OnClientDrained(client); }}) {
-    static const kepler::Change change = [] {
-      kepler::Change read;
-      kepler::ReadChange(kConfiguration, &read);
+    static const config_model::Change change = [] {
+      config_model::Change read;
+      config_model::ReadChange(kConfiguration, &read);
       return read;
     }();
     for (const auto& item : change.items) routes.Fold(item);
     for (size_t i = 0; i < addresses.size(); ++i) {
-      cascade::Backend backend;
+      discovery::Backend backend;
       backend.service = "s";
       backend.address = addresses[i];
       backend.zone = "z";
       backend.slots = 4;
-      pool.Fold(0, {"backend/b" + std::to_string(i), 1, false, cascade::WriteBackend(backend)});
+      pool.Fold(0, {"backend/b" + std::to_string(i), 1, false, discovery::WriteBackend(backend)});
     }
     exchanges.Serve(&front);
     exchanges.Open(true);
     front.Listen(Loopback());
   }
   bodies::BodyMemory memory{size_t{64} << 20};
-  routeburn::Routes routes;
-  hollyford::Admission admission;
-  tongariro::Pool pool;
-  tongariro::Budget budget;
-  milford::Exchanges exchanges;
+  routing::Routes routes;
+  rate_limit::Admission admission;
+  load_balancing::Pool pool;
+  load_balancing::Budget budget;
+  proxy::Exchanges exchanges;
   ClientServer front;
 };
 
--- a/tests/system/publisher_test.cpp
+++ b/tests/system/publisher_test.cpp
@@ -1,6 +1,6 @@
 // What a core tells the gateways that follow its table: lists with proof, and every change besides. The table
 // is a real replica, that of a core of one; reads and contact are told by the test.
-#include "rees/publisher.h"
+#include "replicated_table/publisher.h"
 
 #include <functional>
 #include <map>
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "angelus/roll.h"
-#include "heaphy/codec.h"
+#include "registry/roll.h"
+#include "messages/codec.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -27,14 +27,14 @@
 
 struct World {
   World() {
-    rees::Publisher::Events events;
-    events.send = [this](uint64_t peer, const heaphy::Message& message) { Told(peer, message); };
+    replicated_table::Publisher::Events events;
+    events.send = [this](uint64_t peer, const messages::Message& message) { Told(peer, message); };
     events.send_frame = [this](uint64_t peer, const std::string& frame) {
-      Told(peer, *heaphy::Decode(frame.substr(4)));
+      Told(peer, *messages::Decode(frame.substr(4)));
     };
     events.read = [this](std::function<void(bool)> then) { reads.push_back(std::move(then)); };
     events.in_contact = [this] { return in_contact; };
-    publisher = std::make_unique<rees::Publisher>(io, replica, "", std::move(events));
+    publisher = std::make_unique<replicated_table::Publisher>(io, replica, "", std::move(events));
     Run([&](replication::Effects* out) { replica.OnTime(now, out); });
   }
   void Run(const std::function<void(replication::Effects*)>& act) {
@@ -62,20 +62,20 @@
     io.restart();
     io.run_for(std::chrono::milliseconds(20));
   }
-  void Follow(uint64_t peer) { publisher->OnFollowerUp(peer, heaphy::Hello()); }
+  void Follow(uint64_t peer) { publisher->OnFollowerUp(peer, messages::Hello()); }
   void AskAll(uint64_t peer) { publisher->OnHave(peer, {std::vector<uint64_t>(messages::kListRanges, 0)}); }
   void EndRead(bool fresh) {
     auto then = std::move(reads.front());
     reads.erase(reads.begin());
     then(fresh);
   }
-  void Told(uint64_t peer, const heaphy::Message& message) {
-    if (const auto* push = std::get_if<heaphy::Push>(&message)) {
+  void Told(uint64_t peer, const messages::Message& message) {
+    if (const auto* push = std::get_if<messages::Push>(&message)) {
       if (push->full) parts[peer] = push->number;
       for (const Item& item : push->items) items[peer][item.key] = item;
       for (const std::string& key : push->ended) ended[peer].push_back(key);
     }
-    if (const auto* state = std::get_if<heaphy::State>(&message)) states[peer].push_back(*state);
+    if (const auto* state = std::get_if<messages::State>(&message)) states[peer].push_back(*state);
   }
   bool Listed(uint64_t peer) const {
     auto it = states.find(peer);
@@ -86,14 +86,14 @@
   double now = 1;
   uint64_t ticket = 0;
   bool in_contact = true;
-  angelus::RollPolicy policy;
+  registry::RollPolicy policy;
   replication::Replica replica{{"10.0.0.1", "", 5}, CoreOfOne(), &policy};
-  std::unique_ptr<rees::Publisher> publisher;
+  std::unique_ptr<replicated_table::Publisher> publisher;
   std::vector<std::function<void(bool)>> reads;
   std::map<uint64_t, std::map<std::string, Item>> items;
   std::map<uint64_t, std::vector<std::string>> ended;
   std::map<uint64_t, uint64_t> parts;
-  std::map<uint64_t, std::vector<heaphy::State>> states;
+  std::map<uint64_t, std::vector<messages::State>> states;
 };
 
 }  // namespace
--- a/tests/system/request_lifecycle_test.cpp
+++ b/tests/system/request_lifecycle_test.cpp
@@ -14,7 +14,7 @@
 
 using namespace ivygw;
 using namespace ivygw::request_lifecycle;
-using tongariro::Met;
+using load_balancing::Met;
 
 namespace {
 
--- a/tests/system/snapshot_export_test.cpp
+++ b/tests/system/snapshot_export_test.cpp
@@ -21,8 +21,8 @@
 
 // A core that answers for a table, which changes after each part that it sends.
 struct ChangingCore {
-  explicit ChangingCore(asio::io_context& io) : host(io, {[this](uint64_t, const heaphy::Hello& hello) { greeted = hello; },
-                                                          [this](uint64_t peer, heaphy::Message m) { Answer(peer, m); },
+  explicit ChangingCore(asio::io_context& io) : host(io, {[this](uint64_t, const messages::Hello& hello) { greeted = hello; },
+                                                          [this](uint64_t peer, messages::Message m) { Answer(peer, m); },
                                                           [](uint64_t) {}}) {
     tcp::acceptor any(io, {asio::ip::make_address("127.0.0.1"), 0});
     address = any.local_endpoint();
@@ -33,7 +33,7 @@
   void Put(int n) {
     table.Put({{"t/" + std::to_string(n), ++revision, n % 4 == 0, std::string(50, 'x')}, revision, {{1, 2}}});
   }
-  void Answer(uint64_t peer, const heaphy::Message& message) {
+  void Answer(uint64_t peer, const messages::Message& message) {
     const auto& request = std::get<messages::DeltaRequest>(std::get<messages::PeerMessage>(message).body);
     if (silent) return;
     if (++parts == close_at) return host.Close(peer);
@@ -46,9 +46,9 @@
     Put(30 + parts);
     if (parts % 3 == 0) table.Erase("t/" + std::to_string(parts - 2), ++revision);
   }
-  heaphy::Host host;
+  transport::Host host;
   tcp::endpoint address;
-  heaphy::Hello greeted;
+  messages::Hello greeted;
   replication::Table table;
   messages::Membership membership{3, {{"127.0.0.1", 9, "a"}}};
   uint64_t revision = 0;
@@ -63,7 +63,7 @@
   std::unique_ptr<ChangingCore> core = std::make_unique<ChangingCore>(io);
   ReadResult Export(double patience) {
     std::optional<ReadResult> result;
-    Exporter exporter(io, core->address, "mueller", patience, [&](ReadResult ended) { result = std::move(ended); });
+    Exporter exporter(io, core->address, "config_store", patience, [&](ReadResult ended) { result = std::move(ended); });
     while (!result) io.run_one();
     return *result;
   }
@@ -78,9 +78,9 @@
 
 TEST(SnapshotExport, IsTheTableOfOneRevisionWhileChangesGoOn) {
   ReadResult result = Export(10);
-  STRCMP_EQUAL("mueller", result.snapshot->table.c_str());
+  STRCMP_EQUAL("config_store", result.snapshot->table.c_str());
   STRCMP_EQUAL("snapshot", core->greeted.role.c_str());
-  STRCMP_EQUAL("mueller", core->greeted.node.c_str());
+  STRCMP_EQUAL("config_store", core->greeted.node.c_str());
   CHECK(core->parts > 10);
   CheckIsTheTable(result);
 }
--- a/tests/system/snapshot_test.cpp
+++ b/tests/system/snapshot_test.cpp
@@ -22,7 +22,7 @@
 
 Snapshot Sample() {
   Snapshot sample;
-  sample.table = "mueller";
+  sample.table = "config_store";
   sample.membership = {4, {{"10.0.0.1", 7, "a"}, {"10.0.0.2", 8, "b"}}};
   sample.revision = 12;
   sample.records = {{{"routes/a", 3, false, "{}"}, 12, {{1, 5}, {2, 6}}}, {{"routes/b", 2, true, ""}, 9, {}}};
@@ -108,7 +108,7 @@
   std::vector<replication::LoadedState> loaded;
   std::vector<std::string> named = {"10.0.0.7", "10.0.0.8", "10.0.0.1"};
   for (const char* address : {"10.0.0.7", "10.0.0.8", "10.0.0.1"}) {
-    ImportPlan plan{folder + "/" + address + "/mueller", "mueller", named, address};
+    ImportPlan plan{folder + "/" + address + "/ivygw-config-store", "config_store", named, address};
     CHECK(!snapshot::ImportSnapshot(Sample(), plan));
     std::rotate(named.begin(), named.begin() + 1, named.end());  // the order doesn't matter
     storage::OpenedTable opened = storage::TableDisk(plan.folder, {}).TakeOpened();
@@ -130,9 +130,9 @@
 }
 
 TEST(SnapshotTest, NothingIsImportedWhereItDoesNotBelong) {
-  ImportPlan good{folder + "/mueller", "mueller", {"10.0.0.1"}, "10.0.0.1"};
+  ImportPlan good{folder + "/ivygw-config-store", "config_store", {"10.0.0.1"}, "10.0.0.1"};
   ImportPlan other_table = good, stranger = good, nobody = good, twice = good;
-  other_table.table = "angelus";
+  other_table.table = "registry";
   stranger.address = "10.0.0.9";
   nobody.members = {};
   twice.members = {"10.0.0.1", "10.0.0.1"};
