--- a/apps/ivygw.cpp
+++ b/apps/ivygw.cpp
@@ -21,7 +21,8 @@
 
 namespace {
 
-// Exit status: 0 for a sound configuration, with how far each plan's quota may be passed; 1 with each fault on a line of its own.
+// Exit status: 0 for a sound configuration, with how far each plan's quota may be passed; 1 with each fault
+// on a line of its own.
 int Check(const std::string& path) {
   std::vector<std::string> faults = ivygw::Faults(path);
   for (const std::string& fault : faults) std::fprintf(stderr, "%s: %s\n", path.c_str(), fault.c_str());
@@ -54,7 +55,8 @@
     };
   }
 #else
-  if (!trace.empty()) throw micadock::WireError("--trace: this program was built without it (-DIVYGW_TRACE=ON)");
+  if (!trace.empty())
+    throw micadock::WireError("--trace: this program was built without it (-DIVYGW_TRACE=ON)");
 #endif
   ivygw::MakeFleet make_fleet;
 #ifdef IVYGW_FLEET
@@ -100,12 +102,15 @@
   app.add_option("-c,--config", path, "the configuration, a JSON file")->envname("LB_CONFIG");
   app.add_flag("--check", check, "only say what is wrong with the configuration: exit status 0, or 1");
   std::string trace;
-  app.add_option("--trace", trace, "record what the gateway's core is told and asks for, as FILE.000001 and on; {name} in it is the gateway's")
+  app.add_option("--trace", trace,
+                 "record what the gateway's core is told and asks for, as FILE.000001 and on; {name} in it "
+                 "is the gateway's")
       ->envname("IVYGW_TRACE");
   app.set_version_flag("--version", std::string("ivygw ") + ivygw::kVersion);
   CLI11_PARSE(app, argc, argv);
   try {
-    if (path.empty()) throw micadock::WireError("LB_CONFIG does not name the configuration, and no --config is given");
+    if (path.empty())
+      throw micadock::WireError("LB_CONFIG does not name the configuration, and no --config is given");
     return check ? Check(path) : Run(path, trace);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "ivygw: %s\n", error.what());
--- a/apps/ivygw_rehearse.cpp
+++ b/apps/ivygw_rehearse.cpp
@@ -1,4 +1,5 @@
-// ivygw-rehearse: plays an incident on one machine, judges it by the five rules, and leaves a record and a report.
+// ivygw-rehearse: plays an incident on one machine, judges it by the five rules, and leaves a record and a
+// report.
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -35,8 +36,8 @@
   if (name.find('/') != std::string::npos || name.size() > 5) {
     if (fs::exists(name) && !fs::is_directory(name)) return name;
   }
-  for (const fs::path& folder : {fs::path("scenarios"), OwnFolder() / "scenarios", OwnFolder() / "../scenarios",
-                                 fs::path(IVYGW_SCENARIOS)}) {
+  for (const fs::path& folder : {fs::path("scenarios"), OwnFolder() / "scenarios",
+                                 OwnFolder() / "../scenarios", fs::path(IVYGW_SCENARIOS)}) {
     fs::path file = folder / (name + ".toml");
     if (fs::exists(file)) return file.string();
   }
@@ -90,9 +91,10 @@
     for (const auto& p : facts_.phases) {
       if (now >= p.from_s && now < p.to_s) phase = p.name.c_str();
     }
-    std::fprintf(stderr, "%7.1f s  %-30.30s %6.0f/s asked %5zu served %5zu refused %4zu other  p99 %7.1f ms  %s\n", now,
-                 phase, span > 0 ? static_cast<double>(asked) / span : 0.0, served, refused, other, p99 * 1000,
-                 checker_.breaks() == 0 ? "rules kept" : "A RULE IS BROKEN");
+    std::fprintf(stderr,
+                 "%7.1f s  %-30.30s %6.0f/s asked %5zu served %5zu refused %4zu other  p99 %7.1f ms  %s\n",
+                 now, phase, span > 0 ? static_cast<double>(asked) / span : 0.0, served, refused, other,
+                 p99 * 1000, checker_.breaks() == 0 ? "rules kept" : "A RULE IS BROKEN");
   }
 
  private:
@@ -121,16 +123,18 @@
     WriteFile(directory / "report.html", rehearsal::HtmlReport(record, verdict));
   }
   std::fputs(rehearsal::TextReport(record, verdict).c_str(), stdout);
-  if (!directory.empty()) std::printf("left in %s: record.jsonl, report.json, report.html\n", directory.c_str());
+  if (!directory.empty())
+    std::printf("left in %s: record.jsonl, report.json, report.html\n", directory.c_str());
   return !verdict.Kept() ? 1 : rehearsal::Void(verdict) ? 3 : 0;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("ivygw-rehearse: plays an incident round real gateways, on loopback, and judges it.\n"
-               "Exit status: 0 rules kept, 1 a rule is broken, 2 it could not be played, 3 void, 130 stopped.",
-               "ivygw-rehearse");
+  CLI::App app(
+      "ivygw-rehearse: plays an incident round real gateways, on loopback, and judges it.\n"
+      "Exit status: 0 rules kept, 1 a rule is broken, 2 it could not be played, 3 void, 130 stopped.",
+      "ivygw-rehearse");
   std::string name = "calm", out, program, judge;
   uint64_t seed = 1;
   int gateways = 0;
@@ -139,9 +143,12 @@
   app.add_option("scenario", name, "a file, or the name of one in scenarios/ (calm)");
   app.add_option("--seed", seed, "of all draws (1)");
   app.add_option("--gateways", gateways, "in place of the scenario's number")->check(CLI::Range(1, 1000));
-  app.add_option("--rate", rate, "first tries a second, in place of the scenario's")->check(CLI::PositiveNumber);
-  app.add_option("--shorten", shorten, "play the day in this share of its time")->check(CLI::Range(0.01, 1.0));
-  app.add_flag("--virtual", virtual_time, "in virtual time, straight against the decision module, without sockets");
+  app.add_option("--rate", rate, "first tries a second, in place of the scenario's")
+      ->check(CLI::PositiveNumber);
+  app.add_option("--shorten", shorten, "play the day in this share of its time")
+      ->check(CLI::Range(0.01, 1.0));
+  app.add_flag("--virtual", virtual_time,
+               "in virtual time, straight against the decision module, without sockets");
   app.add_flag("--check", check, "only validate the scenario");
   app.add_option("--out", out, "folder for record and report (a new one below the temporary folder)");
   app.add_option("--gateway-program", program, "the gateway to start (ivygw beside this program)");
@@ -158,25 +165,30 @@
     if (shorten < 1) s = s.Shortened(shorten);
     if (gateways > 0) {
       for (const auto& fault : s.faults) {
-        if (fault.gateway >= gateways) throw scenario::ScenarioError("--gateways: a fault strikes gateway " + std::to_string(fault.gateway));
+        if (fault.gateway >= gateways)
+          throw scenario::ScenarioError("--gateways: a fault strikes gateway " +
+                                        std::to_string(fault.gateway));
       }
       for (auto& plan : s.plans) plan.spread = std::min(plan.spread, gateways);
       s.gateways = gateways;
     }
     if (rate > 0) s.load.rate = rate;
     if (check) {
-      std::printf("%s: sound; %d nodes, %d gateways, %.1f s\n", s.file.c_str(), s.NodeCount(), s.gateways, s.duration_s);
+      std::printf("%s: sound; %d nodes, %d gateways, %.1f s\n", s.file.c_str(), s.NodeCount(), s.gateways,
+                  s.duration_s);
       return 0;
     }
     fs::path directory = out;
     if (directory.empty()) {
       std::string pattern = (fs::temp_directory_path() / "ivygw-rehearse-XXXXXX").string();
-      if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("cannot make a folder like " + pattern);
+      if (mkdtemp(pattern.data()) == nullptr)
+        throw std::runtime_error("cannot make a folder like " + pattern);
       directory = pattern;
     }
     fs::create_directories(directory);
-    std::fprintf(stderr, "%s: %d nodes, %d gateways, %.0f s, seed %llu%s\n", s.name.c_str(), s.NodeCount(), s.gateways,
-                 s.duration_s, static_cast<unsigned long long>(seed), virtual_time ? ", in virtual time" : "");
+    std::fprintf(stderr, "%s: %d nodes, %d gateways, %.0f s, seed %llu%s\n", s.name.c_str(), s.NodeCount(),
+                 s.gateways, s.duration_s, static_cast<unsigned long long>(seed),
+                 virtual_time ? ", in virtual time" : "");
     if (virtual_time) {
       Progress progress(emulator::FactsOf(s, seed, ""));
       return Conclude(rehearsal::PlayVirtual(s, seed, std::ref(progress)), directory, true);
--- a/apps/ivygw_replay.cpp
+++ b/apps/ivygw_replay.cpp
@@ -1,5 +1,5 @@
-// ivygw-replay: plays a trace of `ivygw --trace` to the core of this build and tells the first thing that it does
-// otherwise. Exit status: 0 no difference, 1 one (or the trace is damaged), 2 it could not be played.
+// ivygw-replay: plays a trace of `ivygw --trace` to the core of this build and tells the first thing that it
+// does otherwise. Exit status: 0 no difference, 1 one (or the trace is damaged), 2 it could not be played.
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <filesystem>
@@ -35,7 +35,8 @@
     void operator()(std::FILE* f) const { pclose(f); }
   };
   auto open = [&](const std::string& program) {
-    std::string command = Quoted(program) + " --dump --config " + Quoted(options.config) + " " + Quoted(options.trace);
+    std::string command =
+        Quoted(program) + " --dump --config " + Quoted(options.config) + " " + Quoted(options.trace);
     return std::unique_ptr<std::FILE, Close>(popen(command.c_str(), "r"));
   };
   auto mine = open(std::filesystem::read_symlink("/proc/self/exe").string()), theirs = open(options.against);
@@ -71,8 +72,9 @@
                             " (--any-config plays it all the same)");
   }
   if (file.first_segment > 1) {
-    throw trace::TraceError(options.trace + ": begins with segment " + std::to_string(file.first_segment) +
-                            ": what was before has been dropped, so the core's state at that time is not known");
+    throw trace::TraceError(
+        options.trace + ": begins with segment " + std::to_string(file.first_segment) +
+        ": what was before has been dropped, so the core's state at that time is not known");
   }
   trace::Replay replay(CoreSettingsOf(config));
   auto each = [&](size_t turn, double at_s, const trace::Turn& recorded, const core::Effects& effects) {
@@ -104,9 +106,9 @@
   }
   if (options.dump) return 0;
   if (difference) {
-    std::printf("turn %zu, %.6f s: %s\n  recorded: %s\n  now:      %s\n%s\n", difference->turn, difference->at_s,
-                difference->event.c_str(), difference->recorded.c_str(), difference->replayed.c_str(),
-                difference->state.c_str());
+    std::printf("turn %zu, %.6f s: %s\n  recorded: %s\n  now:      %s\n%s\n", difference->turn,
+                difference->at_s, difference->event.c_str(), difference->recorded.c_str(),
+                difference->replayed.c_str(), difference->state.c_str());
     return 1;
   }
   if (options.until_s >= 0) std::printf("at %.6f s:\n%s", replay.at_s(), replay.DescribeAll().c_str());
@@ -119,12 +121,14 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("ivygw-replay: plays a recorded trace to this build's core and tells the first difference", "ivygw-replay");
+  CLI::App app("ivygw-replay: plays a recorded trace to this build's core and tells the first difference",
+               "ivygw-replay");
   Options options;
   app.add_option("-c,--config", options.config, "the configuration that the gateway ran with")->required();
   app.add_option("trace", options.trace, "FILE of `ivygw --trace FILE`")->required();
   app.add_option("--until", options.until_s, "stop so many seconds after the start and print the state");
-  app.add_option("--request", options.request, "print each turn that is about this request (the core's number), and its state");
+  app.add_option("--request", options.request,
+                 "print each turn that is about this request (the core's number), and its state");
   app.add_option("--against", options.against, "another build's ivygw-replay: tells where the two differ");
   app.add_flag("--dump", options.dump, "print every turn with the effects of this build");
   app.add_flag("--any-config", options.any_config, "play it although the configuration's text differs");
--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -1,8 +1,7 @@
-// How long a death goes unnoticed, how often one that lives is taken for gone, and what it costs the engine, by the number of
-// members, in virtual time: the program's own membership round the engine's model. Prints a table, and a plot where a file
-// is named.  bench_membership [--seeds N] [--hours H] [--plot FILE.svg]
+// How long a death goes unnoticed, how often one that lives is taken for gone, and what it costs the engine,
+// by the number of members, in virtual time: the program's own membership round the engine's model. Prints a
+// table, and a plot where a file is named.  bench_membership [--seeds N] [--hours H] [--plot FILE.svg]
 #include <CLI/CLI.hpp>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -96,17 +95,21 @@
   std::ofstream out(path);
   double most = rows.back().calls_a_second;
   out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"520\" height=\"" << 60 + 50 * rows.size()
-      << "\" font-family=\"sans-serif\" font-size=\"12\"><rect width=\"100%\" height=\"100%\" fill=\"white\"/>"
-      << "<text x=\"10\" y=\"20\" font-weight=\"bold\">a death noticed, leases (mean, most; 1.5 is the aim)</text>"
+      << "\" font-family=\"sans-serif\" font-size=\"12\"><rect width=\"100%\" height=\"100%\" "
+         "fill=\"white\"/>"
+      << "<text x=\"10\" y=\"20\" font-weight=\"bold\">a death noticed, leases (mean, most; 1.5 is the "
+         "aim)</text>"
       << "<text x=\"330\" y=\"20\" font-weight=\"bold\">engine calls a second</text>";
   for (size_t i = 0; i < rows.size(); ++i) {
     double y = 40 + 50.0 * static_cast<double>(i);
     const Row& r = rows[i];
-    out << "<text x=\"10\" y=\"" << y + 16 << "\">" << r.members << "</text><rect x=\"60\" y=\"" << y << "\" width=\"" << 130 * r.noticed_most
-        << "\" height=\"20\" fill=\"#b0b0b0\"/><rect x=\"60\" y=\"" << y + 4 << "\" width=\"" << 130 * r.noticed_mean
-        << "\" height=\"12\" fill=\"#2a6f97\"/><line x1=\"255\" x2=\"255\" y1=\"" << y - 4 << "\" y2=\"" << y + 24
-        << "\" stroke=\"#d1495b\"/><rect x=\"330\" y=\"" << y << "\" width=\"" << 110 * r.calls_a_second / most
-        << "\" height=\"20\" fill=\"#66a182\"/><text x=\"" << 336 + 110 * r.calls_a_second / most << "\" y=\"" << y + 15 << "\">"
+    out << "<text x=\"10\" y=\"" << y + 16 << "\">" << r.members << "</text><rect x=\"60\" y=\"" << y
+        << "\" width=\"" << 130 * r.noticed_most << "\" height=\"20\" fill=\"#b0b0b0\"/><rect x=\"60\" y=\""
+        << y + 4 << "\" width=\"" << 130 * r.noticed_mean
+        << "\" height=\"12\" fill=\"#2a6f97\"/><line x1=\"255\" x2=\"255\" y1=\"" << y - 4 << "\" y2=\""
+        << y + 24 << "\" stroke=\"#d1495b\"/><rect x=\"330\" y=\"" << y << "\" width=\""
+        << 110 * r.calls_a_second / most << "\" height=\"20\" fill=\"#66a182\"/><text x=\""
+        << 336 + 110 * r.calls_a_second / most << "\" y=\"" << y + 15 << "\">"
         << static_cast<long>(r.calls_a_second) << "</text>";
   }
   out << "</svg>\n";
@@ -123,11 +126,14 @@
   app.add_option("--hours", hours);
   app.add_option("--plot", plot);
   CLI11_PARSE(app, argc, argv);
-  std::printf("%8s %14s %14s %20s %16s %8s\n", "members", "noticed, mean", "most (leases)", "wrongly dead an hour", "calls a second", "real s");
+  std::printf("%8s %14s %14s %20s %16s %8s\n", "members", "noticed, mean", "most (leases)",
+              "wrongly dead an hour", "calls a second", "real s");
   std::vector<Row> rows;
   for (int members : {10, 100, 1000}) {
-    Row r = Measure(members, members == 1000 ? std::max(1, seeds / 5) : seeds, members == 1000 ? hours / 4 : hours);
-    std::printf("%8d %14.2f %14.2f %20.2f %16.0f %8.1f\n", r.members, r.noticed_mean, r.noticed_most, r.wrongly_dead_an_hour, r.calls_a_second, r.real_s);
+    Row r = Measure(members, members == 1000 ? std::max(1, seeds / 5) : seeds,
+                    members == 1000 ? hours / 4 : hours);
+    std::printf("%8d %14.2f %14.2f %20.2f %16.0f %8.1f\n", r.members, r.noticed_mean, r.noticed_most,
+                r.wrongly_dead_an_hour, r.calls_a_second, r.real_s);
     std::fflush(stdout);
     rows.push_back(r);
   }
--- a/bench/proxy_cpu.cpp
+++ b/bench/proxy_cpu.cpp
@@ -13,10 +13,10 @@
 #include <string>
 #include <vector>
 
-#include "discovery/backend.h"
 #include "config_model/model.h"
-#include "proxy/exchanges.h"
+#include "discovery/backend.h"
 #include "net/message_reader.h"
+#include "proxy/exchanges.h"
 
 namespace {
 
--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -1,5 +1,6 @@
-// A relay with no decisions, on the gateway's own event loop, client and backend sides: the least that passing a
-// request on can cost here. Takes the next backend in turn, tries once. For bench/overhead.sh alone.
+// A relay with no decisions, on the gateway's own event loop, client and backend sides: the least that
+// passing a request on can cost here. Takes the next backend in turn, tries once. For bench/overhead.sh
+// alone.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -21,7 +22,9 @@
   Relay(asio::io_context& io, const Config& config)
       : links_(io, &memory_, this),
         server_(io, 400, &memory_,
-                {[this](uint64_t connection, ClientMessage message) { OnMessage(connection, std::move(message)); },
+                {[this](uint64_t connection, ClientMessage message) {
+                   OnMessage(connection, std::move(message));
+                 },
                  [](uint64_t, bool) {}}),
         discovery_(
             io, config.discovery, config.site, &ids_, [this](BackendList list) { OnList(list); }, [] {}) {
@@ -46,7 +49,10 @@
       return server_.Reply(client, std::move(answer));
     }
     std::string text;
-    text.append(View(message.head.method_string())).append(" ").append(View(message.head.target())).append(" HTTP/1.1\r\n");
+    text.append(View(message.head.method_string()))
+        .append(" ")
+        .append(View(message.head.target()))
+        .append(" HTTP/1.1\r\n");
     AppendEndToEnd(message.head, &text, [](const auto&) { return false; });
     if (message.head.method() == http::verb::post) {
       text += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -27,7 +27,7 @@
   site.plans.push_back(plan);
 
   micadock::Actions actions;
-  double now = 1000;   // your own clock, in seconds, the same at every gateway
+  double now = 1000;  // your own clock, in seconds, the same at every gateway
   micadock::Balancer gateway(site, 42, now, &actions);
   micadock::Backend backend;
   backend.id = 7;
--- a/src/admin/call.cpp
+++ b/src/admin/call.cpp
@@ -11,10 +11,10 @@
   bool with_id;
 };
 constexpr Word kWords[] = {
-    {"check", CallKind::kCheck, false},      {"vars", CallKind::kVars, false},
-    {"set-down", CallKind::kSetDown, true},  {"set-up", CallKind::kSetUp, true},
-    {"members", CallKind::kMembers, false},
-    {"drain-on", CallKind::kDrainOn, false}, {"drain-off", CallKind::kDrainOff, false},
+    {"check", CallKind::kCheck, false},        {"vars", CallKind::kVars, false},
+    {"set-down", CallKind::kSetDown, true},    {"set-up", CallKind::kSetUp, true},
+    {"members", CallKind::kMembers, false},    {"drain-on", CallKind::kDrainOn, false},
+    {"drain-off", CallKind::kDrainOff, false},
 };
 
 std::string_view NextWord(std::string_view* rest) {
@@ -32,7 +32,8 @@
 
 Parsed ParseCall(std::string_view line) {
   if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-  if (line.size() > kMostLine) return Fault("the call is longer than " + std::to_string(kMostLine) + " bytes");
+  if (line.size() > kMostLine)
+    return Fault("the call is longer than " + std::to_string(kMostLine) + " bytes");
   for (char c : line) {
     auto byte = static_cast<unsigned char>(c);
     if ((byte < 0x20 && c != '\t') || byte >= 0x7f) return Fault("the call holds a byte that is no text");
--- a/src/admin/call.h
+++ b/src/admin/call.h
@@ -29,7 +29,8 @@
 // The whole answer, with its line end. `why` must hold no line end: it is cut there.
 std::string Yes(std::string_view what = {});
 std::string No(std::string_view why);
-// Of `vars`: the yes, the figures as `figures` gives them (each a line, with its end), and the line that ends them.
+// Of `vars`: the yes, the figures as `figures` gives them (each a line, with its end), and the line that ends
+// them.
 std::string YesWith(std::string_view figures);
 
 }  // namespace ivygw::admin
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -14,7 +14,8 @@
 
 class Server::Caller : public std::enable_shared_from_this<Caller> {
  public:
-  Caller(Server* server, tcp::socket socket) : server_(server), socket_(std::move(socket)), timer_(server->io_) {}
+  Caller(Server* server, tcp::socket socket)
+      : server_(server), socket_(std::move(socket)), timer_(server->io_) {}
 
   void Start(std::list<std::shared_ptr<Caller>>::iterator at) {
     at_ = at;
@@ -42,18 +43,19 @@
   }
 
   void Read() {
-    socket_.async_read_some(asio::buffer(part_), [self = shared_from_this(), this](error_code error, size_t n) {
-      if (closed_) return;
-      if (answered_) return error ? Close() : Read();  // what comes after the call is of no interest
-      line_.append(part_.data(), n);
-      size_t end = line_.find('\n');
-      if (end != std::string::npos) return Answer(std::string_view(line_).substr(0, end));
-      if (line_.size() > kMostLine + 2) return Answer(line_);
-      // A last line without its end is a call, as long as its caller can still read the answer.
-      if (error == asio::error::eof && !line_.empty()) return Answer(line_);
-      if (error) return Close();
-      Read();
-    });
+    socket_.async_read_some(
+        asio::buffer(part_), [self = shared_from_this(), this](error_code error, size_t n) {
+          if (closed_) return;
+          if (answered_) return error ? Close() : Read();  // what comes after the call is of no interest
+          line_.append(part_.data(), n);
+          size_t end = line_.find('\n');
+          if (end != std::string::npos) return Answer(std::string_view(line_).substr(0, end));
+          if (line_.size() > kMostLine + 2) return Answer(line_);
+          // A last line without its end is a call, as long as its caller can still read the answer.
+          if (error == asio::error::eof && !line_.empty()) return Answer(line_);
+          if (error) return Close();
+          Read();
+        });
   }
 
   void Answer(std::string_view line) {
--- a/src/admin/server.h
+++ b/src/admin/server.h
@@ -1,6 +1,6 @@
-// Where operators call: a listener of its own on the gateway's event loop. One call to a connection; its answer ends it.
-// Callers that say nothing, or half a call, hold a place for a while and crowd out nobody: past the bound the one that
-// has been silent longest makes room.
+// Where operators call: a listener of its own on the gateway's event loop. One call to a connection; its
+// answer ends it. Callers that say nothing, or half a call, hold a place for a while and crowd out nobody:
+// past the bound the one that has been silent longest makes room.
 #ifndef IVYGW_ADMIN_SERVER_H_
 #define IVYGW_ADMIN_SERVER_H_
 
--- a/src/base/text_hash.h
+++ b/src/base/text_hash.h
@@ -1,5 +1,5 @@
-// A number out of a text: the same on every machine and in every build, for marks and draws; no guard against whoever
-// chooses texts to collide.
+// A number out of a text: the same on every machine and in every build, for marks and draws; no guard against
+// whoever chooses texts to collide.
 #ifndef IVYGW_BASE_TEXT_HASH_H_
 #define IVYGW_BASE_TEXT_HASH_H_
 
--- a/src/base/ticks.h
+++ b/src/base/ticks.h
@@ -1,4 +1,5 @@
-// The paper's ticks of time, as a ring: a book with no decision in it. One thread; `now` in seconds on one clock.
+// The paper's ticks of time, as a ring: a book with no decision in it. One thread; `now` in seconds on one
+// clock.
 #ifndef IVYGW_BASE_TICKS_H_
 #define IVYGW_BASE_TICKS_H_
 
--- a/src/bodies/body_memory.h
+++ b/src/bodies/body_memory.h
@@ -1,5 +1,5 @@
-// The memory that bodies may take together: how much of one is held, how large a window a transfer has, and when a long
-// one is turned away. Pure; bytes.
+// The memory that bodies may take together: how much of one is held, how large a window a transfer has, and
+// when a long one is turned away. Pure; bytes.
 #ifndef IVYGW_BODIES_BODY_MEMORY_H_
 #define IVYGW_BODIES_BODY_MEMORY_H_
 
@@ -10,8 +10,8 @@
 
 class BodyMemory {
  public:
-  static constexpr size_t kWhole = 64 * 1024;          // of a body that is always held until it is whole
-  static constexpr size_t kMostHeld = 256 * 1024;      // of a longer one, while there is plenty of room
+  static constexpr size_t kWhole = 64 * 1024;      // of a body that is always held until it is whole
+  static constexpr size_t kMostHeld = 256 * 1024;  // of a longer one, while there is plenty of room
   static constexpr size_t kMostWindow = 64 * 1024, kLeastWindow = 8 * 1024;
 
   explicit BodyMemory(size_t budget) : budget_(budget) {}
--- a/src/checker/checker.cpp
+++ b/src/checker/checker.cpp
@@ -81,7 +81,8 @@
   Verdict Finish() {
     EndOfRecord();
     Measure();
-    std::stable_sort(v_.breaks.begin(), v_.breaks.end(), [](const Break& a, const Break& b) { return a.t < b.t; });
+    std::stable_sort(v_.breaks.begin(), v_.breaks.end(),
+                     [](const Break& a, const Break& b) { return a.t < b.t; });
     return std::move(v_);
   }
   void Take(const Event& e);
@@ -91,7 +92,9 @@
     size_t i = static_cast<size_t>(rule);
     if (++v_.counts[i] <= kMostDescribed) v_.breaks.push_back({rule, t, request, what});
   }
-  const eventlog::ClassFacts& ClassOf(const Asked& a) const { return facts_.classes[static_cast<size_t>(a.ask.cls)]; }
+  const eventlog::ClassFacts& ClassOf(const Asked& a) const {
+    return facts_.classes[static_cast<size_t>(a.ask.cls)];
+  }
   static std::string Seconds(double s) {
     char text[32];
     std::snprintf(text, sizeof(text), "%.3f s", s);
@@ -123,7 +126,8 @@
     if (e.status == 200 && a.tokens.count(e.token) == 0 && !MadeForItsWork(e.request, e.token)) {
       Broken(Rule::kOneAnswer, e.t, e.request, "served with what no node made for it");
     }
-    // A refusal says that asking again is harmless. A keyed repeat is dropped by all nodes; an unsafe one by none.
+    // A refusal says that asking again is harmless. A keyed repeat is dropped by all nodes; an unsafe one by
+    // none.
     if ((e.status == 429 || e.status == 503) && ClassOf(a).effect == Effect::kUnsafe && MayHaveRun(a)) {
       Broken(Rule::kNoEffectTwice, e.t, e.request, "refused, though it may have run");
     }
@@ -136,13 +140,15 @@
   }
   bool MadeForItsWork(uint64_t request, uint64_t token) const {
     auto it = tries_.find(WorkOf(request));
-    return it != tries_.end() &&
-           std::any_of(it->second.begin(), it->second.end(), [&](uint64_t id) { return asked_.at(id).tokens.count(token) != 0; });
+    return it != tries_.end() && std::any_of(it->second.begin(), it->second.end(), [&](uint64_t id) {
+             return asked_.at(id).tokens.count(token) != 0;
+           });
   }
   bool AnotherMayHaveRun(uint64_t request) const {
     auto it = tries_.find(WorkOf(request));
     if (it == tries_.end()) return false;
-    return std::any_of(it->second.begin(), it->second.end(), [&](uint64_t id) { return id != request && MayHaveRun(asked_.at(id)); });
+    return std::any_of(it->second.begin(), it->second.end(),
+                       [&](uint64_t id) { return id != request && MayHaveRun(asked_.at(id)); });
   }
 
   bool MayHaveRun(const Asked& a) const {
@@ -167,7 +173,8 @@
       Broken(Rule::kNoEffectTwice, e.t, e.request, "unsafe, and sent again though it may have run");
     }
     if (facts_.works && cls.effect == Effect::kUnsafe && AnotherMayHaveRun(e.request)) {
-      Broken(Rule::kNoEffectTwice, e.t, e.request, "unsafe, and sent by a second gateway though it may have run at the first");
+      Broken(Rule::kNoEffectTwice, e.t, e.request,
+             "unsafe, and sent by a second gateway though it may have run at the first");
     }
     if (cls.effect == Effect::kKeyed && a.ran_at >= 0 && MayHaveRun(a) &&
         e.t > a.ran_at + cls.window_s + facts_.tolerance_s) {
@@ -188,7 +195,8 @@
       }
     }
     if (told == told_.end()) {
-      Broken(Rule::kDrainsKept, e.t, e.request, "sent to node " + std::to_string(e.node) + ", which was never named");
+      Broken(Rule::kDrainsKept, e.t, e.request,
+             "sent to node " + std::to_string(e.node) + ", which was never named");
     } else if (told->second.second != "active" &&
                e.due > told->second.first + facts_.drain_grace_s + facts_.tolerance_s) {
       Broken(Rule::kDrainsKept, e.t, e.request,
@@ -219,8 +227,8 @@
     }
   }
 
-  // What is sent to a cold node within any stretch of tip_s stays within the multiple of what it can do in such a
-  // stretch, by its capacity at that moment, and the largest single request.
+  // What is sent to a cold node within any stretch of tip_s stays within the multiple of what it can do in
+  // such a stretch, by its capacity at that moment, and the largest single request.
   void OnWork(const Event& e) {
     Window& w = nodes_[e.node];
     double age = e.t - w.up_at;
@@ -237,8 +245,8 @@
     double room = facts_.tip_multiple * now * facts_.tip_s + largest;
     if (w.sum > room + kRounding) {
       Broken(Rule::kColdNotPushed, e.t, e.request,
-             "node " + std::to_string(e.node) + " is cold and was sent " + Seconds(w.sum) + " of work, room for " +
-                 Seconds(room));
+             "node " + std::to_string(e.node) + " is cold and was sent " + Seconds(w.sum) +
+                 " of work, room for " + Seconds(room));
       w.sent.clear();
       w.sum = 0;
     }
@@ -291,7 +299,8 @@
   bool Excused(const Asked& a) const {
     if (auto stops = paused_.find(a.ask.gateway); stops != paused_.end()) {
       for (const Pause& p : stops->second) {
-        if (p.from <= a.ask.t + a.ask.seconds + facts_.tolerance_s && p.to >= a.ask.t - facts_.tolerance_s) return true;
+        if (p.from <= a.ask.t + a.ask.seconds + facts_.tolerance_s && p.to >= a.ask.t - facts_.tolerance_s)
+          return true;
       }
     }
     auto it = killed_.find(a.ask.gateway);
@@ -307,7 +316,9 @@
       if (a.answers > 0 || not_taken_.count(id) != 0 || Excused(a)) continue;
       double t = a.ask.t + a.ask.seconds;
       Broken(Rule::kOneAnswer, t, id,
-             a.ended ? "its connection ended with no answer" : a.gave_up ? "no answer in its time" : "no answer");
+             a.ended     ? "its connection ended with no answer"
+             : a.gave_up ? "no answer in its time"
+                         : "no answer");
     }
     for (const auto& [id, attempt] : attempts_) {
       if (attempt.out && attempt.overtaken_at >= 0) {
@@ -349,7 +360,9 @@
     for (uint64_t id : order_) {
       const Asked& a = asked_.at(id);
       const auto& plan = facts_.plans[static_cast<size_t>(a.ask.plan)];
-      uint64_t first = a.ask.other == 0 ? id : first_of.count(a.ask.other) != 0 ? first_of[a.ask.other] : a.ask.other;
+      uint64_t first = a.ask.other == 0                   ? id
+                       : first_of.count(a.ask.other) != 0 ? first_of[a.ask.other]
+                                                          : a.ask.other;
       first_of[id] = first;
       size_t phase = PhaseAt(a.ask.due), by_plan = static_cast<size_t>(a.ask.plan);
       auto all = {std::pair(&v_.whole, size_t{0}), std::pair(&v_.phases[phase], 1 + phase),
@@ -361,7 +374,8 @@
         chain.phase = phase;
         chain.aim = ClassOf(a).aim_s;
         // What one gateway that saw all would let in earns its whole worth.
-        bool inside = plan.rate <= 0 || quotas[a.ask.customer].Take(a.ask.due, plan.rate, plan.burst, a.ask.units);
+        bool inside =
+            plan.rate <= 0 || quotas[a.ask.customer].Take(a.ask.due, plan.rate, plan.burst, a.ask.units);
         if (!inside) quotas[a.ask.customer].level += a.ask.units;
         chain.worth = ClassOf(a).worth * plan.price * a.ask.units * (inside ? 1 : plan.excess_worth);
         chains[id] = chain;
@@ -373,10 +387,14 @@
       }
       for (auto [s, i] : all) {
         ++s->asked;
-        if (a.answers == 0) ++s->unanswered;
-        else if (a.status == 200) ++s->served;
-        else if (a.status == 429 || a.status == 503) ++s->refused;
-        else ++s->failed;
+        if (a.answers == 0)
+          ++s->unanswered;
+        else if (a.status == 200)
+          ++s->served;
+        else if (a.status == 429 || a.status == 503)
+          ++s->refused;
+        else
+          ++s->failed;
         if (a.answers > 0 && a.status == 200) took[i].push_back(a.answered_at - a.ask.due);
       }
       auto chain = chains.find(first);
@@ -415,7 +433,8 @@
 
   static double At(const std::vector<double>& sorted, double share) {
     if (sorted.empty()) return 0;
-    return sorted[std::min(sorted.size() - 1, static_cast<size_t>(share * static_cast<double>(sorted.size())))];
+    return sorted[std::min(sorted.size() - 1,
+                           static_cast<size_t>(share * static_cast<double>(sorted.size())))];
   }
 
   const RunFacts facts_;
--- a/src/checker/checker.h
+++ b/src/checker/checker.h
@@ -1,5 +1,6 @@
-// Judges a rehearsal by its record alone: the five rules, and service. Knows neither gateway nor emulator code;
-// pure. The rules are those of PROTOCOL's "The rules on sockets", with the figures in the record's facts.
+// Judges a rehearsal by its record alone: the five rules, and service. Knows neither gateway nor emulator
+// code; pure. The rules are those of PROTOCOL's "The rules on sockets", with the figures in the record's
+// facts.
 #ifndef IVYGW_CHECKER_CHECKER_H_
 #define IVYGW_CHECKER_CHECKER_H_
 
@@ -28,13 +29,13 @@
 struct Service {
   std::string name;
   double from_s = 0, to_s = 0;
-  uint64_t asked = 0;     // tries that were written to a gateway
-  uint64_t chains = 0;    // first tries that came due
+  uint64_t asked = 0;   // tries that were written to a gateway
+  uint64_t chains = 0;  // first tries that came due
   uint64_t served = 0, refused = 0, failed = 0, unanswered = 0;
   double worth_offered = 0, worth_served = 0;  // inside the quotas; served: within the aim
   double mean_s = 0, p50_s = 0, p99_s = 0;     // of served tries, from the intended time
-  // Of plans with a quota: the most that one customer was sent on for beyond what its store ever held, by the guesses,
-  // in any stretch of time.
+  // Of plans with a quota: the most that one customer was sent on for beyond what its store ever held, by the
+  // guesses, in any stretch of time.
   double most_over_units = 0;
   double Share() const { return worth_offered > 0 ? worth_served / worth_offered : 1; }
 };
@@ -47,8 +48,8 @@
   std::vector<Service> plans;
   uint64_t attempts = 0, effects = 0;
   double late_p99_s = 0, late_max_s = 0;  // of the load generator
-  // Of requests served at their first attempt: from the client's last byte to its arrival at the node, and from the
-  // node's answer to the client; what is between them is the node's.
+  // Of requests served at their first attempt: from the client's last byte to its arrival at the node, and
+  // from the node's answer to the client; what is between them is the node's.
   double added_p50_s = 0, added_p99_s = 0;
   bool Kept() const { return breaks.empty(); }
 };
--- a/src/core/backend_book.cpp
+++ b/src/core/backend_book.cpp
@@ -71,7 +71,8 @@
 }
 
 void BackendBook::Bar(uint32_t backend, double now) {
-  if (Backend* b = Find(backend); b != nullptr && b->draining) b->no_send_after = std::min(b->no_send_after, now);
+  if (Backend* b = Find(backend); b != nullptr && b->draining)
+    b->no_send_after = std::min(b->no_send_after, now);
 }
 
 bool BackendBook::MaySend(uint32_t backend, double now) const {
@@ -171,8 +172,8 @@
   auto it = connections_.find(connection);
   if (it == connections_.end() || it->second.state != State::kConnecting) return std::nullopt;
   Connection& c = it->second;
-  // Guards against a late connect: patience over, the grace of a drain past, or the backend at another address by now.
-  // Nothing is sent then.
+  // Guards against a late connect: patience over, the grace of a drain past, or the backend at another
+  // address by now. Nothing is sent then.
   bool late = now >= c.exchange.give_up || !MaySend(c.backend, now) || Find(c.backend)->address != c.address;
   if (late) return End(connection, Result::kConnectFailed, out);
   c.state = State::kOpen;
@@ -187,7 +188,8 @@
 
 std::optional<Exchange> BackendBook::Begin(uint64_t connection) {
   auto it = connections_.find(connection);
-  if (it == connections_.end() || it->second.state != State::kOpen || !it->second.written || it->second.begun) {
+  if (it == connections_.end() || it->second.state != State::kOpen || !it->second.written ||
+      it->second.begun) {
     return std::nullopt;
   }
   it->second.begun = true;
@@ -226,7 +228,8 @@
   return End(connection, it->second.written ? Result::kReset : Result::kConnectFailed, out);
 }
 
-std::optional<ExchangeEnd> BackendBook::OnStale(double now, uint64_t connection, TimerQueue* timers, Effects* out) {
+std::optional<ExchangeEnd> BackendBook::OnStale(double now, uint64_t connection, TimerQueue* timers,
+                                                Effects* out) {
   auto it = connections_.find(connection);
   if (it == connections_.end() || it->second.state != State::kOpen || it->second.written) return std::nullopt;
   Exchange exchange = it->second.exchange;
--- a/src/core/backend_book.h
+++ b/src/core/backend_book.h
@@ -1,6 +1,6 @@
-// Backends as listed, their drains, and the connections to them: which one an exchange takes, how it ends, what is kept
-// and what is closed. Pure: sockets are the driver's, time is told. Which backend gets a request is the decision
-// module's word alone.
+// Backends as listed, their drains, and the connections to them: which one an exchange takes, how it ends,
+// what is kept and what is closed. Pure: sockets are the driver's, time is told. Which backend gets a request
+// is the decision module's word alone.
 #ifndef IVYGW_CORE_BACKEND_BOOK_H_
 #define IVYGW_CORE_BACKEND_BOOK_H_
 
@@ -17,10 +17,10 @@
 namespace ivygw::core {
 
 struct ConnectionLimits {
-  double idle_s = 0;             // the backends' own; 0: not told
+  double idle_s = 0;  // the backends' own; 0: not told
   double connect_timeout_s = 0;
-  double drain_grace_s = 0;      // after which a draining backend gets nothing new
-  size_t most = 1;               // connections at once
+  double drain_grace_s = 0;  // after which a draining backend gets nothing new
+  size_t most = 1;           // connections at once
 };
 
 struct Listed {
@@ -51,22 +51,25 @@
   void Bar(uint32_t backend, double now);
   bool MaySend(uint32_t backend, double now) const;
 
-  // Takes a kept connection, or opens one. Returns the exchange's number, or 0: nothing may be sent there, or all
-  // connections are in use. It ends once, by one of the events below or by Cancel.
-  uint64_t Begin(double now, uint32_t backend, uint32_t request, int attempt, double patience_s, TimerQueue* timers,
-                 Effects* out);
+  // Takes a kept connection, or opens one. Returns the exchange's number, or 0: nothing may be sent there, or
+  // all connections are in use. It ends once, by one of the events below or by Cancel.
+  uint64_t Begin(double now, uint32_t backend, uint32_t request, int attempt, double patience_s,
+                 TimerQueue* timers, Effects* out);
   // Closes the exchange's connection at once; whether it may have run. None if it has ended already.
   std::optional<bool> Cancel(uint64_t exchange, Effects* out);
 
   // What happens to connections. Those that the book does not know (any more) change nothing.
   std::optional<ExchangeEnd> OnConnected(double now, uint64_t connection, Effects* out);
-  std::optional<ExchangeEnd> OnLost(double now, uint64_t connection, Effects* out);  // also: could not connect
+  std::optional<ExchangeEnd> OnLost(double now, uint64_t connection,
+                                    Effects* out);  // also: could not connect
   std::optional<ExchangeEnd> OnStale(double now, uint64_t connection, TimerQueue* timers, Effects* out);
   // Its last byte is out: from here on it may have run. False where the book knows of no such attempt.
   bool OnWritten(uint64_t connection);
   // A whole answer. `keep`: the connection is fit for another.
-  std::optional<ExchangeEnd> OnAnswer(double now, uint64_t connection, micadock::Result result, bool keep, Effects* out);
-  std::optional<ExchangeEnd> OnDue(double now, Due due, uint64_t exchange, Effects* out);  // kConnect or kPatience
+  std::optional<ExchangeEnd> OnAnswer(double now, uint64_t connection, micadock::Result result, bool keep,
+                                      Effects* out);
+  std::optional<ExchangeEnd> OnDue(double now, Due due, uint64_t exchange,
+                                   Effects* out);  // kConnect or kPatience
 
   uint32_t RequestOf(uint64_t connection) const;  // whose exchange is on it; 0: none
   // A good answer has begun: patience no longer holds. Its exchange, or none where there is no such attempt.
--- a/src/core/ban_book.cpp
+++ b/src/core/ban_book.cpp
@@ -16,7 +16,8 @@
       continue;
     }
     listed_[id] = entry;
-    if (entry.backend.state == BackendState::kReady && Banned(id)) entry.backend.state = BackendState::kDraining;
+    if (entry.backend.state == BackendState::kReady && Banned(id))
+      entry.backend.state = BackendState::kDraining;
   }
   return told;
 }
--- a/src/core/ban_book.h
+++ b/src/core/ban_book.h
@@ -1,6 +1,7 @@
-// Operators' bans over discovery's list: what the module and the book of connections are told of each backend, whatever
-// discovery says while a ban is in force. A banned backend drains; after the ban it is met as one that has just started,
-// since it may have been started again meanwhile and discovery tells that seconds late. Pure.
+// Operators' bans over discovery's list: what the module and the book of connections are told of each
+// backend, whatever discovery says while a ban is in force. A banned backend drains; after the ban it is met
+// as one that has just started, since it may have been started again meanwhile and discovery tells that
+// seconds late. Pure.
 #ifndef IVYGW_CORE_BAN_BOOK_H_
 #define IVYGW_CORE_BAN_BOOK_H_
 
@@ -18,14 +19,15 @@
   // Discovery's word goes in, and what is to be told instead comes out, in the same order.
   std::vector<Listed> Told(bool whole, const std::vector<Listed>& entries);
 
-  // A ban begins or ends. What is to be told of the backend now; nothing where that has not changed (it is not listed,
-  // drains anyway, or the ban was or was not there before). A backend that was never listed may be banned too.
+  // A ban begins or ends. What is to be told of the backend now; nothing where that has not changed (it is
+  // not listed, drains anyway, or the ban was or was not there before). A backend that was never listed may
+  // be banned too.
   std::optional<Listed> Ban(uint32_t backend, double now);
   std::optional<Listed> Lift(uint32_t backend, double now);
 
   bool Banned(uint32_t backend) const { return banned_.count(backend) != 0; }
-  size_t listed() const { return listed_.size(); }    // backends in discovery's list, draining ones too
-  size_t listed_and_banned() const;                   // of those that discovery would have used
+  size_t listed() const { return listed_.size(); }  // backends in discovery's list, draining ones too
+  size_t listed_and_banned() const;                 // of those that discovery would have used
 
  private:
   std::unordered_map<uint32_t, Listed> listed_;  // as discovery told last; none of them gone
--- a/src/core/counter_book.h
+++ b/src/core/counter_book.h
@@ -1,5 +1,5 @@
-// Calls to the shared counter: each ends once, as added, not added, or may have been added. Pure; the connections are
-// the driver's.
+// Calls to the shared counter: each ends once, as added, not added, or may have been added. Pure; the
+// connections are the driver's.
 #ifndef IVYGW_CORE_COUNTER_BOOK_H_
 #define IVYGW_CORE_COUNTER_BOOK_H_
 
--- a/src/core/drain.h
+++ b/src/core/drain.h
@@ -1,5 +1,6 @@
-// The stages of a drain that operators begin and may end at any moment: at once the gateway is not ready and asks its
-// clients to close; for a while new ones still come, and from then on idle connections are closed. Pure.
+// The stages of a drain that operators begin and may end at any moment: at once the gateway is not ready and
+// asks its clients to close; for a while new ones still come, and from then on idle connections are closed.
+// Pure.
 #ifndef IVYGW_CORE_DRAIN_H_
 #define IVYGW_CORE_DRAIN_H_
 
--- a/src/core/driver.h
+++ b/src/core/driver.h
@@ -1,5 +1,5 @@
-// One event at a time: hands it to the core, runs its effects, and lets what comes meanwhile wait its turn. What every
-// driver of the core shares, whatever it drives.
+// One event at a time: hands it to the core, runs its effects, and lets what comes meanwhile wait its turn.
+// What every driver of the core shares, whatever it drives.
 #ifndef IVYGW_CORE_DRIVER_H_
 #define IVYGW_CORE_DRIVER_H_
 
@@ -13,12 +13,13 @@
 
 namespace ivygw::core {
 
-// `Port` has `double Now()`, in the core's time; `Do(E&)` for each kind of effect; and `AfterTurn()`, run when nothing
-// waits any more, which is when it is known what is due next.
+// `Port` has `double Now()`, in the core's time; `Do(E&)` for each kind of effect; and `AfterTurn()`, run
+// when nothing waits any more, which is when it is known what is due next.
 template <typename Port>
 class Driver {
  public:
-  // Sees each event with its effects before they are run. The first, with no event: what the core asked for at its start.
+  // Sees each event with its effects before they are run. The first, with no event: what the core asked for
+  // at its start.
   using Tap = std::function<void(double now, const Event* event, const Effects& effects)>;
 
   // The core's first effects are run with the first event.
@@ -50,7 +51,9 @@
     double now = port_->Now();
     size_t before = effects_.size();
     core_->On(now, event, &effects_);
-    if (tap_) tap_(now, &event, before == 0 ? effects_ : Effects(effects_.begin() + static_cast<long>(before), effects_.end()));
+    if (tap_)
+      tap_(now, &event,
+           before == 0 ? effects_ : Effects(effects_.begin() + static_cast<long>(before), effects_.end()));
     for (Effect& effect : effects_) {
       std::visit([this](auto& what) { port_->Do(what); }, effect);
     }
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -1,5 +1,5 @@
-// What the gateway's core asks its driver to do: a closed set of plain structs, run in order once the core's call has
-// returned. No effect calls the core; what it brings about comes as an event of its own.
+// What the gateway's core asks its driver to do: a closed set of plain structs, run in order once the core's
+// call has returned. No effect calls the core; what it brings about comes as an event of its own.
 #ifndef IVYGW_CORE_EFFECTS_H_
 #define IVYGW_CORE_EFFECTS_H_
 
@@ -15,7 +15,8 @@
   uint32_t request = 0;
   uint64_t client = 0;
 };
-// The one final answer to `client`. With status 200 it is what the exchange on `connection`, told of last, brought.
+// The one final answer to `client`. With status 200 it is what the exchange on `connection`, told of last,
+// brought.
 struct Answer {
   uint64_t client = 0;
   uint32_t request = 0;
@@ -23,7 +24,8 @@
   double retry_after_s = 0;  // 0: none
   uint64_t connection = 0;   // 0: none
 };
-// The one final answer to `client` begins: it is what the exchange on `connection` brings, from what it has brought on.
+// The one final answer to `client` begins: it is what the exchange on `connection` brings, from what it has
+// brought on.
 struct BeginAnswer {
   uint64_t client = 0;
   uint32_t request = 0;
@@ -44,8 +46,8 @@
   uint64_t connection = 0;
   uint64_t address = 0;
 };
-// The whole request, to be told that it is waited for `patience_s`. On a `kept` connection the driver looks first
-// whether the backend has ended it, and tells of it (`OnStale`) instead of writing.
+// The whole request, to be told that it is waited for `patience_s`. On a `kept` connection the driver looks
+// first whether the backend has ended it, and tells of it (`OnStale`) instead of writing.
 struct Write {
   uint64_t connection = 0;
   uint32_t request = 0;
@@ -90,8 +92,9 @@
 struct StopIfQuiet {};        // end the program if no client is connected or waits to be
 struct Stop {};               // end the program
 
-using Effect = std::variant<Hold, Answer, Forget, Connect, Write, Close, Count, DropCount, Log, Subscribe, AskClientsToClose,
-                            CloseIdleClients, StopIfQuiet, Stop, KeepClients, BeginAnswer, BreakAnswer, Intend, AttemptOver>;
+using Effect = std::variant<Hold, Answer, Forget, Connect, Write, Close, Count, DropCount, Log, Subscribe,
+                            AskClientsToClose, CloseIdleClients, StopIfQuiet, Stop, KeepClients, BeginAnswer,
+                            BreakAnswer, Intend, AttemptOver>;
 using Effects = std::vector<Effect>;
 
 }  // namespace ivygw::core
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -1,5 +1,5 @@
-// What a driver tells the core: the events of GatewayCore as data, so that they can wait, be recorded and be played
-// again. Each stands for the method of GatewayCore with its fields.
+// What a driver tells the core: the events of GatewayCore as data, so that they can wait, be recorded and be
+// played again. Each stands for the method of GatewayCore with its fields.
 #ifndef IVYGW_CORE_EVENTS_H_
 #define IVYGW_CORE_EVENTS_H_
 
@@ -22,7 +22,8 @@
   double units = 0, entries = 1;
   double timeout_s = 0;  // for which the client waits: from now on, or from its body's end
   double body_s = 0;     // for which its body may still come; 0: it is whole
-  // A work whose attempts are made durable before their first byte: each is asked for by Intend and waits for IntentTold.
+  // A work whose attempts are made durable before their first byte: each is asked for by Intend and waits for
+  // IntentTold.
   bool recorded = false;
   // One that another gateway had begun, and what was tried there.
   bool resumed = false, may_have_run = false;
@@ -96,7 +97,8 @@
   int attempt = 0;
   bool ok = false;
 };
-struct Withdrawn {  // the client's request is another gateway's now, or has been answered: nothing is sent or said here
+struct Withdrawn {  // the client's request is another gateway's now, or has been answered: nothing is sent or
+                    // said here
   uint64_t client = 0;
 };
 // Of the fleet: how many gateways there are, and whether this one is counted among them.
@@ -105,15 +107,17 @@
   bool counted = true;
 };
 
-// A share of a customer's lent ceiling is this gateway's for so many seconds from now, in place of the one before.
+// A share of a customer's lent ceiling is this gateway's for so many seconds from now, in place of the one
+// before.
 struct ShareTold {
   uint64_t customer = 0;
   double share = 0, seconds = 0;
 };
 
-using Event = std::variant<Arrival, ClientGone, Connected, Written, Answered, Lost, Stale, ListTold, ListFailed,
-                           CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun, BanTold, DrainTold,
-                           BodyGone, BodyEnded, AnswerBegun, LearnedTold, IntentTold, Withdrawn, FleetTold, ShareTold>;
+using Event =
+    std::variant<Arrival, ClientGone, Connected, Written, Answered, Lost, Stale, ListTold, ListFailed,
+                 CountWritten, CountAnswered, CountLost, TimeCame, ShutdownBegun, BanTold, DrainTold,
+                 BodyGone, BodyEnded, AnswerBegun, LearnedTold, IntentTold, Withdrawn, FleetTold, ShareTold>;
 
 }  // namespace ivygw::core
 
--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -27,8 +27,8 @@
 
 GatewayCore::~GatewayCore() = default;
 
-// Actions run after the module's call has returned, and none of them calls it: what they bring about at once is told
-// by Settle. Guards against re-entry.
+// Actions run after the module's call has returned, and none of them calls it: what they bring about at once
+// is told by Settle. Guards against re-entry.
 template <typename Call>
 void GatewayCore::Tell(double now, Effects* out, Call call) {
   call(*balancer_, now, &actions_);
@@ -41,9 +41,11 @@
   switch (action.kind) {
     case ActionKind::kSend: return Send(now, action, out);
     case ActionKind::kCancel: return Cancel(action, out);
-    case ActionKind::kRefuse: return Finish(action.request, action.seconds > 0 ? 429 : 503, action.seconds, 0, out);
+    case ActionKind::kRefuse:
+      return Finish(action.request, action.seconds > 0 ? 429 : 503, action.seconds, 0, out);
     case ActionKind::kFail: return Finish(action.request, 502, 0, 0, out);
-    case ActionKind::kTimer: return timers_.Add(now + std::max(0.0, action.seconds), Due::kModule, action.tag);
+    case ActionKind::kTimer:
+      return timers_.Add(now + std::max(0.0, action.seconds), Due::kModule, action.tag);
     case ActionKind::kCount:
       if (settings_.has_counter) return counts_.Begin(now, action, &timers_, out);
       return uncounted_.push_back(action.tag);
@@ -61,7 +63,9 @@
     void operator()(const ClientGone& e) { core->OnClientGone(now, e.client, out); }
     void operator()(const Connected& e) { core->OnConnected(now, e.connection, out); }
     void operator()(const Written& e) { core->OnWritten(now, e.connection, out); }
-    void operator()(const Answered& e) { core->OnAnswer(now, e.connection, e.result, e.true_units, e.keep, out); }
+    void operator()(const Answered& e) {
+      core->OnAnswer(now, e.connection, e.result, e.true_units, e.keep, out);
+    }
     void operator()(const Lost& e) { core->OnLost(now, e.connection, out); }
     void operator()(const Stale& e) { core->OnStale(now, e.connection, out); }
     void operator()(const ListTold& e) { core->OnList(now, e.kind, e.entries, out); }
@@ -86,7 +90,8 @@
 }
 
 uint32_t GatewayCore::OnRequest(double now, const Arrival& arrival, Effects* out) {
-  double margin = AnswerMargin(arrival.timeout_s), deadline = now + arrival.body_s + arrival.timeout_s - margin / 2;
+  double margin = AnswerMargin(arrival.timeout_s),
+         deadline = now + arrival.body_s + arrival.timeout_s - margin / 2;
   bool free = settings_.module.classes[static_cast<size_t>(arrival.cls)].effect == micadock::Effect::kFree;
   uint32_t id = requests_.Take(arrival.client, arrival.id, arrival.cls, deadline, free);
   Held* held = requests_.Find(id);
@@ -195,8 +200,8 @@
   return Result::kOk;
 }
 
-// A word about an attempt that does not wait for it changes nothing. Where the request has been answered meanwhile, or
-// the attempt has been taken back, nothing is sent: it is known never to have run.
+// A word about an attempt that does not wait for it changes nothing. Where the request has been answered
+// meanwhile, or the attempt has been taken back, nothing is sent: it is known never to have run.
 void GatewayCore::OnIntent(double now, uint32_t request, int attempt, bool ok, Effects* out) {
   Held* held = requests_.Find(request);
   size_t at = static_cast<size_t>(attempt);
@@ -232,7 +237,8 @@
 
 void GatewayCore::Ended(double now, const std::optional<ExchangeEnd>& end, double true_units, Effects* out) {
   if (end) {
-    Outcome(now, end->exchange.request, end->exchange.attempt, end->result, true_units, end->exchange.connection, out);
+    Outcome(now, end->exchange.request, end->exchange.attempt, end->result, true_units,
+            end->exchange.connection, out);
   }
   Settle(now, out);
 }
@@ -269,7 +275,8 @@
 }
 
 // The request's only final answer. What is still out is kept in the books until its end is told.
-void GatewayCore::Finish(uint32_t request, int status, double retry_after_s, uint64_t connection, Effects* out) {
+void GatewayCore::Finish(uint32_t request, int status, double retry_after_s, uint64_t connection,
+                         Effects* out) {
   if (!requests_.Answer(request)) return;
   const Held& held = *requests_.Find(request);
   figures_.Answered(held.cls, status);
@@ -289,8 +296,8 @@
 }
 
 void GatewayCore::OnConnected(double now, uint64_t connection, Effects* out) {
-  // Answered while it came up, and the module did not take the attempt back: nothing is sent after the answer. Nor
-  // without the whole body.
+  // Answered while it came up, and the module did not take the attempt back: nothing is sent after the
+  // answer. Nor without the whole body.
   const Held* held = requests_.Find(backends_.RequestOf(connection));
   if (held != nullptr && (held->answered || held->body_gone)) return OnLost(now, connection, out);
   Ended(now, backends_.OnConnected(now, connection, out), 0, out);
@@ -298,7 +305,8 @@
 void GatewayCore::OnWritten(double, uint64_t connection, Effects*) {
   if (backends_.OnWritten(connection)) ++figures_.backend_calls;
 }
-void GatewayCore::OnAnswer(double now, uint64_t connection, Result result, double true_units, bool keep, Effects* out) {
+void GatewayCore::OnAnswer(double now, uint64_t connection, Result result, double true_units, bool keep,
+                           Effects* out) {
   std::optional<ExchangeEnd> end = backends_.OnAnswer(now, connection, result, keep, out);
   Ended(now, end, end && end->result == Result::kOk ? true_units : 0, out);
 }
@@ -355,25 +363,30 @@
 
 void GatewayCore::OnListFailed(double now, Effects* out) {
   ready_ = true;  // by the list as last known
-  Tell(now, out, [](Balancer& b, double at, Actions* actions) { b.OnList(at, ListKind::kFailed, {}, actions); });
+  Tell(now, out,
+       [](Balancer& b, double at, Actions* actions) { b.OnList(at, ListKind::kFailed, {}, actions); });
   Settle(now, out);
 }
 
 void GatewayCore::Counted(double now, const std::optional<micadock::CountAnswer>& answer, Effects* out) {
-  if (answer) Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnCount(at, *answer, actions); });
+  if (answer)
+    Tell(now, out, [&](Balancer& b, double at, Actions* actions) { b.OnCount(at, *answer, actions); });
   Settle(now, out);
 }
 void GatewayCore::OnCountAnswer(double now, uint64_t call, Result result, double total, Effects* out) {
   Counted(now, counts_.OnAnswer(call, result, total), out);
 }
-void GatewayCore::OnCountLost(double now, uint64_t call, Effects* out) { Counted(now, counts_.OnLost(call), out); }
+void GatewayCore::OnCountLost(double now, uint64_t call, Effects* out) {
+  Counted(now, counts_.OnLost(call), out);
+}
 
 bool GatewayCore::Void(const TimerQueue::Timer& timer) const {
   switch (timer.due) {
     case Due::kModule: return false;
     case Due::kGuard: {
       const Held* held = requests_.Find(static_cast<uint32_t>(timer.tag));
-      return held == nullptr || held->answered || timer.at < held->deadline;  // or another of this number, later
+      return held == nullptr || held->answered ||
+             timer.at < held->deadline;  // or another of this number, later
     }
     case Due::kConnect: return !backends_.IsConnecting(timer.tag);
     case Due::kPatience: return !backends_.IsOut(timer.tag) || backends_.HasBegun(timer.tag);
@@ -411,8 +424,8 @@
   Settle(now, out);
 }
 
-// Tells what the module's own actions brought about, until nothing is left; each request has few attempts, and the
-// module asks a counter that is not there ever more rarely, so that this ends.
+// Tells what the module's own actions brought about, until nothing is left; each request has few attempts,
+// and the module asks a counter that is not there ever more rarely, so that this ends.
 void GatewayCore::Settle(double now, Effects* out) {
   while (!told_.empty() || !uncounted_.empty()) {
     if (!told_.empty()) {
--- a/src/core/gateway_core.h
+++ b/src/core/gateway_core.h
@@ -1,11 +1,11 @@
-// The gateway without I/O: events with the time go in, effects come out, in order; the same events give the same
-// effects. No sockets, no threads, no clock of its own. The only caller of the decision module: it keeps the books round
-// the module and decides nothing about servers, retries or quotas.
+// The gateway without I/O: events with the time go in, effects come out, in order; the same events give the
+// same effects. No sockets, no threads, no clock of its own. The only caller of the decision module: it keeps
+// the books round the module and decides nothing about servers, retries or quotas.
 //
-// A driver (sockets, virtual time, a trace) calls one event at a time and then runs the effects, in order. `now` is in
-// seconds of the module's clock, the same at every gateway as far as machines agree; it must not go back, and where it
-// does, nothing is due until it has caught up. Events about connections, calls or clients that the core no longer knows
-// change nothing, however late or often they come.
+// A driver (sockets, virtual time, a trace) calls one event at a time and then runs the effects, in order.
+// `now` is in seconds of the module's clock, the same at every gateway as far as machines agree; it must not
+// go back, and where it does, nothing is due until it has caught up. Events about connections, calls or
+// clients that the core no longer knows change nothing, however late or often they come.
 #ifndef IVYGW_CORE_GATEWAY_CORE_H_
 #define IVYGW_CORE_GATEWAY_CORE_H_
 
@@ -51,12 +51,15 @@
   // Connections to backends, by the numbers in Connect.
   void OnConnected(double now, uint64_t connection, Effects* out);
   void OnWritten(double now, uint64_t connection, Effects* out);  // the message's last byte is out
-  void OnAnswer(double now, uint64_t connection, micadock::Result result, double true_units, bool keep, Effects* out);
-  void OnLost(double now, uint64_t connection, Effects* out);   // refused, reset, ended, spoilt
-  void OnStale(double now, uint64_t connection, Effects* out);  // a kept one had ended before it was written to
-
-  // Bodies that are not whole at once. A request whose body has gone, in part, is sent no second time; its time begins
-  // when the body is whole. A begun answer is the request's final one: it ends with OnAnswer or OnLost.
+  void OnAnswer(double now, uint64_t connection, micadock::Result result, double true_units, bool keep,
+                Effects* out);
+  void OnLost(double now, uint64_t connection, Effects* out);  // refused, reset, ended, spoilt
+  void OnStale(double now, uint64_t connection,
+               Effects* out);  // a kept one had ended before it was written to
+
+  // Bodies that are not whole at once. A request whose body has gone, in part, is sent no second time; its
+  // time begins when the body is whole. A begun answer is the request's final one: it ends with OnAnswer or
+  // OnLost.
   void OnBodyGone(uint32_t request);
   void OnBodyEnded(double now, uint32_t request, Effects* out);
   void OnAnswerBegun(double now, uint64_t connection, Effects* out);
@@ -75,8 +78,8 @@
   void OnCountAnswer(double now, uint64_t call, micadock::Result result, double total, Effects* out);
   void OnCountLost(double now, uint64_t call, Effects* out);
 
-  // Time. OnTime is to be called at NextDue or soon after; called early, it does nothing. NextDue changes nothing that
-  // an event could notice: it only forgets what has become void.
+  // Time. OnTime is to be called at NextDue or soon after; called early, it does nothing. NextDue changes
+  // nothing that an event could notice: it only forgets what has become void.
   double NextDue(double now);
   void OnTime(double now, Effects* out);
 
@@ -84,8 +87,8 @@
   void BeginShutdown(double now, Effects* out);
   bool ready() const { return open() && !shutdown_.begun(); }
 
-  // Operators. A ban is a drain without grace, of a backend that need not be listed; the end of one is one call,
-  // however often it was called out. A drain of the gateway: it is not ready, and empties itself.
+  // Operators. A ban is a drain without grace, of a backend that need not be listed; the end of one is one
+  // call, however often it was called out. A drain of the gateway: it is not ready, and empties itself.
   void OnBan(double now, uint32_t backend, bool out_of_use, Effects* out);
   void OnDrain(double now, bool on, Effects* out);
   bool serving() const { return ready_; }               // can serve, whether or not it is to
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -10,8 +10,9 @@
 inline constexpr double kMarginS = 0.01, kMarginShare = 0.1;
 inline double AnswerMargin(double timeout_s) { return std::min(kMarginS, kMarginShare * timeout_s); }
 
-// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however late,
-// and what a late answer tells is worth more than the wait: given up, its amount would pass for others' use.
+// Of the counter's time-out in the settings. A real counter answers when a call has had its turn, however
+// late, and what a late answer tells is worth more than the wait: given up, its amount would pass for others'
+// use.
 inline constexpr double kCountPatience = 3;
 
 // Kept connections are closed this share of the backend's own idle limit after their last answer. Guards
@@ -24,7 +25,8 @@
 // After SIGTERM clients go on coming for up to 0.4 s. Then kept connections are closed, and what is held is
 // finished within the longest deadline and a margin.
 inline constexpr double kStillComingS = 0.5, kEndMarginS = 0.6;
-// After an operator's drain begins, the front may take this long to notice and to stop bringing new connections.
+// After an operator's drain begins, the front may take this long to notice and to stop bringing new
+// connections.
 inline constexpr double kDrainComingS = 0.7;
 
 }  // namespace ivygw
--- a/src/core/request_book.h
+++ b/src/core/request_book.h
@@ -1,5 +1,5 @@
-// The requests that are held: from accepted to the one final answer, and on until nothing of them is out. Pure: no
-// sockets, no clock. Decides nothing about backends.
+// The requests that are held: from accepted to the one final answer, and on until nothing of them is out.
+// Pure: no sockets, no clock. Decides nothing about backends.
 #ifndef IVYGW_CORE_REQUEST_BOOK_H_
 #define IVYGW_CORE_REQUEST_BOOK_H_
 
@@ -24,26 +24,26 @@
   uint32_t backend = 0;
   uint64_t exchange = 0;  // the backend book's; 0 where it took none
   double began = 0;
-  bool out = true;        // its outcome is not told yet
-  bool cancelled = false; // the module took it back
-  bool intended = false;  // it waits to be made durable;
-  double patience_s = 0;  // and then has so long, from when it was asked for
+  bool out = true;         // its outcome is not told yet
+  bool cancelled = false;  // the module took it back
+  bool intended = false;   // it waits to be made durable;
+  double patience_s = 0;   // and then has so long, from when it was asked for
 };
 
 struct Held {
   uint64_t client = 0;
-  std::string id;       // the client's
+  std::string id;  // the client's
   int cls = 0;
   double deadline = 0;  // when the guard answers, on the core's clock
   bool free = false;    // of a class whose requests have no effect
   std::vector<Attempt> attempts;
-  double timeout_s = 0;     // for which its client waits once its body is whole
-  bool whole = true;        // its body
-  bool body_gone = false;   // no longer held from its beginning
-  bool recorded = false;    // its attempts are made durable first
+  double timeout_s = 0;    // for which its client waits once its body is whole
+  bool whole = true;       // its body
+  bool body_gone = false;  // no longer held from its beginning
+  bool recorded = false;   // its attempts are made durable first
   bool answered = false, may_have_run = false;
-  bool streaming = false;   // its answer has begun, and is not whole;
-  int stream = 0;           // this attempt brings it
+  bool streaming = false;  // its answer has begun, and is not whole;
+  int stream = 0;          // this attempt brings it
   bool Out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
   }
@@ -51,7 +51,8 @@
 
 class RequestBook {
  public:
-  // Numbers differ from those of all that is held, also where they wrap round. `last`: after which they begin.
+  // Numbers differ from those of all that is held, also where they wrap round. `last`: after which they
+  // begin.
   explicit RequestBook(uint32_t last = 0) : last_(last) {}
 
   // Another request of this id is open, or an attempt of it is still out: two of one id would be mixed up.
@@ -67,7 +68,7 @@
   bool Answer(uint32_t request);
   // Its final answer has begun; the client is its until Ended. False if it was answered before.
   bool Begin(uint32_t request, int attempt);
-  void Ended(uint32_t request);  // a begun answer, in whatever way
+  void Ended(uint32_t request);                 // a begun answer, in whatever way
   uint32_t StreamingTo(uint64_t client) const;  // the request whose begun answer goes there; 0 for none
   // What the guard answers: 503 where nothing can have run, 504 where it may have.
   static int GuardStatus(const Held& held) {
--- a/src/core/shutdown.h
+++ b/src/core/shutdown.h
@@ -1,5 +1,5 @@
-// The stages of a planned end: clients go on coming for a while, then kept connections are closed, then what is held is
-// finished, within a bound. Pure.
+// The stages of a planned end: clients go on coming for a while, then kept connections are closed, then what
+// is held is finished, within a bound. Pure.
 #ifndef IVYGW_CORE_SHUTDOWN_H_
 #define IVYGW_CORE_SHUTDOWN_H_
 
--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -1,5 +1,5 @@
-// Due times in order. There is no way to take one back: the owner passes over what has become void, which is cheaper
-// than a search.
+// Due times in order. There is no way to take one back: the owner passes over what has become void, which is
+// cheaper than a search.
 #ifndef IVYGW_CORE_TIMER_QUEUE_H_
 #define IVYGW_CORE_TIMER_QUEUE_H_
 
@@ -22,11 +22,14 @@
     uint64_t number;  // those of one time are due in the order in which they were added
     Due due;
     uint64_t tag;
-    bool operator>(const Timer& other) const { return at != other.at ? at > other.at : number > other.number; }
+    bool operator>(const Timer& other) const {
+      return at != other.at ? at > other.at : number > other.number;
+    }
   };
 
   void Add(double at, Due due, uint64_t tag) { waiting_.push({at, ++last_, due, tag}); }
-  // Takes away from the front what `is_void` says can bring nothing about any more, so that nobody wakes for it.
+  // Takes away from the front what `is_void` says can bring nothing about any more, so that nobody wakes for
+  // it.
   template <typename IsVoid>
   void Prune(IsVoid is_void) {
     while (!waiting_.empty() && is_void(waiting_.top())) waiting_.pop();
--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -12,8 +12,8 @@
 using scenario::FaultKind;
 using scenario::Scenario;
 
-constexpr double kShiftS = 10;           // after which a customer's traffic favours another gateway
-constexpr double kLatePatienceS = 0.05;  // beyond its patience, for which a client still hears an answer
+constexpr double kShiftS = 10;               // after which a customer's traffic favours another gateway
+constexpr double kLatePatienceS = 0.05;      // beyond its patience, for which a client still hears an answer
 constexpr uint64_t kRetryStep = 1ULL << 32;  // between the ids of one chain
 
 double RateTimes(const Scenario& s, double t) {
@@ -56,7 +56,8 @@
     const scenario::RequestClass& cls = s.classes[static_cast<size_t>(call.cls)];
     const scenario::Plan& plan = s.plans[static_cast<size_t>(call.plan)];
     call.spread = plan.spread > 0 ? plan.spread : s.gateways;
-    call.first = static_cast<int>(random_.Fork("set", call.customer).Below(static_cast<uint64_t>(s.gateways)));
+    call.first =
+        static_cast<int>(random_.Fork("set", call.customer).Below(static_cast<uint64_t>(s.gateways)));
     call.draw = what.Unit();
     call.honours = what.Chance(s.clients.honour);
     if (cls.effect == scenario::Effect::kKeyed) {
@@ -140,7 +141,8 @@
   });
 }
 
-// Uneven over the customer's set, and the favoured one changes; those that the front takes for dead are left out.
+// Uneven over the customer's set, and the favoured one changes; those that the front takes for dead are left
+// out.
 int Clients::Choose(const ClientCall& call) {
   std::vector<std::pair<int, double>> among;
   double epoch = std::floor(call.due / kShiftS);
@@ -224,8 +226,8 @@
   Over(id, true, 0);
 }
 
-// The try is over without being served: the client may make another. One that may have run, and is not safe to
-// repeat, it leaves, unless the gateways know each other's work: then its key makes it so.
+// The try is over without being served: the client may make another. One that may have run, and is not safe
+// to repeat, it leaves, unless the gateways know each other's work: then its key makes it so.
 void Clients::Over(uint64_t id, bool harmless, double retry_after_s) {
   open_.erase(id);
   ClientCall call = calls_.at(id);
--- a/src/emulator/clients.h
+++ b/src/emulator/clients.h
@@ -1,5 +1,5 @@
-// The clients and the front before the gateways: arrivals are drawn ahead of the run and wait for no answer; a
-// client's retry belongs to its first try. Sends through a Port, which is virtual or made of sockets.
+// The clients and the front before the gateways: arrivals are drawn ahead of the run and wait for no answer;
+// a client's retry belongs to its first try. Sends through a Port, which is virtual or made of sockets.
 #ifndef IVYGW_EMULATOR_CLIENTS_H_
 #define IVYGW_EMULATOR_CLIENTS_H_
 
@@ -25,8 +25,8 @@
   int spread = 1, first = 0;         // the customer's set of gateways
   double due = 0;                    // when it is meant to be sent
   double patience_s = 0;
-  std::string key;    // of a keyed class; the same for all tries of a chain
-  double draw = 0;    // for the choice of a gateway, drawn ahead
+  std::string key;       // of a keyed class; the same for all tries of a chain
+  double draw = 0;       // for the choice of a gateway, drawn ahead
   bool honours = false;  // waits as long as it is told to before it tries again
   int tries = 0;         // before this one
 };
@@ -43,7 +43,8 @@
 class Clients {
  public:
   // Draws the whole day. `scenario`, `scheduler` and `log` outlive the object.
-  Clients(const scenario::Scenario& scenario, uint64_t seed, Scheduler* scheduler, std::vector<eventlog::Event>* log);
+  Clients(const scenario::Scenario& scenario, uint64_t seed, Scheduler* scheduler,
+          std::vector<eventlog::Event>* log);
 
   void Start(ClientPort* port);
   // Of a gateway: whether the front sends to it.
--- a/src/emulator/counter_model.cpp
+++ b/src/emulator/counter_model.cpp
@@ -37,7 +37,8 @@
   if (fresh || entry.until <= now) entry = {0, now + std::min(life_s, kMostLifeS)};
   double before = entry.total;
   if (!random_.Chance(part.faults.lost)) entry.total += amount;
-  if (part.faults.stale) return {CounterResult::kTotal, at, part.stale.try_emplace(name, before).first->second};
+  if (part.faults.stale)
+    return {CounterResult::kTotal, at, part.stale.try_emplace(name, before).first->second};
   return {CounterResult::kTotal, at, entry.total};
 }
 
--- a/src/emulator/counter_model.h
+++ b/src/emulator/counter_model.h
@@ -15,8 +15,8 @@
 namespace ivygw::emulator {
 
 struct CounterSpec {
-  int parts = 2;               // a name belongs to one of them
-  double calls_per_s = 1500;   // of all parts together
+  int parts = 2;              // a name belongs to one of them
+  double calls_per_s = 1500;  // of all parts together
   double least_wait_s = 0.0005;
   double longest_queue_s = 0.2;  // a call that would wait longer is turned away
 };
@@ -50,8 +50,8 @@
   const CounterFaults& faults(int part) const { return parts_[static_cast<size_t>(part)].faults; }
   void Lose(double now, double share);  // forgets that share of the names
   void Empty();                         // replaced by an empty one
-  // Two halves that go on counting by themselves, from the same totals: gateways below `first_of_second` see one,
-  // the others the other. Healing keeps the half of the first gateways and drops the other.
+  // Two halves that go on counting by themselves, from the same totals: gateways below `first_of_second` see
+  // one, the others the other. Healing keeps the half of the first gateways and drops the other.
   void Split(int first_of_second);
   void Heal();
 
--- a/src/emulator/discovery_model.h
+++ b/src/emulator/discovery_model.h
@@ -1,5 +1,5 @@
-// Discovery: what is true of the fleet, and what each gateway's agent has been sent of it so far, late and never
-// out of order. No I/O and no clock. Times are seconds. One thread.
+// Discovery: what is true of the fleet, and what each gateway's agent has been sent of it so far, late and
+// never out of order. No I/O and no clock. Times are seconds. One thread.
 #ifndef IVYGW_EMULATOR_DISCOVERY_MODEL_H_
 #define IVYGW_EMULATOR_DISCOVERY_MODEL_H_
 
--- a/src/emulator/engine_model.h
+++ b/src/emulator/engine_model.h
@@ -1,5 +1,5 @@
-// The shared engine in virtual time: the entries' own rules (shared/memory_store), with delays, lost and late answers,
-// callers cut off in one direction or both, and fail-overs that lose the newest writes. One thread.
+// The shared engine in virtual time: the entries' own rules (shared/memory_store), with delays, lost and late
+// answers, callers cut off in one direction or both, and fail-overs that lose the newest writes. One thread.
 #ifndef IVYGW_EMULATOR_ENGINE_MODEL_H_
 #define IVYGW_EMULATOR_ENGINE_MODEL_H_
 
@@ -30,7 +30,7 @@
       : scheduler_(scheduler), random_(Random(seed).Fork("engine")), one_way_s_(one_way_s), store_("first") {}
 
   EngineLink& link(int caller) { return links_[caller]; }
-  bool away = false;       // nothing is answered, nothing done
+  bool away = false;  // nothing is answered, nothing done
   uint64_t calls = 0, writes = 0;
 
   // `alive`: whether the caller is still there to hear it.
@@ -39,7 +39,9 @@
     writes += call.kind == shared::CallKind::kCommit;
     const EngineLink& link = links_[caller];
     if (link.refused) {
-      return scheduler_->After(one_way_s_, [done = std::move(done)] { done(shared::NotDone(shared::Fault::kUnreachable, "refused")); });
+      return scheduler_->After(one_way_s_, [done = std::move(done)] {
+        done(shared::NotDone(shared::Fault::kUnreachable, "refused"));
+      });
     }
     if (!link.calls || random_.Chance(link.lost)) return;
     double there = one_way_s_ * random_.Between(0.8, 1.2) + link.slow_s;
@@ -48,12 +50,15 @@
       shared::Reply reply = store_.Take(call, scheduler_->Now() + ahead_s_);
       const EngineLink& back = links_[caller];
       if (!back.answers || random_.Chance(back.lost)) return;
-      scheduler_->After(one_way_s_ * random_.Between(0.8, 1.2) + back.slow_s, [reply = std::move(reply), done] { done(reply); });
+      scheduler_->After(one_way_s_ * random_.Between(0.8, 1.2) + back.slow_s,
+                        [reply = std::move(reply), done] { done(reply); });
     });
   }
 
-  void Keep() { kept_ = store_; }                  // a copy, or what a replica has
-  void PutBack() { if (kept_) store_ = *kept_; }   // in the store's place: what came since is lost
+  void Keep() { kept_ = store_; }  // a copy, or what a replica has
+  void PutBack() {
+    if (kept_) store_ = *kept_;
+  }  // in the store's place: what came since is lost
   void Empty(const std::string& generation) { store_ = shared::MemoryStore(generation); }
   void MoveClock(double seconds) { ahead_s_ += seconds; }
   shared::MemoryStore& store() { return store_; }
--- a/src/emulator/fleet_model.cpp
+++ b/src/emulator/fleet_model.cpp
@@ -7,7 +7,8 @@
 using membership::Asks;
 using membership::Membership;
 
-FleetModel::FleetModel(VirtualScheduler* scheduler, EngineModel* engine, const membership::Options& options, uint64_t seed)
+FleetModel::FleetModel(VirtualScheduler* scheduler, EngineModel* engine, const membership::Options& options,
+                       uint64_t seed)
     : scheduler_(scheduler), engine_(engine), options_(options), random_(Random(seed).Fork("fleet")) {}
 
 int FleetModel::Start(int slot, const std::string& name, bool heir) {
@@ -49,7 +50,9 @@
 void FleetModel::Leave(int process) {
   Run(process, [](Membership& m, double now, Asks* out) { m.Leave(now, out); });
 }
-void FleetModel::MoveClock(int process, double seconds) { processes_[static_cast<size_t>(process)]->ahead_s += seconds; }
+void FleetModel::MoveClock(int process, double seconds) {
+  processes_[static_cast<size_t>(process)]->ahead_s += seconds;
+}
 
 void FleetModel::Run(int process, const std::function<void(Membership&, double, Asks*)>& event) {
   Process& p = *processes_[static_cast<size_t>(process)];
@@ -68,9 +71,11 @@
 void FleetModel::Do(int process, Asks asks) {
   for (membership::Ask& ask : asks) {
     if (before_call) before_call(process);
-    engine_->Ask(process, std::move(ask.call), [this, process, number = ask.number](const shared::Reply& reply) {
-      Run(process, [number, reply](Membership& m, double now, Asks* out) { m.OnReply(now, number, reply, out); });
-    });
+    engine_->Ask(
+        process, std::move(ask.call), [this, process, number = ask.number](const shared::Reply& reply) {
+          Run(process,
+              [number, reply](Membership& m, double now, Asks* out) { m.OnReply(now, number, reply, out); });
+        });
   }
 }
 
@@ -101,10 +106,12 @@
     if (m.Counts(now)) parts += 1.0 / m.Number(now);
     if (!m.Sure(now) || p->heir) continue;  // an heir and the one before are one member
     auto [name, fresh_name] = names.try_emplace(p->name, p->number);
-    if (!fresh_name && !processes_[static_cast<size_t>(name->second)]->heir) found("two are sure of the name " + p->name);
+    if (!fresh_name && !processes_[static_cast<size_t>(name->second)]->heir)
+      found("two are sure of the name " + p->name);
     auto [slot, fresh_slot] = slots.try_emplace(m.self().slot, p->number);
     if (!fresh_slot) found("two are sure of slot " + std::to_string(m.self().slot));
-    if (!fences.try_emplace({m.fence().revision, m.fence().boot}, p->number).second) found("two are sure of one fence");
+    if (!fences.try_emplace({m.fence().revision, m.fence().boot}, p->number).second)
+      found("two are sure of one fence");
   }
   most_parts = std::max(most_parts, parts);
   if (parts > 1 + 1e-9) found("parts add up to " + std::to_string(parts));
--- a/src/emulator/installation.cpp
+++ b/src/emulator/installation.cpp
@@ -30,9 +30,15 @@
                    const json& known) {
   json classes = json::array(), plans = json::array(), kinds = json::array();
   for (const auto& c : s.classes) {
-    classes.push_back({{"name", c.name},          {"effect", EffectName(c.effect)}, {"aim-s", c.aim_s},
-                       {"hard-limit-s", c.deadline_s}, {"window-s", c.window_s},    {"importance", c.worth},
-                       {"late-share", 0.0},       {"dedup-scope", "all"},           {"streamed", false}});
+    classes.push_back({{"name", c.name},
+                       {"effect", EffectName(c.effect)},
+                       {"aim-s", c.aim_s},
+                       {"hard-limit-s", c.deadline_s},
+                       {"window-s", c.window_s},
+                       {"importance", c.worth},
+                       {"late-share", 0.0},
+                       {"dedup-scope", "all"},
+                       {"streamed", false}});
   }
   for (const auto& p : s.plans) {
     plans.push_back({{"name", p.name},
@@ -91,12 +97,16 @@
                    {"tiers-of-service", plans}}}};
   if (s.counter.present) config["counter"] = addresses.counter;
   if (s.fleet.on) {
-    config["fleet"] = {{"engine", "sqlite"}, {"path", "none"}, {"lease_s", s.fleet.lease_s}, {"hold_s", s.fleet.hold_s},
+    config["fleet"] = {{"engine", "sqlite"},
+                       {"path", "none"},
+                       {"lease_s", s.fleet.lease_s},
+                       {"hold_s", s.fleet.hold_s},
                        {"ledger", {{"key_header", "Work-Key"}, {"life_s", s.fleet.life_s}}}};
     if (s.fleet.lending) config["fleet"]["lending"] = nlohmann::json::object();
   }
   if (s.counter.present && s.counter.redis) {
-    config["counter_access"] = {{"kind", "redis"}, {"password", "rehearsal"}, {"database", 1}, {"prefix", "ivygw:"}};
+    config["counter_access"] = {
+        {"kind", "redis"}, {"password", "rehearsal"}, {"database", 1}, {"prefix", "ivygw:"}};
   }
   return config;
 }
@@ -107,10 +117,16 @@
   for (const NodeEntry& e : news.entries) {
     const char* status = e.status == NodeStatus::kActive    ? "active"
                          : e.status == NodeStatus::kLeaving ? "leaving"
-                                                                      : "left";
+                                                            : "left";
     double since = e.started < -1000 ? 0 : std::round((epoch_s + e.started) * 1000);
-    entries.push_back({{"name", e.name}, {"address", address_of(e.node)}, {"zone", e.zone}, {"type", e.type},
-                       {"group", e.group}, {"status", status}, {"weight", 1.0}, {"since_ms", since}});
+    entries.push_back({{"name", e.name},
+                       {"address", address_of(e.node)},
+                       {"zone", e.zone},
+                       {"type", e.type},
+                       {"group", e.group},
+                       {"status", status},
+                       {"weight", 1.0},
+                       {"since_ms", since}});
   }
   return {{"index", news.index}, {"snapshot", news.snapshot}, {"endpoints", entries}};
 }
@@ -133,8 +149,8 @@
     f.classes.push_back({c.name, static_cast<eventlog::Effect>(c.effect), c.aim_s, c.window_s, c.worth});
   }
   for (const auto& p : s.plans) {
-    f.plans.push_back({p.name, p.rate, p.burst, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack, p.price,
-                       p.excess_worth});
+    f.plans.push_back(
+        {p.name, p.rate, p.burst, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack, p.price, p.excess_worth});
   }
   for (const auto& p : s.Phases()) f.phases.push_back({p.name, p.from_s, p.to_s});
   return f;
--- a/src/emulator/installation.h
+++ b/src/emulator/installation.h
@@ -1,5 +1,5 @@
-// From a scenario to what a gateway is told: its configuration and discovery's lists, in the platform's forms.
-// Pure. The same texts go to virtual and to real gateways.
+// From a scenario to what a gateway is told: its configuration and discovery's lists, in the platform's
+// forms. Pure. The same texts go to virtual and to real gateways.
 #ifndef IVYGW_EMULATOR_INSTALLATION_H_
 #define IVYGW_EMULATOR_INSTALLATION_H_
 
--- a/src/emulator/node_model.cpp
+++ b/src/emulator/node_model.cpp
@@ -6,10 +6,10 @@
 namespace ivygw::emulator {
 namespace {
 
-constexpr double kFastErrorS = 0.001;  // work of a request that fails fast
-constexpr double kRepeatS = 0.0005;    // work of a repeat that is dropped
-constexpr double kStepS = 0.05;        // a cold node's capacity rises in steps this long
-constexpr double kDone = 1e-9;         // work left that is rounding
+constexpr double kFastErrorS = 0.001;         // work of a request that fails fast
+constexpr double kRepeatS = 0.0005;           // work of a repeat that is dropped
+constexpr double kStepS = 0.05;               // a cold node's capacity rises in steps this long
+constexpr double kDone = 1e-9;                // work left that is rounding
 constexpr double kEffectBeforeFailure = 0.5;  // share of fast failures and late resets that ran all the same
 
 }  // namespace
@@ -51,7 +51,8 @@
   at_ = now;
   if (!up_ || now <= from || work_.empty()) return;
   double step = (now - from) * Rate(from);
-  if (handshakes_s_ > 0) {  // connections are taken by the cores that would work: the jobs wait their part of it
+  if (handshakes_s_ >
+      0) {  // connections are taken by the cores that would work: the jobs wait their part of it
     double all = step * static_cast<double>(work_.size());
     double taken = std::min(handshakes_s_, all);
     handshakes_s_ -= taken;
--- a/src/emulator/node_model.h
+++ b/src/emulator/node_model.h
@@ -1,6 +1,6 @@
-// One emulated calc node: a machine of some cores with slots, a waiting room, a cold start and scripted faults.
-// No I/O and no clock: every call is given the time, in seconds, which never goes back; all draws come of the
-// seed. One thread. Times are seconds; work is seconds of one core of speed 1.
+// One emulated calc node: a machine of some cores with slots, a waiting room, a cold start and scripted
+// faults. No I/O and no clock: every call is given the time, in seconds, which never goes back; all draws
+// come of the seed. One thread. Times are seconds; work is seconds of one core of speed 1.
 #ifndef IVYGW_EMULATOR_NODE_MODEL_H_
 #define IVYGW_EMULATOR_NODE_MODEL_H_
 
@@ -35,16 +35,17 @@
 
 struct NodeSpec {
   double cores = 3;
-  double speed = 1;        // work a second that one core does
-  int slots = 12;          // requests in work at once; they share the cores evenly
-  int queue = 60;          // waiting room: beyond it requests are turned away
-  double thrash = 0;       // loss of efficiency, for each `thrash_at` x cores held beyond the first such
+  double speed = 1;   // work a second that one core does
+  int slots = 12;     // requests in work at once; they share the cores evenly
+  int queue = 60;     // waiting room: beyond it requests are turned away
+  double thrash = 0;  // loss of efficiency, for each `thrash_at` x cores held beyond the first such
   double thrash_at = 4;
-  double cold_from = 1;    // share of the capacity right after a start,
-  double warm_s = 0;       // rising evenly to the whole over this time
-  double tip_multiple = 2; // work sent within tip_s beyond this multiple of what it can do in tip_s: falls over
+  double cold_from = 1;  // share of the capacity right after a start,
+  double warm_s = 0;     // rising evenly to the whole over this time
+  double tip_multiple =
+      2;  // work sent within tip_s beyond this multiple of what it can do in tip_s: falls over
   double tip_s = 1;
-  int connections = 400;   // open at once at most
+  int connections = 400;  // open at once at most
   double handshake_work_s = 0;
   bool stops_cancelled = true;  // work stops on cancel and when its time is over
 };
@@ -91,8 +92,9 @@
   void Advance(double now, std::vector<Reply>* out);
 
   void SetFaults(const NodeFaults& faults) { faults_ = faults; }
-  void Pause(double now, double until, std::vector<Reply>* out);  // does nothing and answers nothing until then
-  void Kill();           // the process ends: it takes no connection any more, and answers nothing
+  void Pause(double now, double until,
+             std::vector<Reply>* out);  // does nothing and answers nothing until then
+  void Kill();  // the process ends: it takes no connection any more, and answers nothing
   double Capacity(double now) const;  // work a second at this moment, pauses aside
   bool fallen() const { return fallen_; }
   bool up() const { return up_; }
@@ -107,13 +109,13 @@
     NodeRequest request;
     double left_s = 0;
     ReplyKind end = ReplyKind::kServed;
-    bool ran = true;      // what `end` implies
+    bool ran = true;  // what `end` implies
     bool hangs = false;
     bool repeat = false;  // dropped: answered, and nothing runs
   };
   double Rate(double now) const;  // of each job in work
   double Share(double now) const;
-  void Progress(double now);      // work done since the last call
+  void Progress(double now);  // work done since the last call
   void Fill(double now, std::vector<Reply>* out);
   void Stop(const Job& job);
   void Tip(double now, double work_s);
--- a/src/emulator/random.h
+++ b/src/emulator/random.h
@@ -1,5 +1,5 @@
-// Random numbers of the emulator: one seed gives one sequence, on every machine and with every standard library.
-// (The distributions of <random> are not the same everywhere.)
+// Random numbers of the emulator: one seed gives one sequence, on every machine and with every standard
+// library. (The distributions of <random> are not the same everywhere.)
 #ifndef IVYGW_EMULATOR_RANDOM_H_
 #define IVYGW_EMULATOR_RANDOM_H_
 
--- a/src/emulator/scheduler.h
+++ b/src/emulator/scheduler.h
@@ -15,8 +15,8 @@
  public:
   virtual ~Scheduler() = default;
   virtual double Now() const = 0;
-  // Runs `task` at `when`, or as soon as may be after it, never within this call. What is due at one time runs in
-  // the order in which it was asked for.
+  // Runs `task` at `when`, or as soon as may be after it, never within this call. What is due at one time
+  // runs in the order in which it was asked for.
   virtual void At(double when, std::function<void()> task) = 0;
   void After(double wait, std::function<void()> task) { At(Now() + wait, std::move(task)); }
 };
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -66,7 +66,8 @@
                  Random(seed).Fork("discovery").Next()) {
   Random speeds = random_.Fork("speed");
   for (const scenario::NodeGroup& group : scenario.nodes) {
-    for (int i = 0; i < group.count; ++i) groups_.push_back({group, speeds.Between(group.speed_from, group.speed_to)});
+    for (int i = 0; i < group.count; ++i)
+      groups_.push_back({group, speeds.Between(group.speed_from, group.speed_to)});
   }
   addresses_.resize(groups_.size());
 }
@@ -113,9 +114,15 @@
   node.name = name;
   NodeSpec spec = SpecAt(address);
   node.model = std::make_unique<NodeModel>(
-      spec, random_.Fork(name, static_cast<uint64_t>(std::llround((now + 1000) * 1000))).Next(), now, cold, &memory_);
-  node.entry = NodeEntry{number, name, address % 2 == 0 ? "hall-a" : "hall-b", group.spec.type, 0,
-                         NodeStatus::kActive, cold ? now : kLongAgoS};
+      spec, random_.Fork(name, static_cast<uint64_t>(std::llround((now + 1000) * 1000))).Next(), now, cold,
+      &memory_);
+  node.entry = NodeEntry{number,
+                         name,
+                         address % 2 == 0 ? "hall-a" : "hall-b",
+                         group.spec.type,
+                         0,
+                         NodeStatus::kActive,
+                         cold ? now : kLongAgoS};
   Address& at = addresses_[static_cast<size_t>(address)];
   at.node = number;
   at.state = AddressState::kUp;
@@ -444,9 +451,7 @@
     case FaultKind::kCounterLose: return counter_.Lose(now, fault.share);
     case FaultKind::kCounterEmpty: return counter_.Empty();
     case FaultKind::kCounterSplit: return counter_.Split((scenario_.gateways + 1) / 2);
-    case FaultKind::kDiscoverySilent:
-      discovery_.SetSilent(now, true);
-      return links_->DiscoveryChanged();
+    case FaultKind::kDiscoverySilent: discovery_.SetSilent(now, true); return links_->DiscoveryChanged();
     case FaultKind::kGatewayKill: return links_->KillGateway(fault.gateway);
     case FaultKind::kGatewayPause: return links_->PauseGateway(fault.gateway, true);
     case FaultKind::kEngineAway: return links_->EngineAway(true);
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -1,6 +1,6 @@
-// The emulated installation behind the gateways: nodes at their addresses, counter, discovery, and the timeline of
-// faults. Runs on any Scheduler; reaches gateways through Links, which are virtual or made of sockets. Writes to
-// the record what nodes, counter and discovery see. One thread.
+// The emulated installation behind the gateways: nodes at their addresses, counter, discovery, and the
+// timeline of faults. Runs on any Scheduler; reaches gateways through Links, which are virtual or made of
+// sockets. Writes to the record what nodes, counter and discovery see. One thread.
 #ifndef IVYGW_EMULATOR_WORLD_H_
 #define IVYGW_EMULATOR_WORLD_H_
 
@@ -24,10 +24,12 @@
 class Links {
  public:
   virtual ~Links() = default;
-  virtual void AddressDown(int address) = 0;    // the process has ended: connections are reset, new ones refused
-  virtual void AddressSilent(int address) = 0;  // the machine has vanished: nothing answers, nothing is refused
-  virtual void AddressUp(int address) = 0;      // a process listens
-  virtual void DiscoveryChanged() = 0;          // watches may have something to tell
+  virtual void AddressDown(
+      int address) = 0;  // the process has ended: connections are reset, new ones refused
+  virtual void AddressSilent(
+      int address) = 0;                     // the machine has vanished: nothing answers, nothing is refused
+  virtual void AddressUp(int address) = 0;  // a process listens
+  virtual void DiscoveryChanged() = 0;      // watches may have something to tell
   virtual void CounterRefuses(bool refuses) = 0;  // all parts of it: connections end, new ones are refused
   virtual void KillGateway(int gateway) = 0;
   virtual void StartGateway(int gateway) = 0;
@@ -59,7 +61,8 @@
   void Disconnect(int address, int node);  // of the node that took the connection
   // An attempt has come whole; `first_byte`: when it began to. Returns its number for Cancel, or 0 where the
   // request is one that no client sent. `on_reply` runs once, never within this call, unless Cancel does.
-  uint64_t Arrive(int address, int gateway, uint64_t request, double first_byte, double patience_s, OnReply on_reply);
+  uint64_t Arrive(int address, int gateway, uint64_t request, double first_byte, double patience_s,
+                  OnReply on_reply);
   void Cancel(uint64_t attempt);  // its connection has ended; no-op once it is answered
 
   CounterReply Count(int gateway, const std::string& name, double amount, double life_s);
--- a/src/eventlog/event_log.cpp
+++ b/src/eventlog/event_log.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr std::array<std::string_view, 18> kKinds = {
-    "ask",  "answer", "ended",     "not_taken", "gave_up",    "arrive",       "reply", "cancelled", "effect",
+    "ask",  "answer",  "ended",     "not_taken", "gave_up",    "arrive",       "reply", "cancelled", "effect",
     "told", "node_up", "node_down", "fell",      "gateway_up", "gateway_down", "count", "fault",     "load"};
 constexpr std::array<const char*, 3> kEffects = {"safe", "keyed", "unsafe"};
 
@@ -27,19 +27,37 @@
 json FactsToJson(const RunFacts& f) {
   json classes = json::array(), plans = json::array(), phases = json::array();
   for (const auto& c : f.classes) {
-    classes.push_back({{"name", c.name}, {"effect", kEffects[static_cast<size_t>(c.effect)]}, {"aim_s", c.aim_s},
-                       {"window_s", c.window_s}, {"worth", c.worth}});
+    classes.push_back({{"name", c.name},
+                       {"effect", kEffects[static_cast<size_t>(c.effect)]},
+                       {"aim_s", c.aim_s},
+                       {"window_s", c.window_s},
+                       {"worth", c.worth}});
   }
   for (const auto& p : f.plans) {
-    plans.push_back({{"name", p.name}, {"rate", p.rate}, {"burst", p.burst}, {"ceiling_rate", p.ceiling_rate},
-                     {"ceiling_burst", p.ceiling_burst}, {"ceiling_slack", p.ceiling_slack}, {"price", p.price},
+    plans.push_back({{"name", p.name},
+                     {"rate", p.rate},
+                     {"burst", p.burst},
+                     {"ceiling_rate", p.ceiling_rate},
+                     {"ceiling_burst", p.ceiling_burst},
+                     {"ceiling_slack", p.ceiling_slack},
+                     {"price", p.price},
                      {"excess_worth", p.excess_worth}});
   }
   for (const auto& p : f.phases) phases.push_back({{"name", p.name}, {"from_s", p.from_s}, {"to_s", p.to_s}});
-  json j = {{"scenario", f.scenario}, {"mode", f.mode}, {"seed", f.seed}, {"gateways", f.gateways},
-          {"duration_s", f.duration_s}, {"drain_grace_s", f.drain_grace_s}, {"tip_multiple", f.tip_multiple},
-          {"tip_s", f.tip_s}, {"cold_from", f.cold_from}, {"warm_s", f.warm_s}, {"tolerance_s", f.tolerance_s},
-          {"classes", classes}, {"plans", plans}, {"phases", phases}};
+  json j = {{"scenario", f.scenario},
+            {"mode", f.mode},
+            {"seed", f.seed},
+            {"gateways", f.gateways},
+            {"duration_s", f.duration_s},
+            {"drain_grace_s", f.drain_grace_s},
+            {"tip_multiple", f.tip_multiple},
+            {"tip_s", f.tip_s},
+            {"cold_from", f.cold_from},
+            {"warm_s", f.warm_s},
+            {"tolerance_s", f.tolerance_s},
+            {"classes", classes},
+            {"plans", plans},
+            {"phases", phases}};
   if (f.works) j["works"] = true;
   return j;
 }
--- a/src/eventlog/event_log.h
+++ b/src/eventlog/event_log.h
@@ -1,6 +1,7 @@
-// The record of a rehearsal: what each client, node, counter and discovery saw on its own side, in the order in
-// which it was seen, and the facts of the run that are needed to judge it. One thread. Times are seconds of the
-// run's clock, which is nought at the first arrival; doubles are written so that they read back the same.
+// The record of a rehearsal: what each client, node, counter and discovery saw on its own side, in the order
+// in which it was seen, and the facts of the run that are needed to judge it. One thread. Times are seconds
+// of the run's clock, which is nought at the first arrival; doubles are written so that they read back the
+// same.
 #ifndef IVYGW_EVENTLOG_EVENT_LOG_H_
 #define IVYGW_EVENTLOG_EVENT_LOG_H_
 
@@ -43,14 +44,14 @@
 };
 
 enum class EventKind : uint8_t {
-  kAsk,          // a client's last byte is written: request, gateway, customer, plan, cls, units, due, seconds
-                 // (its patience), other (the request that it tries again; 0: a first try)
-  kAnswer,       // a whole answer has come: request, gateway, status, token, seconds (Retry-After)
-  kEnded,        // the connection ended with no whole answer: request, gateway
-  kNotTaken,     // could not connect: request, gateway
-  kGaveUp,       // the client's time is over: request, gateway
-  kArrive,       // an attempt has come whole: request, gateway, node, attempt, due (its first byte), units, work
-  kReply,        // the node has answered it: attempt, request, node, text (how), token, flag (it ran)
+  kAsk,       // a client's last byte is written: request, gateway, customer, plan, cls, units, due, seconds
+              // (its patience), other (the request that it tries again; 0: a first try)
+  kAnswer,    // a whole answer has come: request, gateway, status, token, seconds (Retry-After)
+  kEnded,     // the connection ended with no whole answer: request, gateway
+  kNotTaken,  // could not connect: request, gateway
+  kGaveUp,    // the client's time is over: request, gateway
+  kArrive,    // an attempt has come whole: request, gateway, node, attempt, due (its first byte), units, work
+  kReply,     // the node has answered it: attempt, request, node, text (how), token, flag (it ran)
   kCancelled,    // the gateway has ended it: attempt, request, node
   kEffect,       // the node has done the work: request, node, attempt, text (its key, where it has one)
   kTold,         // discovery has written to the gateway: gateway, node, text (status)
--- a/src/fleet/desk.cpp
+++ b/src/fleet/desk.cpp
@@ -93,7 +93,9 @@
 void Desk::Asked(uint64_t customer, int plan, double units) {
   const micadock::Settings& s = config_.settings;
   if (!s.lend_ceilings || s.plans[static_cast<size_t>(plan)].ceiling_rate <= 0) return;
-  Turn([&](double now) { loans_.OnAsked(now, customer, units, CeilingOf(s, s.plans[static_cast<size_t>(plan)], 1), &loan_asks_); });
+  Turn([&](double now) {
+    loans_.OnAsked(now, customer, units, CeilingOf(s, s.plans[static_cast<size_t>(plan)], 1), &loan_asks_);
+  });
 }
 
 void Desk::Take(const KeyedCall& call) {
@@ -150,7 +152,9 @@
 std::string Desk::Figures() const {
   double now = ports_.now();
   std::string out;
-  auto line = [&](const std::string& name, uint64_t value) { out += "fleet_" + name + "=" + std::to_string(value) + "\n"; };
+  auto line = [&](const std::string& name, uint64_t value) {
+    out += "fleet_" + name + "=" + std::to_string(value) + "\n";
+  };
   line("members", members_.Live().size());
   line("number", static_cast<uint64_t>(members_.Number(now)));
   line("sure", members_.Sure(now));
@@ -193,9 +197,13 @@
   for (const auto& [name, seen] : members_.seen()) {
     const membership::Member& m = seen.member;
     char text[600];
-    std::snprintf(text, sizeof(text), "%.200s %s slot %d zone %d capacity %g version %.40s at %.60s boot %.40s%s\n", name.c_str(),
-                  seen.gone_at >= 0 ? "gone" : !m.known ? "unknown" : membership::StateName(m.state), m.slot, m.zone, m.capacity,
-                  m.version.c_str(), m.address.c_str(), m.boot.c_str(), name == config_.name && m.boot == boot_ ? " (this one)" : "");
+    std::snprintf(text, sizeof(text),
+                  "%.200s %s slot %d zone %d capacity %g version %.40s at %.60s boot %.40s%s\n", name.c_str(),
+                  seen.gone_at >= 0 ? "gone"
+                  : !m.known        ? "unknown"
+                                    : membership::StateName(m.state),
+                  m.slot, m.zone, m.capacity, m.version.c_str(), m.address.c_str(), m.boot.c_str(),
+                  name == config_.name && m.boot == boot_ ? " (this one)" : "");
     out += text;
   }
   return out;
@@ -206,7 +214,8 @@
   return ledger::Book::Right{members_.Right(), members_.fence().revision};
 }
 
-// One event of the books: what comes of it is done when their call has returned, and what comes meanwhile waits.
+// One event of the books: what comes of it is done when their call has returned, and what comes meanwhile
+// waits.
 template <typename Event>
 void Desk::Turn(Event event) {
   event(ports_.now());
@@ -227,7 +236,8 @@
   Lend();
   Look();
   Arm();
-  if (left_ && members_.calls_out() == 0 && book_.calls_out() == 0 && loans_.calls_out() == 0) ports_.later(std::exchange(left_, nullptr));
+  if (left_ && members_.calls_out() == 0 && book_.calls_out() == 0 && loans_.calls_out() == 0)
+    ports_.later(std::exchange(left_, nullptr));
 }
 
 void Desk::AskEngine(shared::Call call, std::function<void(double, const Reply&)> then) {
@@ -271,8 +281,8 @@
 void Desk::Do(ledger::Tell& t) {
   ports_.later([this, t] { events_.tell(t.client, t.status, t.retry_after_s, t.type, t.body, t.why); });
 }
-// Who has slept past its lease since its intent was made durable sends nothing: the work may be another's by now. What
-// is left is a pause within the turn that writes.
+// Who has slept past its lease since its intent was made durable sends nothing: the work may be another's by
+// now. What is left is a pause within the turn that writes.
 void Desk::Do(ledger::IntentTold& t) {
   ports_.later([this, t] {
     Step("is to send");
@@ -289,14 +299,16 @@
   ports_.later([this, client = r.client] { events_.release(client); });
 }
 
-// Shares go to the gateway before the calls that came out with them go to the engine: what is given back is not used any more
-// when another may take it. A share's seconds are counted when it is told.
+// Shares go to the gateway before the calls that came out with them go to the engine: what is given back is
+// not used any more when another may take it. A share's seconds are counted when it is told.
 void Desk::Lend() {
   for (const parts::Loans::Told& told : loans_.Changes(ports_.now())) {
-    ports_.later([this, told] { events_.share(told.customer, told.share, std::max(0.0, told.until - ports_.now())); });
+    ports_.later(
+        [this, told] { events_.share(told.customer, told.share, std::max(0.0, told.until - ports_.now())); });
   }
   for (parts::Loans::Ask& ask : std::exchange(loan_asks_, {})) {
-    ports_.later([this, customer = ask.customer, number = ask.number, call = std::make_shared<shared::Call>(std::move(ask.call))] {
+    ports_.later([this, customer = ask.customer, number = ask.number,
+                  call = std::make_shared<shared::Call>(std::move(ask.call))] {
       AskEngine(std::move(*call), [this, customer, number](double now, const Reply& reply) {
         loans_.OnReply(now, customer, number, reply, &loan_asks_);
       });
@@ -312,17 +324,19 @@
     told_ = told;
     ports_.later([this, told] { events_.fleet(told.first, told.second); });
   }
-  // Loans that an engine has forgotten are used until their leases end: whoever finds none there waits for as long.
+  // Loans that an engine has forgotten are used until their leases end: whoever finds none there waits for as
+  // long.
   bool joined = members_.phase() != phase_ && members_.phase() == membership::Phase::kMember;
   bool lost = std::exchange(losses_, members_.watermark().losses()) != losses_;
   if (joined || lost) borrows_from_ = now + config_.fleet->lease_s;
   if (members_.phase() != phase_) {
     phase_ = members_.phase();
     if (phase_ == membership::Phase::kTaken) {
-      ports_.log("fleet: another process lives under the name " + config_.name + "; this one is no member until its lease has ended");
+      ports_.log("fleet: another process lives under the name " + config_.name +
+                 "; this one is no member until its lease has ended");
     } else if (phase_ == membership::Phase::kMember) {
-      ports_.log("fleet: member " + config_.name + ", slot " + std::to_string(members_.self().slot) + ", fence " +
-                 std::to_string(members_.fence().revision));
+      ports_.log("fleet: member " + config_.name + ", slot " + std::to_string(members_.self().slot) +
+                 ", fence " + std::to_string(members_.fence().revision));
     }
   }
   if (!config_.fleet->ledger.on || members_.changes() == changes_) return;
@@ -336,14 +350,17 @@
   for (const std::string& boot : std::exchange(boots_, boots)) {
     if (boots.count(boot) != 0 || boot.empty()) continue;
     // Each work falls to one of those that are there, by the highest draw of name and work.
-    book_.OnGone(now, boot, [live, mine = config_.name](const std::string& work) {
-      std::string best, most;
-      for (const std::string& name : live) {
-        std::string draw = ledger::HashOf(work + "/" + name);
-        if (draw > most) best = name, most = draw;
-      }
-      return best == mine;
-    }, &decisions_);
+    book_.OnGone(
+        now, boot,
+        [live, mine = config_.name](const std::string& work) {
+          std::string best, most;
+          for (const std::string& name : live) {
+            std::string draw = ledger::HashOf(work + "/" + name);
+            if (draw > most) best = name, most = draw;
+          }
+          return best == mine;
+        },
+        &decisions_);
   }
   if (!decisions_.empty()) ports_.later([this] { Turn([](double) {}); });
 }
--- a/src/fleet/desk.h
+++ b/src/fleet/desk.h
@@ -1,6 +1,6 @@
-// One gateway of a fleet without I/O or clock of its own: its membership and its ledger of works, their calls to the shared
-// engine, and what comes of them for the gateway. Driven by sockets and timers (node.h) or by virtual time; keeps no book
-// that its parts don't. One thread.
+// One gateway of a fleet without I/O or clock of its own: its membership and its ledger of works, their calls
+// to the shared engine, and what comes of them for the gateway. Driven by sockets and timers (node.h) or by
+// virtual time; keeps no book that its parts don't. One thread.
 #ifndef IVYGW_FLEET_DESK_H_
 #define IVYGW_FLEET_DESK_H_
 
@@ -30,7 +30,8 @@
 
 class Desk : public FleetPort {
  public:
-  // `boot`: of this start of the process, unique for ever. `config` has a section `fleet`, and outlives the desk.
+  // `boot`: of this start of the process, unique for ever. `config` has a section `fleet`, and outlives the
+  // desk.
   Desk(const Config& config, const std::string& boot, FleetEvents events, DeskPorts ports);
 
   void Start();
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -55,19 +55,26 @@
     auto store = std::make_shared<shared::SqliteStore>(options);
     return [store](const std::vector<shared::Call>& calls) { return store->Take(calls); };
   };
-  return std::make_unique<shared::ThreadedEngine>(make, [mailbox](std::function<void()> task) { mailbox->Post(std::move(task)); });
+  return std::make_unique<shared::ThreadedEngine>(
+      make, [mailbox](std::function<void()> task) { mailbox->Post(std::move(task)); });
 }
 
 // The desk on an event loop. What it asks for after its end does nothing.
 class Node : public FleetPort {
  public:
   Node(asio::io_context& io, const Config& config, FleetEvents events)
-      : io_(io), dice_(config.seed ^ std::random_device{}()), timer_(io), mailbox_(io), engine_(MakeEngine(io, &mailbox_, *config.fleet)) {
+      : io_(io),
+        dice_(config.seed ^ std::random_device{}()),
+        timer_(io),
+        mailbox_(io),
+        engine_(MakeEngine(io, &mailbox_, *config.fleet)) {
     if (sodium_init() < 0) throw micadock::WireError("fleet: no hashing is to be had");
     DeskPorts ports;
     ports.now = Monotonic;
     ports.draw = [this] { return dice_.Unit(); };
-    ports.ask = [this](shared::Call call, std::function<void(const shared::Reply&)> done) { engine_->Ask(std::move(call), std::move(done)); };
+    ports.ask = [this](shared::Call call, std::function<void(const shared::Reply&)> done) {
+      engine_->Ask(std::move(call), std::move(done));
+    };
     ports.later = [this](std::function<void()> task) { Later(std::move(task)); };
     ports.wake = [this](double due) { Arm(due); };
     ports.log = [](const std::string& text) { std::fprintf(stderr, "%s\n", text.c_str()); };
@@ -82,7 +89,9 @@
   bool Intend(uint32_t request, int attempt, const std::string& backend, int zone, int cell) override {
     return desk_->Intend(request, attempt, backend, zone, cell);
   }
-  void AttemptOver(uint32_t request, int attempt, bool may_have_run) override { desk_->AttemptOver(request, attempt, may_have_run); }
+  void AttemptOver(uint32_t request, int attempt, bool may_have_run) override {
+    desk_->AttemptOver(request, attempt, may_have_run);
+  }
   bool Answered(uint64_t client, int status, const std::string& type, const std::string& body) override {
     return desk_->Answered(client, status, type, body);
   }
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -1,5 +1,5 @@
-// One gateway of a fleet on its event loop: the engine, its membership and its ledger of works, driven by sockets and
-// timers. Keeps no book of its own. One thread.
+// One gateway of a fleet on its event loop: the engine, its membership and its ledger of works, driven by
+// sockets and timers. Keeps no book of its own. One thread.
 #ifndef IVYGW_FLEET_NODE_H_
 #define IVYGW_FLEET_NODE_H_
 
--- a/src/fleet/settings.cpp
+++ b/src/fleet/settings.cpp
@@ -14,16 +14,20 @@
 using micadock::WireError;
 using nlohmann::json;
 
-std::string Bad(const std::string& name, const std::string& why) { return "setting is unreadable: " + name + " (" + why + ")"; }
+std::string Bad(const std::string& name, const std::string& why) {
+  return "setting is unreadable: " + name + " (" + why + ")";
+}
 
 // Readers of one object's fields: each names its own fault, and a field that nobody reads is one.
 class Fields {
  public:
-  Fields(const json& from, std::string path, std::vector<std::string>* faults) : from_(from), path_(std::move(path)), faults_(faults) {}
+  Fields(const json& from, std::string path, std::vector<std::string>* faults)
+      : from_(from), path_(std::move(path)), faults_(faults) {}
 
   void Text(const char* key, std::string* to, size_t most = 200) {
     Read(key, [&](const json& v, const std::string& name) {
-      if (!v.is_string() || v.get<std::string>().size() > most) return Bad(name, "a text of " + std::to_string(most) + " bytes at most");
+      if (!v.is_string() || v.get<std::string>().size() > most)
+        return Bad(name, "a text of " + std::to_string(most) + " bytes at most");
       *to = v.get<std::string>();
       return std::string();
     });
@@ -40,7 +44,8 @@
   void Number(const char* key, double least, double most, double* to) {
     Read(key, [&](const json& v, const std::string& name) {
       double n = v.is_number() ? v.get<double>() : NAN;
-      if (!(n >= least && n <= most)) return Bad(name, "a number from " + json(least).dump() + " to " + json(most).dump());
+      if (!(n >= least && n <= most))
+        return Bad(name, "a number from " + json(least).dump() + " to " + json(most).dump());
       *to = n;
       return std::string();
     });
@@ -63,7 +68,8 @@
   }
   void Done() {
     for (const auto& [key, value] : from_.items()) {
-      if (std::find(known_.begin(), known_.end(), key) == known_.end()) Fault("unknown setting: " + path_ + "." + key);
+      if (std::find(known_.begin(), known_.end(), key) == known_.end())
+        Fault("unknown setting: " + path_ + "." + key);
     }
   }
   void Fault(const std::string& text) {
@@ -96,7 +102,8 @@
     return s;
   }
   Fields f(section, "fleet", faults);
-  f.Choice("engine", {{"sqlite", [&] { s.kind = Settings::Kind::kSqlite; }}, {"redis", [&] { s.kind = Settings::Kind::kRedis; }}});
+  f.Choice("engine", {{"sqlite", [&] { s.kind = Settings::Kind::kSqlite; }},
+                      {"redis", [&] { s.kind = Settings::Kind::kRedis; }}});
   f.Text("path", &s.path, 1000);
   f.Choice("durability", {{"power", [&] { s.power = true; }}, {"process", [&] { s.power = false; }}});
   f.Whole("most_mb", 1, 1 << 20, &s.most_mb);
@@ -127,7 +134,8 @@
     in.Object("without", [&](const json& without, const std::string& name) {
       Fields w(without, name, faults);
       auto rule = [&](const char* key, bool* goes_on) {
-        w.Choice(key, {{"refuse", [goes_on] { *goes_on = false; }}, {"go-on", [goes_on] { *goes_on = true; }}});
+        w.Choice(key,
+                 {{"refuse", [goes_on] { *goes_on = false; }}, {"go-on", [goes_on] { *goes_on = true; }}});
       };
       rule("safe", &l.safe_goes_on);
       rule("keyed", &l.keyed_goes_on);
@@ -135,9 +143,9 @@
       w.Done();
     });
     in.Done();
-    bool token = !l.key_header.empty() && std::all_of(l.key_header.begin(), l.key_header.end(), [](unsigned char c) {
-      return std::isalnum(c) || c == '-' || c == '_';
-    });
+    bool token = !l.key_header.empty() &&
+                 std::all_of(l.key_header.begin(), l.key_header.end(),
+                             [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_'; });
     if (!token) in.Fault("setting is missing or no header's name: fleet.ledger.key_header");
   });
   f.Done();
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -1,5 +1,5 @@
-// The section `fleet` of a gateway's configuration: the engine that gateways share, their leases, and the ledger of works.
-// Holds no decision, and needs no engine: any build can check it.
+// The section `fleet` of a gateway's configuration: the engine that gateways share, their leases, and the
+// ledger of works. Holds no decision, and needs no engine: any build can check it.
 #ifndef IVYGW_FLEET_SETTINGS_H_
 #define IVYGW_FLEET_SETTINGS_H_
 
@@ -14,7 +14,7 @@
   Kind kind = Kind::kSqlite;
   // sqlite
   std::string path;
-  bool power = true;   // a commit waits for the disk
+  bool power = true;  // a commit waits for the disk
   int most_mb = 256;
   // redis
   std::string address, username, password, prefix = "ivygw";
--- a/src/fleet/steps.h
+++ b/src/fleet/steps.h
@@ -1,5 +1,5 @@
-// The steps of a work's life at which a test stops this process: SIGSTOP to itself, for the test to go on with or to kill.
-// Only a program built for tests has them (IVYGW_STEPS); in any other they are nothing.
+// The steps of a work's life at which a test stops this process: SIGSTOP to itself, for the test to go on
+// with or to kill. Only a program built for tests has them (IVYGW_STEPS); in any other they are nothing.
 #ifndef IVYGW_FLEET_STEPS_H_
 #define IVYGW_FLEET_STEPS_H_
 
@@ -14,7 +14,8 @@
 #ifdef IVYGW_STEPS
 // The step whose number the environment names in IVYGW_STOP_AT, counted from 1 over the process's life.
 inline void Step(const char* what) {
-  static const int stop_at = std::getenv("IVYGW_STOP_AT") != nullptr ? std::atoi(std::getenv("IVYGW_STOP_AT")) : 0;
+  static const int stop_at =
+      std::getenv("IVYGW_STOP_AT") != nullptr ? std::atoi(std::getenv("IVYGW_STOP_AT")) : 0;
   static int last = 0;
   if (++last != stop_at) return;
   std::fprintf(stderr, "stops at step %d: %s\n", last, what);
--- a/src/gateway/client_call.cpp
+++ b/src/gateway/client_call.cpp
@@ -92,11 +92,14 @@
   if (timeout_ms > kMostTimeoutMs) return call;
   call.timeout_s = std::min(static_cast<double>(timeout_ms) / 1000, cls.deadline_s);
   std::string_view terms = View(message["X-Call-Terms"]);
-  auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread"), first = Part(terms, ',', "first");
+  auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread"),
+       first = Part(terms, ',', "first");
   if (!units || !Number(*units, &r.units) || !std::isfinite(r.units) || r.units <= 0) return call;
   if (config.settings.max_units > 0 && r.units > config.settings.max_units) return call;
-  // A request counts a unit at the least, however little it claims: a guess of next to nothing is no free pass.
-  double least = config.settings.max_units > 0 ? std::min(kLeastUnits, config.settings.max_units) : kLeastUnits;
+  // A request counts a unit at the least, however little it claims: a guess of next to nothing is no free
+  // pass.
+  double least =
+      config.settings.max_units > 0 ? std::min(kLeastUnits, config.settings.max_units) : kLeastUnits;
   r.units = std::max(r.units, least);
   int gateways = std::max(1, config.settings.gateways), entries = 0, from = 0;
   if (!spread || !Number(*spread, &entries) || entries < 1 || entries > gateways) return call;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -51,7 +51,8 @@
   for (const auto& [key, value] : it->items()) {
     std::string name = "counter_access." + key;
     if (key == "database") {
-      if (!value.is_number_integer() || value < 0 || value > 1000000) throw WireError("setting is unreadable: " + name);
+      if (!value.is_number_integer() || value < 0 || value > 1000000)
+        throw WireError("setting is unreadable: " + name);
       access.database = value.get<int>();
       continue;
     }
@@ -112,7 +113,8 @@
   });
   part([&] { config.counter_access = ReadAccess(all); });
   part([&] {
-    if (all.contains("admin") && !all["admin"].is_null()) config.admin = ParseAddress("admin", Text(all, "admin"));
+    if (all.contains("admin") && !all["admin"].is_null())
+      config.admin = ParseAddress("admin", Text(all, "admin"));
   });
   part([&] {
     std::string seed = Text(all, "seed");
@@ -139,7 +141,8 @@
     });
   }
   part([&] {
-    if (auto section = all.find("fleet"); section != all.end() && !section->is_null()) config.fleet = fleet::ReadSettings(*section, faults);
+    if (auto section = all.find("fleet"); section != all.end() && !section->is_null())
+      config.fleet = fleet::ReadSettings(*section, faults);
   });
   if (auto known = all.find("known"); known != all.end()) config.known = *known;
   part([&] {
--- a/src/gateway/config.h
+++ b/src/gateway/config.h
@@ -25,8 +25,8 @@
   bool has_counter = false;
   std::optional<tcp::endpoint> admin;  // where operators call; none: nothing listens
   // What the environment adds, for the program that is run: see ReadEnvironment.
-  std::optional<int> listen_fd;        // the clients' listening socket, held by the platform
-  std::string shared_directory;        // common to the processes of this gateway; empty: none
+  std::optional<int> listen_fd;  // the clients' listening socket, held by the platform
+  std::string shared_directory;  // common to the processes of this gateway; empty: none
   CounterAccess counter_access;  // which engine it is, and how to get in
   uint64_t seed = 0;
   int sockets = 1024;
@@ -40,12 +40,12 @@
 // The path=value lines that ParseSettings reads, from the nested form of the same settings.
 std::string Flatten(const nlohmann::json& settings);
 
-// Throws micadock::WireError, in plain words, on what is missing or unreadable. With `faults` it goes on after most
-// faults and gathers them there; what is returned is of use only where there is none.
+// Throws micadock::WireError, in plain words, on what is missing or unreadable. With `faults` it goes on
+// after most faults and gathers them there; what is returned is of use only where there is none.
 Config ParseConfig(const std::string& text, std::vector<std::string>* faults = nullptr);
 Config LoadConfig(const std::string& path);
-// Takes in `LB_ADMIN` (where the configuration names no such address), `LB_LISTEN_FD` and `TMPDIR`, as `get` (getenv in
-// the program) gives them. Throws micadock::WireError on what is unreadable.
+// Takes in `LB_ADMIN` (where the configuration names no such address), `LB_LISTEN_FD` and `TMPDIR`, as `get`
+// (getenv in the program) gives them. Throws micadock::WireError on what is unreadable.
 void ReadEnvironment(const std::function<const char*(const char*)>& get, Config* config);
 // Everything that is wrong with the file, one text each.
 std::vector<std::string> Faults(const std::string& path);
--- a/src/gateway/core_settings.cpp
+++ b/src/gateway/core_settings.cpp
@@ -10,8 +10,8 @@
 constexpr int kOwnSockets = 48;
 constexpr double kClientShare = 0.6;  // of the rest
 
-// Bounded by both limits: what a client's exchange takes at most beside the bodies' budget, which shrinks as it is
-// used: a body that is held until it is whole, heads, and the copies that are on their way.
+// Bounded by both limits: what a client's exchange takes at most beside the bodies' budget, which shrinks as
+// it is used: a body that is held until it is whole, heads, and the copies that are on their way.
 constexpr double kOwnMb = 8, kExchangeMb = 1.5 * (kMaxBody + kMaxHeader) / (1 << 20);
 constexpr double kBodyShare = 0.5;  // of what the program itself leaves
 
@@ -35,7 +35,8 @@
   settings.connections.idle_s = config.site.conn_idle_s;
   settings.connections.connect_timeout_s = config.site.connect_timeout_s;
   settings.connections.drain_grace_s = config.site.drain_grace_s;
-  settings.connections.most = static_cast<size_t>(std::max(1.0, (config.sockets - kOwnSockets) * (1 - kClientShare)));
+  settings.connections.most =
+      static_cast<size_t>(std::max(1.0, (config.sockets - kOwnSockets) * (1 - kClientShare)));
   settings.seed = config.seed;
   settings.has_counter = config.has_counter;
   return settings;
--- a/src/gateway/fleet_port.h
+++ b/src/gateway/fleet_port.h
@@ -1,5 +1,6 @@
-// What a gateway that is one of a fleet asks of it, and is told by it. The driver knows nothing of engines, leases and
-// records behind this; there is none where `fleet` is not configured, or the program was built without it.
+// What a gateway that is one of a fleet asks of it, and is told by it. The driver knows nothing of engines,
+// leases and records behind this; there is none where `fleet` is not configured, or the program was built
+// without it.
 #ifndef IVYGW_GATEWAY_FLEET_PORT_H_
 #define IVYGW_GATEWAY_FLEET_PORT_H_
 
@@ -33,13 +34,16 @@
   };
   std::function<void(const Admission&)> admit;
   // The final answer to a client that the core does not have.
-  std::function<void(uint64_t client, int status, double retry_after_s, const std::string& type, const std::string& body, const char* why)> tell;
+  std::function<void(uint64_t client, int status, double retry_after_s, const std::string& type,
+                     const std::string& body, const char* why)>
+      tell;
   std::function<void(uint32_t request, int attempt, bool ok)> intent;
   std::function<void(uint64_t client)> withdraw;
   std::function<void(uint64_t client)> unrecorded;  // its answer is to say so
   std::function<void(uint64_t client)> release;
   std::function<void(int gateways, bool counted)> fleet;
-  std::function<void(uint64_t customer, double share, double seconds)> share;  // from now; in place of the one before
+  std::function<void(uint64_t customer, double share, double seconds)>
+      share;  // from now; in place of the one before
 };
 
 class FleetPort {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,11 +28,12 @@
                std::chrono::duration<double>(Clock::now().time_since_epoch()).count()),
       memory_(BodyBudget(config)),
       links_(io, &memory_, this),
-      server_(io, MostClients(config), &memory_,
-              {[this](uint64_t client, ClientMessage m) { OnMessage(client, std::move(m)); },
-               [this](uint64_t client, bool) { OnClosed(client); },
-               [this](uint64_t client, std::string bytes, bool last) { OnBody(client, std::move(bytes), last); },
-               [this](uint64_t client) { OnClientDrained(client); }}),
+      server_(
+          io, MostClients(config), &memory_,
+          {[this](uint64_t client, ClientMessage m) { OnMessage(client, std::move(m)); },
+           [this](uint64_t client, bool) { OnClosed(client); },
+           [this](uint64_t client, std::string bytes, bool last) { OnBody(client, std::move(bytes), last); },
+           [this](uint64_t client) { OnClientDrained(client); }}),
       discovery_(
           io, config.discovery, config.site, &ids_,
           [this](BackendList list) { OnList(list, list.full ? ListKind::kFull : ListKind::kDelta); },
@@ -42,8 +43,8 @@
       learning_(io),
       bad_(config.settings.classes.size()) {
   if (config.has_counter) {
-    counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s, config.site.connect_timeout_s,
-                     static_cast<CounterEvents*>(this), config.counter_access);
+    counter_.emplace(io, config.counter, kCountPatience * config.settings.count_timeout_s,
+                     config.site.connect_timeout_s, static_cast<CounterEvents*>(this), config.counter_access);
     counter_->Start();
   }
   BackendList known;
@@ -86,8 +87,8 @@
   return epoch_s_ + std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
 }
 
-// One timer, set anew only when something is due earlier than it was. What has become void meanwhile costs at most an
-// idle turn.
+// One timer, set anew only when something is due earlier than it was. What has become void meanwhile costs at
+// most an idle turn.
 void Gateway::AfterTurn() {
   passing_.clear();
   ServeIfReady();
@@ -140,7 +141,8 @@
 void Gateway::Do(core::Forget& effect) {
   auto it = messages_.find(effect.request);
   if (it == messages_.end()) return;
-  if (auto b = bringing_.find(it->second.client); b != bringing_.end() && b->second == effect.request) bringing_.erase(b);
+  if (auto b = bringing_.find(it->second.client); b != bringing_.end() && b->second == effect.request)
+    bringing_.erase(b);
   sending_.erase(it->second.connection);
   messages_.erase(it);
 }
@@ -172,7 +174,9 @@
   }
   links_.Close(effect.connection);
 }
-void Gateway::Do(core::Count& effect) { counter_->Call(effect.call, effect.name, effect.amount, effect.keep_s); }
+void Gateway::Do(core::Count& effect) {
+  counter_->Call(effect.call, effect.name, effect.amount, effect.keep_s);
+}
 void Gateway::Do(core::DropCount& effect) { counter_->Drop(effect.call); }
 void Gateway::Do(core::Log& effect) { std::fprintf(stderr, "%s\n", effect.text.c_str()); }
 void Gateway::Do(core::Subscribe&) { discovery_.Start(); }
@@ -189,7 +193,9 @@
 }
 void Gateway::Do(core::Intend& effect) {
   Place place = places_.count(effect.backend) != 0 ? places_[effect.backend] : Place();
-  if (fleet_ && fleet_->Intend(effect.request, effect.attempt, ids_.NameOf(effect.backend), place.zone, place.cell)) return;
+  if (fleet_ &&
+      fleet_->Intend(effect.request, effect.attempt, ids_.NameOf(effect.backend), place.zone, place.cell))
+    return;
   driver_->Tell(core::IntentTold{effect.request, effect.attempt, true});
 }
 void Gateway::Do(core::AttemptOver& effect) {
@@ -258,7 +264,8 @@
   if (last) out->append("0\r\n\r\n");
 }
 
-// What has been written so far has gone: from here on the beginning is not kept, and the client may bring more.
+// What has been written so far has gone: from here on the beginning is not kept, and the client may bring
+// more.
 void Gateway::OnDrained(uint64_t connection) {
   auto it = sending_.find(connection);
   if (it == sending_.end()) return;
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -1,6 +1,5 @@
 // The gateway's answers to operators: figures, bans and drains, and how they outlive an upgrade.
 #include <cstdio>
-
 #include <utility>
 
 #include "gateway/gateway.h"
@@ -8,7 +7,8 @@
 namespace ivygw {
 namespace {
 
-// How often what the other process of this gateway wrote is looked for: well within the second that a call has.
+// How often what the other process of this gateway wrote is looked for: well within the second that a call
+// has.
 constexpr auto kLookEvery = std::chrono::milliseconds(100);
 // How often what the module has learned is written for a process that may take over at any moment.
 constexpr auto kLearnedEvery = std::chrono::milliseconds(500);
@@ -18,13 +18,15 @@
 std::string Gateway::OnCall(const admin::Call& call) {
   switch (call.kind) {
     case admin::CallKind::kCheck:
-      return server_.accepting() && driver_->core().serving() ? admin::Yes() : admin::No("it takes no clients");
+      return server_.accepting() && driver_->core().serving() ? admin::Yes()
+                                                              : admin::No("it takes no clients");
     case admin::CallKind::kVars: return admin::YesWith(Figures());
     case admin::CallKind::kSetDown: return OnBan(call.id, true);
     case admin::CallKind::kSetUp: return OnBan(call.id, false);
     case admin::CallKind::kDrainOn: return OnDrain(true);
     case admin::CallKind::kDrainOff: return OnDrain(false);
-    case admin::CallKind::kMembers: return fleet_ ? admin::YesWith(fleet_->Members()) : admin::No("this gateway is of no fleet");
+    case admin::CallKind::kMembers:
+      return fleet_ ? admin::YesWith(fleet_->Members()) : admin::No("this gateway is of no fleet");
   }
   return admin::No("no such call");
 }
@@ -55,7 +57,9 @@
 
 std::string Gateway::Figures() const {
   std::string out;
-  auto line = [&](const std::string& name, uint64_t value) { out += name + "=" + std::to_string(value) + "\n"; };
+  auto line = [&](const std::string& name, uint64_t value) {
+    out += name + "=" + std::to_string(value) + "\n";
+  };
   const core::GatewayCore& core = driver_->core();
   const core::Figures& figures = core.figures();
   for (size_t i = 0; i < figures.classes.size(); ++i) {
@@ -109,7 +113,8 @@
   try {
     if (operators_->Changed()) Follow(operators_->Read());
   } catch (const state::StateError& error) {
-    std::fprintf(stderr, "what operators said before cannot be read, and nothing is changed by it: %s\n", error.what());
+    std::fprintf(stderr, "what operators said before cannot be read, and nothing is changed by it: %s\n",
+                 error.what());
   }
   Again(&looking_, kLookEvery, [this] { Look(); });
 }
@@ -129,7 +134,8 @@
     auto learned = learned_->Read(Now(), [this](const std::string& name) { return ids_.Of(name); });
     if (learned) driver_->Tell(core::LearnedTold{std::move(*learned)});
   } catch (const state::StateError& error) {
-    std::fprintf(stderr, "what was learned of the backends cannot be read, and is learned anew: %s\n", error.what());
+    std::fprintf(stderr, "what was learned of the backends cannot be read, and is learned anew: %s\n",
+                 error.what());
   }
 }
 
--- a/src/gateway/works.cpp
+++ b/src/gateway/works.cpp
@@ -1,5 +1,5 @@
-// The gateway's side of works that outlive it: what is handed to the fleet's ledger before the core has it, and what comes
-// back. Decides nothing.
+// The gateway's side of works that outlive it: what is handed to the fleet's ledger before the core has it,
+// and what comes back. Decides nothing.
 #include <utility>
 
 #include "core/limits.h"
@@ -12,10 +12,12 @@
   if (!make) throw micadock::WireError("fleet: this program was built without it (-DIVYGW_FLEET=ON)");
   FleetEvents events;
   events.admit = [this](const FleetEvents::Admission& a) { OnAdmitted(a); };
-  events.tell = [this](uint64_t client, int status, double retry_after_s, const std::string& type, const std::string& body, const char* why) {
-    OnTold(client, status, retry_after_s, type, body, why);
+  events.tell = [this](uint64_t client, int status, double retry_after_s, const std::string& type,
+                       const std::string& body,
+                       const char* why) { OnTold(client, status, retry_after_s, type, body, why); };
+  events.intent = [this](uint32_t request, int attempt, bool ok) {
+    driver_->Tell(core::IntentTold{request, attempt, ok});
   };
-  events.intent = [this](uint32_t request, int attempt, bool ok) { driver_->Tell(core::IntentTold{request, attempt, ok}); };
   events.withdraw = [this](uint64_t client) { driver_->Tell(core::Withdrawn{client}); };
   events.unrecorded = [this](uint64_t client) { notes_[client] = "without-record"; };
   events.release = [this](uint64_t client) {
@@ -26,7 +28,9 @@
     server_.Reply(client, std::move(answer));
   };
   events.fleet = [this](int gateways, bool counted) { driver_->Tell(core::FleetTold{gateways, counted}); };
-  events.share = [this](uint64_t customer, double share, double seconds) { driver_->Tell(core::ShareTold{customer, share, seconds}); };
+  events.share = [this](uint64_t customer, double share, double seconds) {
+    driver_->Tell(core::ShareTold{customer, share, seconds});
+  };
   fleet_ = make(io_, config_, std::move(events));
 }
 
@@ -38,7 +42,8 @@
 }
 
 // A request with a client's key is read up first: `held` is then the ledger's to hand back.
-bool Gateway::TakeWork(uint64_t client, const ClientMessage& message, const ClientCall& call, const core::Arrival& arrival, Message* held) {
+bool Gateway::TakeWork(uint64_t client, const ClientMessage& message, const ClientCall& call,
+                       const core::Arrival& arrival, Message* held) {
   if (!IsWork(message)) return false;
   KeyedCall work;
   work.client = client;
@@ -76,7 +81,8 @@
   driver_->Tell(std::move(arrival));
 }
 
-void Gateway::OnTold(uint64_t client, int status, double retry_after_s, const std::string& type, const std::string& body, const char* why) {
+void Gateway::OnTold(uint64_t client, int status, double retry_after_s, const std::string& type,
+                     const std::string& body, const char* why) {
   taken_.erase(client);
   held_answers_.erase(client);
   notes_.erase(client);
@@ -101,10 +107,13 @@
   for (size_t at = 0; at < answer.headers.size();) {
     size_t end = std::min(answer.headers.find("\r\n", at), answer.headers.size());
     std::string_view line = std::string_view(answer.headers).substr(at, end - at);
-    if (line.size() > kType.size() && boost::beast::iequals({line.data(), kType.size()}, {kType.data(), kType.size()})) type = line.substr(kType.size());
+    if (line.size() > kType.size() &&
+        boost::beast::iequals({line.data(), kType.size()}, {kType.data(), kType.size()}))
+      type = line.substr(kType.size());
     at = end + 2;
   }
-  if (fleet_->Answered(client, answer.status, type, answer.body)) return server_.Reply(client, std::move(answer));
+  if (fleet_->Answered(client, answer.status, type, answer.body))
+    return server_.Reply(client, std::move(answer));
   held_answers_[client] = std::move(answer);
 }
 
--- a/src/ledger/book.cpp
+++ b/src/ledger/book.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 constexpr double kNever = 1e300;
-constexpr double kLookMost = 0.25;   // s between looks at an owner's outcome
-constexpr int kMostTries = 3;        // of an intent whose fate is not known
+constexpr double kLookMost = 0.25;                // s between looks at an owner's outcome
+constexpr int kMostTries = 3;                     // of an intent whose fate is not known
 constexpr double kAgainS = 0.25, kAgainMost = 5;  // s until an outcome that was not recorded is tried again
 
 std::string BootIn(const std::string& member) {
@@ -24,7 +24,9 @@
 }  // namespace
 
 Without Book::RuleOf(Effect effect) const {
-  return effect == Effect::kSafe ? options_.safe : effect == Effect::kKeyed ? options_.keyed : options_.unsafe;
+  return effect == Effect::kSafe    ? options_.safe
+         : effect == Effect::kKeyed ? options_.keyed
+                                    : options_.unsafe;
 }
 
 Book::Work* Book::Find(uint64_t id) {
@@ -49,7 +51,8 @@
 void Book::Forget(Work* w) {
   Due(w, 0);
   calls_.erase(w->number);
-  if (auto it = by_client_.find(w->asked.client); it != by_client_.end() && it->second == w->id) by_client_.erase(it);
+  if (auto it = by_client_.find(w->asked.client); it != by_client_.end() && it->second == w->id)
+    by_client_.erase(it);
   if (w->request != 0) {
     by_request_.erase(w->request);
     if (--here_[w->asked.work] <= 0) here_.erase(w->asked.work);
@@ -72,7 +75,8 @@
   Due(w, now + options_.patience_s);
 }
 
-// --- a client with a key -------------------------------------------------------------------------------------------
+// --- a client with a key
+// -------------------------------------------------------------------------------------------
 
 void Book::OnAsked(double now, const Asked& asked, Decisions* out) {
   Work& w = works_[++last_id_];
@@ -103,7 +107,8 @@
   Forget(w);
 }
 
-void Book::Answer(Work* w, int status, double retry_after_s, std::string type, std::string body, const char* why, Decisions* out) {
+void Book::Answer(Work* w, int status, double retry_after_s, std::string type, std::string body,
+                  const char* why, Decisions* out) {
   if (!w->there) return;
   w->there = false;
   out->push_back(Tell{w->asked.client, status, retry_after_s, std::move(type), std::move(body), why});
@@ -112,7 +117,8 @@
 void Book::FromRecord(Work* w, const Record& record, Decisions* out) {
   if (record.too_long) {
     ++figures_.answered;
-    return Answer(w, 409, 0, "text/plain", "done before; its answer was too long to be kept\n", "answer-not-kept", out);
+    return Answer(w, 409, 0, "text/plain", "done before; its answer was too long to be kept\n",
+                  "answer-not-kept", out);
   }
   ++(record.status == 200 ? figures_.answered : figures_.uncertain);
   Answer(w, record.status, 0, record.type, record.answer, "recorded", out);
@@ -156,7 +162,8 @@
     return Forget(w);
   }
   if (record->standing == Standing::kFree) return Claim(now, w, std::nullopt, out);
-  if (record->boot == options_.boot) {  // of this gateway: by another connection, or left by an outcome not recorded
+  if (record->boot ==
+      options_.boot) {  // of this gateway: by another connection, or left by an outcome not recorded
     if (HeldHere(*w)) return Wait(now, w);
     return Claim(now, w, std::nullopt, out);
   }
@@ -179,8 +186,8 @@
   Due(w, std::min(now + w->look_s, w->until));
 }
 
-// A batch that holds only while the record is the one that was read and this gateway's place is its own. The record is
-// written last, so that the revision told is its version.
+// A batch that holds only while the record is the one that was read and this gateway's place is its own. The
+// record is written last, so that the revision told is its version.
 shared::Batch Book::Batch(const Work& w, const Right& right, const Record& record) const {
   shared::Batch batch;
   batch.conditions.push_back({Key(w.asked.work), w.version});
@@ -195,7 +202,9 @@
   return batch;
 }
 
-double Book::Age(const Work& w, size_t intent, double now) const { return w.record.intents[intent].age_s + std::max(0.0, now - w.read_at); }
+double Book::Age(const Work& w, size_t intent, double now) const {
+  return w.record.intents[intent].age_s + std::max(0.0, now - w.read_at);
+}
 
 Record Book::Mine(const Work& w, const Right& right, double now) const {
   Record r = w.record;
@@ -283,9 +292,11 @@
   ++here_[w.asked.work];
 }
 
-// --- an attempt ----------------------------------------------------------------------------------------------------
+// --- an attempt
+// ----------------------------------------------------------------------------------------------------
 
-bool Book::OnIntend(double now, uint32_t request, int attempt, const std::string& backend, int zone, int cell, Decisions* out) {
+bool Book::OnIntend(double now, uint32_t request, int attempt, const std::string& backend, int zone, int cell,
+                    Decisions* out) {
   auto it = by_request_.find(request);
   if (it == by_request_.end()) return false;
   Work* w = &works_.at(it->second);
@@ -293,7 +304,8 @@
   w->intending = attempt;
   w->tries = 0;
   w->pending = w->record;
-  if (w->pending.intents.size() >= kMostIntents) std::erase_if(w->pending.intents, [](const Intent& i) { return i.not_run; });
+  if (w->pending.intents.size() >= kMostIntents)
+    std::erase_if(w->pending.intents, [](const Intent& i) { return i.not_run; });
   if (w->pending.intents.size() >= kMostIntents) {
     NoIntent(now, w, false, out);
     return true;
@@ -318,8 +330,8 @@
   SendFor(now, w, Phase::kIntending, shared::Commit(std::move(batch)), out);
 }
 
-// The engine gives no word about an intent, or this gateway has no place of its own: the attempt is not made. `unknown`:
-// the intent may be there all the same, and is taken back with the outcome.
+// The engine gives no word about an intent, or this gateway has no place of its own: the attempt is not made.
+// `unknown`: the intent may be there all the same, and is taken back with the outcome.
 void Book::NoIntent(double now, Work* w, bool unknown, Decisions* out) {
   int attempt = std::exchange(w->intending, -1);
   uint32_t request = w->request;
@@ -359,7 +371,8 @@
   w->intent_of.clear();
 }
 
-// Another has the work, or has ended it: nothing more is sent from here, and its client waits with the others.
+// Another has the work, or has ended it: nothing more is sent from here, and its client waits with the
+// others.
 void Book::Lost(double now, Work* w, Decisions* out) {
   ++figures_.lost;
   out->push_back(Withdraw{w->asked.client});
@@ -406,7 +419,8 @@
     if (++w->tries < kMostTries && right_(now)) return WriteIntent(now, w, out);
     return NoIntent(now, w, true, out);
   }
-  bool mine = found && found->standing == Standing::kOpen && found->boot == options_.boot && found->intents.size() == w->pending.intents.size();
+  bool mine = found && found->standing == Standing::kOpen && found->boot == options_.boot &&
+              found->intents.size() == w->pending.intents.size();
   if (mine && found->fence == w->pending.fence) {
     Reply as_done = reply;
     as_done.revision = version;
@@ -420,18 +434,22 @@
   if (it == by_request_.end() || may_have_run) return;
   Work& w = works_.at(it->second);
   auto at = w.intent_of.find(attempt);
-  if (at != w.intent_of.end() && at->second < w.record.intents.size()) w.record.intents[at->second].not_run = true;
+  if (at != w.intent_of.end() && at->second < w.record.intents.size())
+    w.record.intents[at->second].not_run = true;
 }
 
-// --- the end -------------------------------------------------------------------------------------------------------
+// --- the end
+// -------------------------------------------------------------------------------------------------------
 
-bool Book::OnAnswer(double now, uint64_t client, int status, const std::string& type, const std::string& body, Decisions* out) {
+bool Book::OnAnswer(double now, uint64_t client, int status, const std::string& type, const std::string& body,
+                    Decisions* out) {
   auto it = by_client_.find(client);
   if (it == by_client_.end()) return true;
   Work* w = &works_.at(it->second);
   bool was_there = std::exchange(w->there, false);
   by_client_.erase(it);
-  if (w->intending >= 0) out->push_back(IntentTold{w->request, std::exchange(w->intending, -1), false});  // too late for it
+  if (w->intending >= 0)
+    out->push_back(IntentTold{w->request, std::exchange(w->intending, -1), false});  // too late for it
   if (w->version == 0 && !w->maybe_there) {  // nothing is recorded: a refusal, or a work without promises
     Forget(w);
     return true;
@@ -544,7 +562,8 @@
   WriteEnd(now, w, out);
 }
 
-// --- calls and time --------------------------------------------------------------------------------------------------
+// --- calls and time
+// --------------------------------------------------------------------------------------------------
 
 void Book::OnReply(double now, uint64_t number, const Reply& reply, Decisions* out) {
   auto it = calls_.find(number);
@@ -575,7 +594,8 @@
     Work* w = Find(dues_.begin()->second);
     Due(w, 0);
     bool over = now >= w->until;
-    if (over && w->held && w->there) {  // it can't be recorded in time: what its client is told promises nothing
+    if (over && w->held &&
+        w->there) {  // it can't be recorded in time: what its client is told promises nothing
       ++figures_.uncertain;
       Answer(w, 502, 0, "", "", "no-engine", out);
       w->held = false;
@@ -631,9 +651,11 @@
   }
 }
 
-// --- works of a gateway that has gone, to which nobody comes back --------------------------------------------------
+// --- works of a gateway that has gone, to which nobody comes back
+// --------------------------------------------------
 
-void Book::OnGone(double, const std::string& boot, std::function<bool(const std::string&)> mine, Decisions* out) {
+void Book::OnGone(double, const std::string& boot, std::function<bool(const std::string&)> mine,
+                  Decisions* out) {
   Out call;
   call.kind = Out::kGone;
   call.boot = boot;
@@ -661,7 +683,8 @@
     w.record = *record;
     w.read_at = now;
     Record closed = *record;
-    double gone = std::max(0.0, record->lease_s - reply.entries.front().lease_left_s.value_or(record->lease_s));
+    double gone =
+        std::max(0.0, record->lease_s - reply.entries.front().lease_left_s.value_or(record->lease_s));
     for (Intent& i : closed.intents) i.age_s += gone;
     // Who asks next goes on by what was tried, as with any that nobody has.
     closed.standing = Standing::kFree;
@@ -680,11 +703,14 @@
   for (const auto& [id, w] : works_) ordered[id] = &w;
   std::string text;
   for (const auto& [id, w] : ordered) {
-    text += std::to_string(id) + ":" + std::to_string(w->asked.client) + " " + std::to_string(static_cast<int>(w->phase)) +
-            (w->there ? "t" : "") + (w->held ? "h" : "") + (w->promised ? "p" : "") + std::to_string(w->request) + "@" +
-            std::to_string(w->version) + " n" + std::to_string(w->number != 0) + (w->due > 0 ? "d" : "-") + " i" + std::to_string(w->intending) + "x" +
-            std::to_string(std::min(w->tries, kMostTries)) + " " + Outline(w->record) + Outline(w->pending);
-    for (const auto& [attempt, at] : w->intent_of) text += " " + std::to_string(attempt) + ">" + std::to_string(at);
+    text += std::to_string(id) + ":" + std::to_string(w->asked.client) + " " +
+            std::to_string(static_cast<int>(w->phase)) + (w->there ? "t" : "") + (w->held ? "h" : "") +
+            (w->promised ? "p" : "") + std::to_string(w->request) + "@" + std::to_string(w->version) + " n" +
+            std::to_string(w->number != 0) + (w->due > 0 ? "d" : "-") + " i" + std::to_string(w->intending) +
+            "x" + std::to_string(std::min(w->tries, kMostTries)) + " " + Outline(w->record) +
+            Outline(w->pending);
+    for (const auto& [attempt, at] : w->intent_of)
+      text += " " + std::to_string(attempt) + ">" + std::to_string(at);
     text += "\n";
   }
   return text + std::to_string(calls_.size()) + "/" + std::to_string(closing_.size());
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -1,21 +1,27 @@
-// Works in hand that survive the loss of their gateway: a request with a client's key is read up before it is served, its
-// attempts are made durable before their first byte, and what came of it is kept for who comes back. Pure: time is told
-// (seconds of one monotonic clock of this gateway), calls to the shared engine come out with numbers. One thread.
+// Works in hand that survive the loss of their gateway: a request with a client's key is read up before it is
+// served, its attempts are made durable before their first byte, and what came of it is kept for who comes
+// back. Pure: time is told (seconds of one monotonic clock of this gateway), calls to the shared engine come
+// out with numbers. One thread.
 //
 // What it promises, under any pause, loss or delay, as long as the engine keeps what it has acknowledged:
-//   1. No two gateways send for one work at a time: each intent is a compare-and-set on the work's record, in the same
-//      batch as this gateway's right to its place. One that was claimed from it, or whose lease is over, sends nothing
-//      more. No clock takes part in this.
-//   2. A work that is unsafe to repeat and may have run is never sent again by anyone. Its client is told a failure,
+//   1. No two gateways send for one work at a time: each intent is a compare-and-set on the work's record, in
+//   the same
+//      batch as this gateway's right to its place. One that was claimed from it, or whose lease is over,
+//      sends nothing more. No clock takes part in this.
+//   2. A work that is unsafe to repeat and may have run is never sent again by anyone. Its client is told a
+//   failure,
 //      which promises nothing.
-//   3. A keyed one that may have run is sent again only within its group, and only while the group still remembers: the
-//      time since its first intent is taken by the engine's clock. Between an intent's check and its first byte a pause
-//      may lie; what is written after it is bounded by `most_pause_s`, which the age is raised by.
-//   4. Who comes back gets one answer: the recorded one; or, while the owner lives, the owner's as soon as it is
+//   3. A keyed one that may have run is sent again only within its group, and only while the group still
+//   remembers: the
+//      time since its first intent is taken by the engine's clock. Between an intent's check and its first
+//      byte a pause may lie; what is written after it is bounded by `most_pause_s`, which the age is raised
+//      by.
+//   4. Who comes back gets one answer: the recorded one; or, while the owner lives, the owner's as soon as it
+//   is
 //      recorded; or that of the work as it is gone on with.
 //   5. A refused work leaves nothing behind, or its place to whoever asks next.
-// What it does not promise: an answer that went out and was not yet recorded when its gateway died is not known to
-// anyone; such a work counts as one that may have run.
+// What it does not promise: an answer that went out and was not yet recorded when its gateway died is not
+// known to anyone; such a work counts as one that may have run.
 #ifndef IVYGW_LEDGER_BOOK_H_
 #define IVYGW_LEDGER_BOOK_H_
 
@@ -41,13 +47,13 @@
 };
 
 struct Options {
-  std::string name, boot;        // of this gateway
-  double life_s = 60;            // for which an ended work is kept
-  double patience_s = 0.15;      // for which the engine is waited for, while a client waits
-  double look_every_s = 0.05;    // how often an owner's outcome is looked for, at first
-  double most_pause_s = 0.25;    // between an intent's check and its first byte
+  std::string name, boot;          // of this gateway
+  double life_s = 60;              // for which an ended work is kept
+  double patience_s = 0.15;        // for which the engine is waited for, while a client waits
+  double look_every_s = 0.05;      // how often an owner's outcome is looked for, at first
+  double most_pause_s = 0.25;      // between an intent's check and its first byte
   size_t most_answer = 16 * 1024;  // bytes of an answer that are kept
-  size_t most_open = 4096;       // works in hand; past that the engine's absence rule holds
+  size_t most_open = 4096;         // works in hand; past that the engine's absence rule holds
   double retry_after_s = 1;
   Without keyed = Without::kRefuse, unsafe = Without::kRefuse, safe = Without::kGoOn;
 };
@@ -63,11 +69,11 @@
 
 // What was tried before, for the decision module.
 struct Prior {
-  bool recorded = false;      // the works' promises hold for it
-  bool charged = false;       // its units are counted already
+  bool recorded = false;  // the works' promises hold for it
+  bool charged = false;   // its units are counted already
   bool may_have_run = false;
-  double ran_age_s = 0;       // since the first attempt that may have run
-  std::string backend;        // that attempt's
+  double ran_age_s = 0;  // since the first attempt that may have run
+  std::string backend;   // that attempt's
   int zone = 0, cell = 0;
   int attempts = 0;
 };
@@ -121,7 +127,8 @@
 
 class Book {
  public:
-  // `right`: the condition that this gateway's place is its own, and its fence; none while it is not sure of it.
+  // `right`: the condition that this gateway's place is its own, and its fence; none while it is not sure of
+  // it.
   struct Right {
     shared::Condition condition;
     uint64_t fence = 0;
@@ -135,18 +142,22 @@
   // The core holds the client's request under this number.
   void OnHeld(uint64_t client, uint32_t request);
   // The core is to send an attempt. `true`: it waits for IntentTold; false: it is no work of this book's.
-  bool OnIntend(double now, uint32_t request, int attempt, const std::string& backend, int zone, int cell, Decisions* out);
+  bool OnIntend(double now, uint32_t request, int attempt, const std::string& backend, int zone, int cell,
+                Decisions* out);
   void OnAttemptEnded(double now, uint32_t request, int attempt, bool may_have_run);
   // The core's final answer. True: it goes out now; false: it is held until Release, or Tell in its place.
-  bool OnAnswer(double now, uint64_t client, int status, const std::string& type, const std::string& body, Decisions* out);
-  // Its client has gone. True: the core is to go on with it all the same, so that its outcome is known to who comes back.
+  bool OnAnswer(double now, uint64_t client, int status, const std::string& type, const std::string& body,
+                Decisions* out);
+  // Its client has gone. True: the core is to go on with it all the same, so that its outcome is known to who
+  // comes back.
   bool OnClientGone(double now, uint64_t client, Decisions* out);
 
   void OnReply(double now, uint64_t number, const shared::Reply& reply, Decisions* out);
   void OnTime(double now, Decisions* out);
   double NextDue() const;
   // A gateway has gone; `mine`: whether this one is to close the work, of all that are there.
-  void OnGone(double now, const std::string& boot, std::function<bool(const std::string& work)> mine, Decisions* out);
+  void OnGone(double now, const std::string& boot, std::function<bool(const std::string& work)> mine,
+              Decisions* out);
 
   const Figures& figures() const { return figures_; }
   size_t open() const { return works_.size(); }
@@ -156,7 +167,9 @@
   uint64_t highest = 0;  // revision heard of; for Batch::at_least
 
   static std::string Key(const std::string& work) { return "work/" + work; }
-  static std::string OpenKey(const std::string& boot, const std::string& work) { return "open/" + boot + "/" + work; }
+  static std::string OpenKey(const std::string& boot, const std::string& work) {
+    return "open/" + boot + "/" + work;
+  }
 
   Book& operator=(const Book&) = delete;
 
@@ -178,22 +191,22 @@
     uint64_t id = 0;
     Asked asked;
     Phase phase = Phase::kReading;
-    double until = 0;       // its client's time
+    double until = 0;  // its client's time
     double began = 0;
-    bool there = true;      // its client is, and has had no answer
-    bool held = false;      // the core's answer waits for the record
+    bool there = true;  // its client is, and has had no answer
+    bool held = false;  // the core's answer waits for the record
     bool promised = true;
     bool maybe_there = false;  // of a record that was not seen, and may have been written
     uint32_t request = 0;
-    uint64_t version = 0;   // of its record; 0: there is none
+    uint64_t version = 0;  // of its record; 0: there is none
     Record record, pending;
     double read_at = 0, pending_at = 0;  // when the ages of the record, and of the pending one, held
     double look_s = 0;
-    uint64_t number = 0;    // of the call that is out; 0: none
+    uint64_t number = 0;  // of the call that is out; 0: none
     double due = 0;
-    int intending = -1;     // the core's number of the attempt
+    int intending = -1;               // the core's number of the attempt
     std::map<int, size_t> intent_of;  // position among the record's intents, by the core's attempt
-    int tries = 0;          // of what is being done
+    int tries = 0;                    // of what is being done
   };
   struct Out {
     enum Kind { kWork, kGone, kCloseRead, kClose } kind = kWork;
@@ -227,7 +240,8 @@
   void Lost(double now, Work* w, Decisions* out);
   void WriteEnd(double now, Work* w, Decisions* out);
   void EndLost(double now, Work* w, const std::optional<Record>& record, Decisions* out);
-  void Answer(Work* w, int status, double retry_after_s, std::string type, std::string body, const char* why, Decisions* out);
+  void Answer(Work* w, int status, double retry_after_s, std::string type, std::string body, const char* why,
+              Decisions* out);
   void FromRecord(Work* w, const Record& record, Decisions* out);
   void Forget(Work* w);
   void OnClosing(double now, const Out& call, const shared::Reply& reply, Decisions* out);
--- a/src/ledger/record.h
+++ b/src/ledger/record.h
@@ -15,7 +15,7 @@
 struct Intent {
   std::string backend;
   int zone = 0, cell = 0;
-  double age_s = 0;       // when the record was written; the engine's clock adds what has gone by since
+  double age_s = 0;  // when the record was written; the engine's clock adds what has gone by since
   bool not_run = false;
 };
 
@@ -29,11 +29,11 @@
   Standing standing = Standing::kOpen;
   std::string owner, boot;  // the gateway's name, and its start
   uint64_t fence = 0;
-  uint64_t claims = 0;      // takings over so far
-  std::string body;         // hash of what the client sent: the same key with another body is another work
-  bool charged = false;     // its units are counted
-  double left_s = 0;        // until its client's time is up, when the record was written
-  double lease_s = 0;       // that it was written with
+  uint64_t claims = 0;   // takings over so far
+  std::string body;      // hash of what the client sent: the same key with another body is another work
+  bool charged = false;  // its units are counted
+  double left_s = 0;     // until its client's time is up, when the record was written
+  double lease_s = 0;    // that it was written with
   std::vector<Intent> intents;
   // kDone:
   int status = 0;
@@ -53,11 +53,12 @@
 std::string Write(const Record& record);
 // What is decided on, without times.
 std::string Outline(const Record& record);
-// None for what is no record of this form; the work is then treated as one that may have run, and is nobody's.
+// None for what is no record of this form; the work is then treated as one that may have run, and is
+// nobody's.
 std::optional<Record> Read(const std::string& text);
 
-// A work's name in the engine: `customer`, the class's name and the client's key, hashed to 128 bits. The engine's keys
-// are short and tell nothing of a customer.
+// A work's name in the engine: `customer`, the class's name and the client's key, hashed to 128 bits. The
+// engine's keys are short and tell nothing of a customer.
 std::string NameOf(uint64_t customer, const std::string& cls, const std::string& key);
 std::string HashOf(const std::string& bytes);
 
--- a/src/membership/member.cpp
+++ b/src/membership/member.cpp
@@ -17,9 +17,9 @@
 }
 
 std::string Write(const Member& m) {
-  json text = {{"form", kForm},       {"boot", m.boot}, {"address", m.address},
-               {"version", m.version}, {"zone", m.zone}, {"capacity", m.capacity},
-               {"slot", m.slot},       {"state", StateName(m.state)}};
+  json text = {
+      {"form", kForm},  {"boot", m.boot},         {"address", m.address}, {"version", m.version},
+      {"zone", m.zone}, {"capacity", m.capacity}, {"slot", m.slot},       {"state", StateName(m.state)}};
   if (m.heir) text["heir"] = true;
   return text.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -30,11 +30,14 @@
   m.known = false;
   json j = json::parse(text, nullptr, false);
   if (!j.is_object()) return m;
-  auto word = [&](const char* key) { return j.contains(key) && j[key].is_string() ? j[key].get<std::string>() : std::string(); };
+  auto word = [&](const char* key) {
+    return j.contains(key) && j[key].is_string() ? j[key].get<std::string>() : std::string();
+  };
   m.boot = word("boot");
   if (!j.contains("form") || j["form"] != kForm) return m;
   auto number = [&](const char* key, double otherwise) {
-    return j.contains(key) && j[key].is_number() && std::isfinite(j[key].get<double>()) ? j[key].get<double>() : otherwise;
+    return j.contains(key) && j[key].is_number() && std::isfinite(j[key].get<double>()) ? j[key].get<double>()
+                                                                                        : otherwise;
   };
   m.address = word("address");
   m.version = word("version");
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -18,10 +18,10 @@
   std::string version;  // of its program
   int zone = 0;
   double capacity = 1;
-  int slot = -1;        // its position; no two that live have one
+  int slot = -1;  // its position; no two that live have one
   State state = State::kJoining;
-  bool heir = false;    // took its name over from the process before, which knows of it
-  bool known = true;    // false: written by a program whose form this one can't read; it counts all the same
+  bool heir = false;  // took its name over from the process before, which knows of it
+  bool known = true;  // false: written by a program whose form this one can't read; it counts all the same
 };
 
 inline constexpr int kForm = 1;  // of the text
@@ -29,8 +29,8 @@
 // A text of a later form, or of none, gives a member of that name of which nothing else is known.
 Member Read(const std::string& name, const std::string& text);
 
-// Its fence: `revision` rises with each boot or claim at one engine; the boot tells two apart that an engine which lost
-// its newest writes gave one revision.
+// Its fence: `revision` rises with each boot or claim at one engine; the boot tells two apart that an engine
+// which lost its newest writes gave one revision.
 struct Fence {
   uint64_t revision = 0;
   std::string boot;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -23,7 +23,8 @@
 
 namespace {
 constexpr double kNever = 1e300;
-constexpr double kPatience = 4;  // times what an answer took lately, for which one is waited for: between lease/12 and lease/3
+constexpr double kPatience =
+    4;  // times what an answer took lately, for which one is waited for: between lease/12 and lease/3
 constexpr int kMostSpread = 10;  // doublings of the slots among which one is drawn after conflicts
 }  // namespace
 
@@ -44,7 +45,8 @@
 bool Membership::Counts(double now) const {
   if (phase_ != Phase::kMember || counts_from_ < 0 || now < counts_from_) return false;
   double kept = 1 - options_.margin;
-  return now < sure_until_ + options_.hold_s * kept && now < viewed_at_ + (options_.lease_s + options_.hold_s) * kept;
+  return now < sure_until_ + options_.hold_s * kept &&
+         now < viewed_at_ + (options_.lease_s + options_.hold_s) * kept;
 }
 
 std::vector<Member> Membership::Live() const {
@@ -82,7 +84,9 @@
   double due = looking_ != 0 ? look_deadline_ : look_at_;
   if (doing_ != Doing::kNothing) return std::min(due, deadline_);
   if (phase_ == Phase::kMember) return std::min(due, renew_at_);
-  return viewed_at_ < 0 ? due : std::min(due, join_at_);  // who is there comes first: it names the slots that are free
+  return viewed_at_ < 0
+             ? due
+             : std::min(due, join_at_);  // who is there comes first: it names the slots that are free
 }
 
 void Membership::OnTime(double now, Asks* out) {
@@ -109,8 +113,8 @@
   if (looking_ == 0 && now >= look_at_) Look(now, out);
 }
 
-// The free slot that the configuration prefers; after conflicts one drawn among more and more of the free ones, so that
-// hundreds that start together part in a few rounds.
+// The free slot that the configuration prefers; after conflicts one drawn among more and more of the free
+// ones, so that hundreds that start together part in a few rounds.
 void Membership::Join(double now, Asks* out) {
   auto mine = seen_.find(self_.name);
   bool taken = mine != seen_.end() && mine->second.gone_at < 0 && mine->second.member.boot != self_.boot;
@@ -129,8 +133,8 @@
   Claim(now, slot, 0, out);
 }
 
-// `over`: the version of an entry whose place is taken, this boot's own or that of the process before; its slot goes with
-// it, since both are kept by the same batches. 0: there is none.
+// `over`: the version of an entry whose place is taken, this boot's own or that of the process before; its
+// slot goes with it, since both are kept by the same batches. 0: there is none.
 void Membership::Claim(double now, int slot, uint64_t over, Asks* out) {
   self_.slot = std::max(0, slot);
   self_.state = wanted_;
@@ -158,11 +162,14 @@
   Send(now, write ? Doing::kWrite : Doing::kRenew, shared::Commit(std::move(batch)), out);
 }
 
-void Membership::Settle(double now, Asks* out) { Send(now, Doing::kSettle, shared::Get(Key(self_.name)), out); }
+void Membership::Settle(double now, Asks* out) {
+  Send(now, Doing::kSettle, shared::Get(Key(self_.name)), out);
+}
 
 void Membership::Look(double now, Asks* out) {
   bool whole = viewed_at_ < 0;
-  Send(now, Doing::kNothing, whole ? shared::Range("member/") : shared::ChangesSince("member", view_revision_), out);
+  Send(now, Doing::kNothing,
+       whole ? shared::Range("member/") : shared::ChangesSince("member", view_revision_), out);
 }
 
 void Membership::Become(State state, double now, Asks* out) {
@@ -203,8 +210,8 @@
   if (it == calls_.end()) return;
   Out call = it->second;
   calls_.erase(it);
-  // An engine that has lost what it had told knows no longer who has what: all is claimed anew, above every revision
-  // heard of, and the view is read from its beginning.
+  // An engine that has lost what it had told knows no longer who has what: all is claimed anew, above every
+  // revision heard of, and the view is read from its beginning.
   bool lost = watermark_.See(reply) == shared::Watermark::Seen::kLost;
   if (lost) {
     viewed_at_ = -1;
@@ -263,8 +270,10 @@
     case Doing::kSettle: break;
   }
   if (!reply.done()) {  // it can't be read either: sure for as long as the last renewal says, and asked again
-    if (phase_ == Phase::kMember) renew_at_ = now + Every() / 4;
-    else join_at_ = now + Every() / 4;
+    if (phase_ == Phase::kMember)
+      renew_at_ = now + Every() / 4;
+    else
+      join_at_ = now + Every() / 4;
     if (phase_ == Phase::kMember && now >= sure_until_ + options_.hold_s) Lost(now, Phase::kOut);
     return;
   }
@@ -290,8 +299,8 @@
     join_at_ = now + Every();
     return;
   }
-  // What this boot wrote, by a call whose answer did not come. One that was no member takes its place anew, since what
-  // else that batch wrote is not told here.
+  // What this boot wrote, by a call whose answer did not come. One that was no member takes its place anew,
+  // since what else that batch wrote is not told here.
   if (phase_ != Phase::kMember) return Claim(now, found.slot, entry.version, out);
   self_.state = found.state;
   version_ = entry.version;
@@ -333,7 +342,8 @@
   if (call.whole) {
     std::vector<std::string> missing;
     for (const auto& [name, seen] : seen_) {
-      bool there = std::any_of(reply.entries.begin(), reply.entries.end(), [&, n = Key(name)](const auto& e) { return e.key == n; });
+      bool there = std::any_of(reply.entries.begin(), reply.entries.end(),
+                               [&, n = Key(name)](const auto& e) { return e.key == n; });
       if (!there) missing.push_back(name);
     }
     for (const std::string& name : missing) Gone(now, name);
@@ -343,18 +353,27 @@
   view_revision_ = reply.revision;
   viewed_at_ = call.sent;
   if (phase_ == Phase::kOut && failed_joins_ == 0) join_at_ = now;
-  std::erase_if(seen_, [&](const auto& s) { return s.second.gone_at >= 0 && now >= s.second.gone_at + options_.hold_s; });
+  std::erase_if(seen_, [&](const auto& s) {
+    return s.second.gone_at >= 0 && now >= s.second.gone_at + options_.hold_s;
+  });
 }
 
 std::string Membership::Fingerprint(double now) const {
-  auto ahead = [now](double t) { return t < 0 ? std::string("-") : std::to_string(std::lround(std::clamp((t - now) * 100, -1e6, 1e6))); };
-  std::string text = std::to_string(static_cast<int>(phase_)) + "," + std::to_string(static_cast<int>(doing_)) + "," + std::to_string(version_) + "," +
-                     std::to_string(slot_version_) + "," + std::to_string(self_.slot) + "," + std::to_string(failed_joins_) + "," +
-                     ahead(sure_until_) + "," + ahead(counts_from_) + "," + ahead(renew_at_) + "," + ahead(join_at_) + "," + ahead(look_at_) + "," +
-                     ahead(deadline_) + "," + ahead(look_deadline_) + "," + std::to_string(std::lround(patience_ * 100)) + "," + ahead(viewed_at_) + "," + std::to_string(view_revision_) + "," +
-                     std::to_string(watermark_.highest()) + std::to_string(static_cast<int>(wanted_)) + (leave_ ? "l" : "");
-  for (const auto& [number, call] : calls_) text += ";" + std::to_string(static_cast<int>(call.doing)) + "@" + ahead(call.sent);
-  for (const auto& [name, seen] : seen_) text += "|" + name + seen.member.boot + std::to_string(seen.version) + ahead(seen.gone_at);
+  auto ahead = [now](double t) {
+    return t < 0 ? std::string("-") : std::to_string(std::lround(std::clamp((t - now) * 100, -1e6, 1e6)));
+  };
+  std::string text =
+      std::to_string(static_cast<int>(phase_)) + "," + std::to_string(static_cast<int>(doing_)) + "," +
+      std::to_string(version_) + "," + std::to_string(slot_version_) + "," + std::to_string(self_.slot) +
+      "," + std::to_string(failed_joins_) + "," + ahead(sure_until_) + "," + ahead(counts_from_) + "," +
+      ahead(renew_at_) + "," + ahead(join_at_) + "," + ahead(look_at_) + "," + ahead(deadline_) + "," +
+      ahead(look_deadline_) + "," + std::to_string(std::lround(patience_ * 100)) + "," + ahead(viewed_at_) +
+      "," + std::to_string(view_revision_) + "," + std::to_string(watermark_.highest()) +
+      std::to_string(static_cast<int>(wanted_)) + (leave_ ? "l" : "");
+  for (const auto& [number, call] : calls_)
+    text += ";" + std::to_string(static_cast<int>(call.doing)) + "@" + ahead(call.sent);
+  for (const auto& [name, seen] : seen_)
+    text += "|" + name + seen.member.boot + std::to_string(seen.version) + ahead(seen.gone_at);
   return text;
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,18 +1,23 @@
-// A gateway among the others: keeps its own entry alive in the shared engine, knows by its own clock when it no longer
-// counts, and keeps a view of who is there. Pure: the time of each event is told (seconds of one monotonic clock of this
-// gateway alone), what is to be asked of the engine comes out as calls with numbers. One thread.
+// A gateway among the others: keeps its own entry alive in the shared engine, knows by its own clock when it
+// no longer counts, and keeps a view of who is there. Pure: the time of each event is told (seconds of one
+// monotonic clock of this gateway alone), what is to be asked of the engine comes out as calls with numbers.
+// One thread.
 //
 // What it promises, whatever is lost, late or paused:
-//   - `Sure` is true only while this gateway's lease stands by the engine's clock: a lease counts from before its call
-//     went out, and a margin of it is given up for clocks that run apart. Who can't renew knows before the others do.
+//   - `Sure` is true only while this gateway's lease stands by the engine's clock: a lease counts from before
+//   its call
+//     went out, and a margin of it is given up for clocks that run apart. Who can't renew knows before the
+//     others do.
 //   - no two that are sure have one name, one slot or one fence: each is claimed by compare-and-set.
 //   - what may have been done is settled by reading, never guessed.
-//   - parts of one over `Number`, of all that `Count`, add up to no more than one: one that joins does not count before
-//     the others must have seen it; one whose lease has ended counts for a little less than `hold_s` more, and the others
-//     go on counting it for `hold_s` from when they saw it gone. So an engine that is away for a moment changes nothing,
-//     and after that nobody counts. Who leaves by itself is not waited for.
+//   - parts of one over `Number`, of all that `Count`, add up to no more than one: one that joins does not
+//   count before
+//     the others must have seen it; one whose lease has ended counts for a little less than `hold_s` more,
+//     and the others go on counting it for `hold_s` from when they saw it gone. So an engine that is away for
+//     a moment changes nothing, and after that nobody counts. Who leaves by itself is not waited for.
 //
-// An act whose right matters where it takes effect carries `Right()` in its own batch: the slot is still this boot's.
+// An act whose right matters where it takes effect carries `Right()` in its own batch: the slot is still this
+// boot's.
 #ifndef IVYGW_MEMBERSHIP_MEMBERSHIP_H_
 #define IVYGW_MEMBERSHIP_MEMBERSHIP_H_
 
@@ -30,8 +35,8 @@
 
 struct Options {
   double lease_s = 3;
-  double margin = 0.1;    // of the lease, given up for clocks that run apart
-  double hold_s = 6;      // for which one that has gone is still counted
+  double margin = 0.1;  // of the lease, given up for clocks that run apart
+  double hold_s = 6;    // for which one that has gone is still counted
   int preferred_slot = 0;
   // Another process may live under this name: it is the one before, which hands over.
   bool heir = false;
@@ -132,7 +137,8 @@
   State wanted_ = State::kJoining, before_ = State::kJoining;
   uint64_t version_ = 0, slot_version_ = 0;  // of its entry, and of its slot's
   Fence fence_;
-  double sure_until_ = -1, counts_from_ = -1, renew_at_ = 0, join_at_ = 0, look_at_ = 0, deadline_ = 0, look_deadline_ = 0;
+  double sure_until_ = -1, counts_from_ = -1, renew_at_ = 0, join_at_ = 0, look_at_ = 0, deadline_ = 0,
+         look_deadline_ = 0;
   double patience_ = 0;  // for which a call about its own entry is waited for
   int failed_joins_ = 0;
   std::map<uint64_t, Out> calls_;
--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -14,16 +14,22 @@
 namespace {
 
 constexpr int kMostInterim = 16;  // 1xx answers ahead of the final one
-constexpr auto kAnswerMoves = std::chrono::seconds(20);  // for the next of a begun answer: its backend has died in silence
+constexpr auto kAnswerMoves =
+    std::chrono::seconds(20);  // for the next of a begun answer: its backend has died in silence
 
 }  // namespace
 
-// A read is pending but for when a begun answer waits for its client, so that an end or unasked bytes are seen while it is
-// idle.
+// A read is pending but for when a begun answer waits for its client, so that an end or unasked bytes are
+// seen while it is idle.
 class BackendLinks::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(BackendLinks* links, uint64_t id)
-      : links_(links), id_(id), socket_(links->io_), timer_(links->io_), share_(links->memory_), reader_(kLongestBody) {}
+      : links_(links),
+        id_(id),
+        socket_(links->io_),
+        timer_(links->io_),
+        share_(links->memory_),
+        reader_(kLongestBody) {}
 
   void Connect(const tcp::endpoint& address) {
     if (Open(socket_, address)) return Lost();
@@ -139,7 +145,8 @@
     if (reader_.done()) return Answered(keep), true;
     bool is_long = reader_.length().value_or(0) > BodyMemory::kWhole || body_.size() > BodyMemory::kWhole;
     if (!is_long) return false;
-    if (!Every() && reader_.head().result_int() != 200) return Answered(false), true;  // nobody reads the rest
+    if (!Every() && reader_.head().result_int() != 200)
+      return Answered(false), true;  // nobody reads the rest
     begun_ = true;
     BackendAnswer answer = Head();
     answer.length = reader_.length();
@@ -245,12 +252,13 @@
   bool closed_ = false, busy_ = false, reading_ = false;
   bool sending_ = false;      // of the message, something is still to be written
   bool any_written_ = false;  // of the message, the system may have taken a byte
-  bool begun_ = false;   // the answer is long, and told of in parts
-  bool wanted_ = false;  // the next of it has been asked for
-  bool eof_ = false;     // the backend has ended its sending
+  bool begun_ = false;        // the answer is long, and told of in parts
+  bool wanted_ = false;       // the next of it has been asked for
+  bool eof_ = false;          // the backend has ended its sending
 };
 
-BackendLinks::BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events, AnswerStyle style)
+BackendLinks::BackendLinks(asio::io_context& io, bodies::BodyMemory* memory, BackendEvents* events,
+                           AnswerStyle style)
     : io_(io), memory_(memory), events_(events), style_(style) {}
 
 BackendLinks::~BackendLinks() {
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -17,15 +17,15 @@
 // What is read of a client ahead of its answer. Past that nothing is until it is answered, so that clients
 // cannot fill the memory.
 constexpr size_t kMostAhead = 2 * kMaxHeader;
-constexpr auto kLinger = std::chrono::seconds(1);    // for a client to read its last answer
+constexpr auto kLinger = std::chrono::seconds(1);       // for a client to read its last answer
 constexpr auto kAnswerRead = std::chrono::seconds(10);  // for an answer, or a part of a long one, to be read
-// For a connection's first request to be whole from when it was taken, and for a later one from its first byte; and for
-// a long body so much more as it takes at the least rate, in bytes a second.
+// For a connection's first request to be whole from when it was taken, and for a later one from its first
+// byte; and for a long body so much more as it takes at the least rate, in bytes a second.
 constexpr auto kRequestWhole = std::chrono::milliseconds(2900);
 constexpr auto kBodyBegins = std::chrono::milliseconds(1900);  // at least, from when its head was whole
 constexpr double kSlowestBody = 48 * 1024;
 constexpr auto kBodyMoves = std::chrono::seconds(5);  // for the next of a body that is passed on in pieces
-constexpr size_t kMostBlank = 64;  // bytes of empty lines ahead of a request
+constexpr size_t kMostBlank = 64;                     // bytes of empty lines ahead of a request
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
 
@@ -97,7 +97,8 @@
   }
   void Abort() {
     error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);  // a reset: no end that could pass for the body's
+    socket_.set_option(asio::socket_base::linger(true, 0),
+                       ignored);  // a reset: no end that could pass for the body's
     Close();
   }
 
@@ -195,8 +196,8 @@
     ReadSome(socket_, most, [self = shared_from_this(), this](error_code error, std::string_view bytes) {
       reading_ = false;
       if (state_ == State::kClosed) return;
-      // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection; while a
-      // request is held the client has gone away.
+      // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection;
+      // while a request is held the client has gone away.
       if (error) return Close();
       Took(bytes);
       Read();
@@ -233,12 +234,14 @@
     size_t limit = server_->memory_->HoldLimit();
     error_code error = reader_.Parse(&body_, limit);
     Account();
-    if (error) return Refuse(error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400);
+    if (error)
+      return Refuse(error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400);
     if (reader_.done()) return Given(false);
     if (reader_.head_done()) {
       if (!head_) head_ = Clock::now();
       // Nothing of it has been sent on, so turning it away is harmless.
-      bool is_long = reader_.length().value_or(0) > bodies::BodyMemory::kWhole || body_.size() >= bodies::BodyMemory::kWhole;
+      bool is_long = reader_.length().value_or(0) > bodies::BodyMemory::kWhole ||
+                     body_.size() >= bodies::BodyMemory::kWhole;
       if (is_long && server_->memory_->Crowded()) return Refuse(503);
       if (!continued_ && boost::beast::iequals(reader_.head()[http::field::expect], "100-continue")) {
         continued_ = true;
@@ -251,7 +254,8 @@
     LimitRequest();
   }
 
-  // A body may come as slowly as kSlowestBody once its head is here; what comes more slowly than that never ends.
+  // A body may come as slowly as kSlowestBody once its head is here; what comes more slowly than that never
+  // ends.
   void LimitRequest() {
     if (timed_) return;
     timed_ = true;
@@ -285,7 +289,8 @@
     message.more = more;
     message.length = reader_.length();
     if (more) {
-      message.head = reader_.head();  // what is left of the body may have trailers, which go into the reader's own
+      message.head =
+          reader_.head();  // what is left of the body may have trailers, which go into the reader's own
     } else {
       message.head = std::move(reader_.head());
       Busy(true);
@@ -337,7 +342,8 @@
     int n = std::snprintf(text, sizeof(text), "HTTP/1.1 %d %s\r\n", answer.status, Reason(answer.status));
     out.append(text, static_cast<size_t>(n));
     if (length) {
-      n = std::snprintf(text, sizeof(text), "Content-Length: %llu\r\n", static_cast<unsigned long long>(*length));
+      n = std::snprintf(text, sizeof(text), "Content-Length: %llu\r\n",
+                        static_cast<unsigned long long>(*length));
       out.append(text, static_cast<size_t>(n));
     } else if (chunked_) {
       out += "Transfer-Encoding: chunked\r\n";
@@ -445,20 +451,26 @@
   MessageReader<true> reader_;
   std::string body_, message_;
   std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
-  Clock::time_point first_;  // from which the request that is not whole is timed
+  Clock::time_point first_;                // from which the request that is not whole is timed
   std::optional<Clock::time_point> head_;  // when its head was whole
   State state_ = State::kReading;
   uint64_t lingered_ = 0;
   size_t blank_ = 0;
   unsigned minor_ = 1;
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false, busy_ = false;
-  bool more_ = false;     // the request's body is not all here
-  bool wanted_ = false;   // the next of it has been asked for
+  bool more_ = false;    // the request's body is not all here
+  bool wanted_ = false;  // the next of it has been asked for
   bool chunked_ = false, sending_ = false;
 };
 
-ClientServer::ClientServer(asio::io_context& io, size_t most_connections, bodies::BodyMemory* memory, Events events)
-    : io_(io), acceptor_(io), retry_(io), most_(most_connections), memory_(memory), events_(std::move(events)) {}
+ClientServer::ClientServer(asio::io_context& io, size_t most_connections, bodies::BodyMemory* memory,
+                           Events events)
+    : io_(io),
+      acceptor_(io),
+      retry_(io),
+      most_(most_connections),
+      memory_(memory),
+      events_(std::move(events)) {}
 
 ClientServer::~ClientServer() {
   for (auto& [id, connection] : connections_) connection->Detach();
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -1,5 +1,5 @@
-// The side towards clients: the listener, their connections, parsing and answers. Bodies that are not whole when they are
-// given on, and answers that are not, come and go in pieces that the other side asks for.
+// The side towards clients: the listener, their connections, parsing and answers. Bodies that are not whole
+// when they are given on, and answers that are not, come and go in pieces that the other side asks for.
 #ifndef IVYGW_NET_CLIENT_SERVER_H_
 #define IVYGW_NET_CLIENT_SERVER_H_
 
@@ -35,7 +35,8 @@
   struct Events {
     // A request, to be answered by Reply or ReplyBegin, once, now or later.
     std::function<void(uint64_t, ClientMessage)> on_request;
-    // The connection has ended; `held`: with a request on it whose answer was not out, so its client has gone.
+    // The connection has ended; `held`: with a request on it whose answer was not out, so its client has
+    // gone.
     std::function<void(uint64_t, bool held)> on_closed;
     // The next of a request's body, after ReadBody; `last`: it is whole now.
     std::function<void(uint64_t, std::string bytes, bool last)> on_body = [](uint64_t, std::string, bool) {};
@@ -48,9 +49,9 @@
   ~ClientServer();
 
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
-  // Takes over a listening socket that other processes hold too: it is closed here, never shut down, and clients that
-  // it has not handed out are left to them. Throws micadock::WireError where it is none at that address. Nobody is
-  // taken until StartAccepting.
+  // Takes over a listening socket that other processes hold too: it is closed here, never shut down, and
+  // clients that it has not handed out are left to them. Throws micadock::WireError where it is none at that
+  // address. Nobody is taken until StartAccepting.
   void Inherit(int descriptor, const tcp::endpoint& address);
   void StartAccepting();
   bool accepting() const { return accepting_; }
@@ -58,18 +59,20 @@
   tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
   void ReadBody(uint64_t connection);
-  // The whole answer. Where the request's body is still coming, the rest of it is dropped and the connection ends.
+  // The whole answer. Where the request's body is still coming, the rest of it is dropped and the connection
+  // ends.
   void Reply(uint64_t connection, Answer answer);
-  // An answer of which `answer.body` is the beginning; `length` is the whole body's, where it is known. The rest follows by
-  // ReplyPart, one part after on_drained.
+  // An answer of which `answer.body` is the beginning; `length` is the whole body's, where it is known. The
+  // rest follows by ReplyPart, one part after on_drained.
   void ReplyBegin(uint64_t connection, Answer answer, std::optional<uint64_t> length);
   void ReplyPart(uint64_t connection, std::string bytes, bool last);
-  void Abort(uint64_t connection);  // a begun answer cannot be finished: its client is to see that it is not whole
+  void Abort(
+      uint64_t connection);  // a begun answer cannot be finished: its client is to see that it is not whole
 
   void AskToClose(bool on) { asking_to_close_ = on; }  // while it is so, each answer ends its connection
-  void CloseIdle();                               // those on which nothing has begun
-  bool Quiet();                                   // no connection is open, and none waits that is this process's to take
-  size_t busy() const { return busy_; }           // connections with a whole request whose answer is not out
+  void CloseIdle();                                    // those on which nothing has begun
+  bool Quiet();  // no connection is open, and none waits that is this process's to take
+  size_t busy() const { return busy_; }  // connections with a whole request whose answer is not out
 
  private:
   class Connection;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -78,8 +78,8 @@
   void Add(std::shared_ptr<Pending> call, std::string text) {
     calls_.push_back(call);
     if (!open_) return texts_.push_back(std::move(text));
-    // What waits behind another write is not taken back, so only a call whose connection is not up yet is known
-    // not to have been added.
+    // What waits behind another write is not taken back, so only a call whose connection is not up yet is
+    // known not to have been added.
     client_->events_->OnCountWritten(call->call);
     if (calls_.size() == 1) {
       heard_ = Clock::now();
@@ -89,8 +89,8 @@
     Write();
   }
 
-  // `failed`: there is no counter to be had at the address. One that was, and then spoilt an answer or reset a
-  // connection, may be asked again on another at once.
+  // `failed`: there is no counter to be had at the address. One that was, and then spoilt an answer or reset
+  // a connection, may be asked again on another at once.
   void Close(bool failed) {
     if (closed_) return;
     closed_ = true;
@@ -196,8 +196,8 @@
   bool open_ = false, closed_ = false, writing_ = false, leaving_ = false;
 };
 
-CounterClient::CounterClient(asio::io_context& io, tcp::endpoint address, double patience_s, double connect_timeout_s,
-                             CounterEvents* events, const CounterAccess& access)
+CounterClient::CounterClient(asio::io_context& io, tcp::endpoint address, double patience_s,
+                             double connect_timeout_s, CounterEvents* events, const CounterAccess& access)
     : io_(io),
       address_(address),
       silence_(std::max<Clock::duration>(kSilence, 2 * Seconds(patience_s))),
--- a/src/net/counter_protocol.cpp
+++ b/src/net/counter_protocol.cpp
@@ -70,15 +70,16 @@
     return text;
   }
   size_t greeting_answers() const override {
-    return (access_.username.empty() && access_.password.empty() ? 0u : 1u) + (access_.database != 0 ? 1u : 0u);
+    return (access_.username.empty() && access_.password.empty() ? 0u : 1u) +
+           (access_.database != 0 ? 1u : 0u);
   }
   std::string Call(std::string_view name, double amount, int keep_ms) const override {
     std::string key = access_.prefix + std::string(name);
     return Words({"MULTI"}) + Words({"INCRBYFLOAT", key, Decimal(amount)}) +
            Words({"PEXPIRE", key, std::to_string(keep_ms), "NX"}) + Words({"EXEC"});
   }
-  // An error while queueing makes EXEC discard all of it, so its own answer tells. Only where MULTI was not taken (a
-  // server that just finished loading, say) does what follows run by itself, and answer so.
+  // An error while queueing makes EXEC discard all of it, so its own answer tells. Only where MULTI was not
+  // taken (a server that just finished loading, say) does what follows run by itself, and answer so.
   CounterReading Read(const redisReply& reply, CounterCallState* state) const override {
     bool error = reply.type == REDIS_REPLY_ERROR;
     switch (state->turn++) {
@@ -100,7 +101,8 @@
         if (state->added) return {What::kTotal, state->total};
         if (error || reply.type == REDIS_REPLY_NIL) return {What::kNotAdded, 0};  // -EXECABORT and its like
         if (reply.type != REDIS_REPLY_ARRAY || reply.elements != 2) return {What::kSpoilt, 0};
-        if (reply.element[0]->type == REDIS_REPLY_ERROR) return {What::kNotAdded, 0};  // the name holds no number
+        if (reply.element[0]->type == REDIS_REPLY_ERROR)
+          return {What::kNotAdded, 0};  // the name holds no number
         return Total(*reply.element[0]);
     }
   }
--- a/src/net/counter_protocol.h
+++ b/src/net/counter_protocol.h
@@ -37,8 +37,8 @@
 // Of a call with several answers, from one to the next.
 struct CounterCallState {
   size_t turn = 0;
-  bool begun = true;    // the transaction was taken
-  bool added = false;   // outside of it: it was not taken, and what follows ran by itself
+  bool begun = true;   // the transaction was taken
+  bool added = false;  // outside of it: it was not taken, and what follows ran by itself
   double total = 0;
 };
 
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -10,8 +10,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
-// Of a watch. A connection that has gone silent is noticed this and kPatience after its last word: three times
-// over within the 6 s after which a change counts as told, come what may.
+// Of a watch. A connection that has gone silent is noticed this and kPatience after its last word: three
+// times over within the 6 s after which a change counts as told, come what may.
 constexpr int kWaitMs = 1000;
 constexpr auto kPatience = std::chrono::milliseconds(900);
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "net/clock.h"
 #include "net/address.h"
+#include "net/clock.h"
 #include "net/http.h"
 #include "policy/balance.h"
 #include "settings/settings.h"
@@ -59,7 +59,7 @@
   DiscoveryClient(asio::io_context& io, tcp::endpoint address, const micadock::SiteSettings& site,
                   BackendIds* ids, OnList on_list, OnFailed on_failed);
 
-  void Start();  // no-op once running: what fails is tried again here
+  void Start();                             // no-op once running: what fails is tried again here
   void Move(const tcp::endpoint& address);  // asks another agent for the whole list, at once
 
  private:
