--- a/src/net/http.h
+++ b/src/net/http.h
@@ -21,7 +21,7 @@
 inline constexpr size_t kMaxBody = 64 * 1024;
 inline constexpr size_t kMaxHeader = 16 * 1024;
 inline constexpr size_t kReadChunk = 4096;
-inline constexpr size_t kMostRead = 64 * 1024;            // bytes taken from a socket at once
+inline constexpr size_t kMostRead = 64 * 1024;                // bytes taken from a socket at once
 inline constexpr uint64_t kLongestBody = uint64_t{33} << 20;  // of a message that is passed on in pieces
 
 inline std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
@@ -65,17 +65,18 @@
                     [done = std::move(done)](error_code later, size_t) mutable { done(later); });
 }
 
-// What a socket brings next, into memory that all connections share: nothing points into a connection's own while it
-// waits. `take(error, bytes)` is called once; the bytes are gone when it returns.
+// What a socket brings next, into memory that all connections share: nothing points into a connection's own
+// while it waits. `take(error, bytes)` is called once; the bytes are gone when it returns.
 template <typename Take>
 void ReadSome(tcp::socket& socket, size_t most, Take take) {
-  socket.async_wait(tcp::socket::wait_read, [&socket, most, take = std::move(take)](error_code error) mutable {
-    static thread_local std::string shared(kMostRead, '\0');
-    if (error) return take(error, std::string_view());
-    size_t n = socket.receive(asio::buffer(shared.data(), std::min(most, shared.size())), 0, error);
-    if (error == asio::error::would_block) return ReadSome(socket, most, std::move(take));
-    take(error, std::string_view(shared).substr(0, error ? 0 : n));
-  });
+  socket.async_wait(
+      tcp::socket::wait_read, [&socket, most, take = std::move(take)](error_code error) mutable {
+        static thread_local std::string shared(kMostRead, '\0');
+        if (error) return take(error, std::string_view());
+        size_t n = socket.receive(asio::buffer(shared.data(), std::min(most, shared.size())), 0, error);
+        if (error == asio::error::would_block) return ReadSome(socket, most, std::move(take));
+        take(error, std::string_view(shared).substr(0, error ? 0 : n));
+      });
 }
 
 // Whether the peer has closed a kept connection, or sent bytes that nobody asked for.
@@ -114,8 +115,8 @@
   size_t lengths = message.count(http::field::content_length);
   size_t codings = message.count(http::field::transfer_encoding);
   if (codings == 0) {
-    return lengths == 0 || (lengths == 1 && View(message[http::field::content_length]).find(',') ==
-                                                std::string_view::npos);
+    return lengths == 0 ||
+           (lengths == 1 && View(message[http::field::content_length]).find(',') == std::string_view::npos);
   }
   return codings == 1 && lengths == 0 && message.version() == 11 &&
          boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
--- a/src/net/mailbox.h
+++ b/src/net/mailbox.h
@@ -1,5 +1,6 @@
-// Tasks that other threads leave for an event loop. The loop itself is built for one thread (BOOST_ASIO_DISABLE_THREADS): its
-// own queue may be touched by no other, so what comes from one goes through a lock and a descriptor that wakes the loop.
+// Tasks that other threads leave for an event loop. The loop itself is built for one thread
+// (BOOST_ASIO_DISABLE_THREADS): its own queue may be touched by no other, so what comes from one goes through
+// a lock and a descriptor that wakes the loop.
 #ifndef IVYGW_NET_MAILBOX_H_
 #define IVYGW_NET_MAILBOX_H_
 
@@ -15,7 +16,8 @@
 class Mailbox {
  public:
   using Task = std::function<void()>;
-  explicit Mailbox(asio::io_context& io);  // throws boost::system::system_error where no descriptor is to be had
+  explicit Mailbox(
+      asio::io_context& io);  // throws boost::system::system_error where no descriptor is to be had
   // On the loop's thread. Nobody may post any more; what waits is dropped.
   ~Mailbox();
   Mailbox(const Mailbox&) = delete;
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -1,5 +1,5 @@
-// One HTTP/1.1 message after another out of a stream of bytes, with bounds on each part: the head whole, the body in
-// pieces as large as the reader's user has room for. Pure: no sockets.
+// One HTTP/1.1 message after another out of a stream of bytes, with bounds on each part: the head whole, the
+// body in pieces as large as the reader's user has room for. Pure: no sockets.
 #ifndef IVYGW_NET_MESSAGE_READER_H_
 #define IVYGW_NET_MESSAGE_READER_H_
 
@@ -28,8 +28,8 @@
   }
   void Add(std::string_view bytes) { in_.append(bytes); }
 
-  // Takes in what has been added, as far as it goes: body bytes are appended to `body` while that holds fewer than
-  // `most`. An error is final: where the message ends is in doubt.
+  // Takes in what has been added, as far as it goes: body bytes are appended to `body` while that holds fewer
+  // than `most`. An error is final: where the message ends is in doubt.
   error_code Parse(std::string* body, size_t most) {
     while (unread() > 0 && !parser_->is_done()) {
       error_code error;
--- a/src/parts/lending.cpp
+++ b/src/parts/lending.cpp
@@ -10,14 +10,15 @@
 namespace ivygw::parts {
 namespace {
 constexpr double kNever = 1e300;
-constexpr double kTidy = 1e-9;      // of shares, lost to rounding
-constexpr double kDigits = 1e9;     // of a share as it is written
-constexpr double kWorthIt = 0.1;    // of a share: a smaller difference is not written
+constexpr double kTidy = 1e-9;    // of shares, lost to rounding
+constexpr double kDigits = 1e9;   // of a share as it is written
+constexpr double kWorthIt = 0.1;  // of a share: a smaller difference is not written
 }  // namespace
 
 std::string Write(const Loan& loan) {
   char text[80];
-  std::snprintf(text, sizeof(text), "1 %.9f %.9f %llu", loan.share, loan.need, static_cast<unsigned long long>(loan.since));
+  std::snprintf(text, sizeof(text), "1 %.9f %.9f %llu", loan.share, loan.need,
+                static_cast<unsigned long long>(loan.since));
   return text;
 }
 
@@ -25,8 +26,10 @@
   Loan loan;
   int form = 0, used = 0;
   unsigned long long since = 0;
-  bool read = std::sscanf(text.c_str(), "%d %lf %lf %llu%n", &form, &loan.share, &loan.need, &since, &used) == 4 && form == 1 &&
-              static_cast<size_t>(used) == text.size() && loan.share >= 0 && loan.share <= 1 && loan.need >= 0 && loan.need <= 1;
+  bool read =
+      std::sscanf(text.c_str(), "%d %lf %lf %llu%n", &form, &loan.share, &loan.need, &since, &used) == 4 &&
+      form == 1 && static_cast<size_t>(used) == text.size() && loan.share >= 0 && loan.share <= 1 &&
+      loan.need >= 0 && loan.need <= 1;
   if (!read) return {1, 1, 0};
   loan.since = since;
   return loan;
@@ -52,10 +55,12 @@
   double left = 1 - least * static_cast<double>(asking.size());
   for (size_t i : asking) shares[i] = least;
   std::vector<size_t> by_need = asking;
-  std::stable_sort(by_need.begin(), by_need.end(), [&](size_t a, size_t b) { return loans[a].need < loans[b].need; });
+  std::stable_sort(by_need.begin(), by_need.end(),
+                   [&](size_t a, size_t b) { return loans[a].need < loans[b].need; });
   for (size_t k = 0; k < by_need.size() && left > 0; ++k) {
     size_t i = by_need[k];
-    double more = std::min(std::max(0.0, loans[i].need - least), left / static_cast<double>(by_need.size() - k));
+    double more =
+        std::min(std::max(0.0, loans[i].need - least), left / static_cast<double>(by_need.size() - k));
     shares[i] += more;
     left -= more;
   }
@@ -89,12 +94,15 @@
   if (first && doing_ == Doing::kNothing && !over_) Read(now, out);
 }
 
-void Borrower::Read(double now, Asks* out) { Send(now, Doing::kRead, shared::Range(Prefix(options_.customer)), out); }
+void Borrower::Read(double now, Asks* out) {
+  Send(now, Doing::kRead, shared::Range(Prefix(options_.customer)), out);
+}
 
 void Borrower::OnTime(double now, Asks* out) {
   Lapse(now);
   if (now < due_ || NextDue() >= kNever) return;
-  // What the call that is out has done is told by the next reading; until then no more is used than either would allow.
+  // What the call that is out has done is told by the next reading; until then no more is used than either
+  // would allow.
   if (doing_ == Doing::kWrite || doing_ == Doing::kRenew) version_ = 0;
   doing_ = Doing::kNothing;
   number_ = 0;
@@ -167,15 +175,22 @@
   all[0] = {mine.share, wants ? need_ : 0, mine.since};
   std::vector<double> fair = FairShares(all, options_.least);
   double target = fair[0];
-  bool turns = options_.least * static_cast<double>(std::count_if(all.begin(), all.end(), [](const Loan& l) { return l.need > 0; })) > 1;
+  bool turns = options_.least * static_cast<double>(std::count_if(all.begin(), all.end(),
+                                                                  [](const Loan& l) { return l.need > 0; })) >
+               1;
   // A turn goes on while it lasts, though another waits longer, and ends where one waits.
-  bool waiting = std::any_of(all.begin() + 1, all.end(), [](const Loan& l) { return l.need > 0 && l.share <= 0; });
-  bool turn_over = turns && waiting && mine.share > 0 && held_from_ >= 0 && now >= held_from_ + options_.turn_s;
-  if (turns && mine.share > 0 && wants) target = turn_over ? 0 : std::max(target, std::min(mine.share, options_.least));
+  bool waiting =
+      std::any_of(all.begin() + 1, all.end(), [](const Loan& l) { return l.need > 0 && l.share <= 0; });
+  bool turn_over =
+      turns && waiting && mine.share > 0 && held_from_ >= 0 && now >= held_from_ + options_.turn_s;
+  if (turns && mine.share > 0 && wants)
+    target = turn_over ? 0 : std::max(target, std::min(mine.share, options_.least));
   double free = std::max(0.0, 1 - others - kTidy);
   double share = std::min(target, std::max(free, 0.0));
-  if (share < options_.least - kTidy && share < target) share = std::min(mine.share, target);  // no room for a request yet
-  share = std::floor(std::min(share, std::max(0.0, 1 - others)) * kDigits) / kDigits;  // as it is written, and no more
+  if (share < options_.least - kTidy && share < target)
+    share = std::min(mine.share, target);  // no room for a request yet
+  share = std::floor(std::min(share, std::max(0.0, 1 - others)) * kDigits) /
+          kDigits;  // as it is written, and no more
   Loan next{share, wants ? need_ : 0, turn_over || mine.since == 0 ? reply.revision + 1 : mine.since};
   // Whether others are to hear of it: a share that changed for more than a little, or a need that did.
   auto differs = [](double a, double b) { return std::fabs(a - b) > kWorthIt * std::max(a, b); };
@@ -230,10 +245,14 @@
 }
 
 std::string Borrower::Fingerprint(double now) const {
-  auto ahead = [now](double t) { return t < 0 ? std::string("-") : std::to_string(std::lround(std::clamp((t - now) * 20, -200.0, 200.0))); };
-  return std::to_string(std::lround(share_ * 1e4)) + "," + ahead(valid_until_) + "," + Write(loan_) + "," + Write(pending_) + ",@" +
-         std::to_string(version_) + "," + ahead(held_from_) + "," + std::to_string(static_cast<int>(doing_)) + "," + ahead(due_) + "," +
-         ahead(sent_) + "," + std::to_string(number_ != 0) + "," + ahead(alive_until_) + "," + ahead(quiet_until_) + "," + std::to_string(std::lround(need_ * 1e4)) + (over_ ? "o" : "");
+  auto ahead = [now](double t) {
+    return t < 0 ? std::string("-") : std::to_string(std::lround(std::clamp((t - now) * 20, -200.0, 200.0)));
+  };
+  return std::to_string(std::lround(share_ * 1e4)) + "," + ahead(valid_until_) + "," + Write(loan_) + "," +
+         Write(pending_) + ",@" + std::to_string(version_) + "," + ahead(held_from_) + "," +
+         std::to_string(static_cast<int>(doing_)) + "," + ahead(due_) + "," + ahead(sent_) + "," +
+         std::to_string(number_ != 0) + "," + ahead(alive_until_) + "," + ahead(quiet_until_) + "," +
+         std::to_string(std::lround(need_ * 1e4)) + (over_ ? "o" : "");
 }
 
 }  // namespace ivygw::parts
--- a/src/parts/lending.h
+++ b/src/parts/lending.h
@@ -1,21 +1,23 @@
-// One gateway's borrowing of parts of one customer's allowance, over an engine that gateways share: each holds a share for a
-// lease, by need, and all shares that are valid add up to one at the most, whatever is lost, late, doubled or paused. Pure:
-// the time of each event is told (seconds of one monotonic clock of this gateway), calls to the engine come out with
-// numbers. One thread.
+// One gateway's borrowing of parts of one customer's allowance, over an engine that gateways share: each
+// holds a share for a lease, by need, and all shares that are valid add up to one at the most, whatever is
+// lost, late, doubled or paused. Pure: the time of each event is told (seconds of one monotonic clock of this
+// gateway), calls to the engine come out with numbers. One thread.
 //
-// How. All loans of a customer lie under one prefix, beside a ledger entry that every change of a share writes. Who wants
-// another share reads them all at once and writes its own and the ledger entry on condition that the latter is as it was read:
-// changes of one customer's shares are one after another, and each leaves a sum of one at most. A loan ends with its lease
-// by the engine's clock; its holder stops a margin earlier by its own. Giving back takes effect here before it is asked for,
-// taking only when it is known to be done. Who finds its entry gone before its time knows that the engine has lost writes, and
-// asks for nothing for a lease: what others hold may be forgotten too.
+// How. All loans of a customer lie under one prefix, beside a ledger entry that every change of a share
+// writes. Who wants another share reads them all at once and writes its own and the ledger entry on condition
+// that the latter is as it was read: changes of one customer's shares are one after another, and each leaves
+// a sum of one at most. A loan ends with its lease by the engine's clock; its holder stops a margin earlier
+// by its own. Giving back takes effect here before it is asked for, taking only when it is known to be done.
+// Who finds its entry gone before its time knows that the engine has lost writes, and asks for nothing for a
+// lease: what others hold may be forgotten too.
 //
-// How much. Max-min fair over what each says that it needs: nobody gets more while another that wants more has less. A share
-// holds the largest request at least; where not all who ask can have that much, as many as can take turns, in the order in
-// which they began to wait. What nobody needs is spread evenly over those who ask.
+// How much. Max-min fair over what each says that it needs: nobody gets more while another that wants more
+// has less. A share holds the largest request at least; where not all who ask can have that much, as many as
+// can take turns, in the order in which they began to wait. What nobody needs is spread evenly over those who
+// ask.
 //
-// A share that grows brings no store with it: what it lets pass in a burst begins from nought, so that a burst never passes
-// twice (Ceiling::Begin).
+// A share that grows brings no store with it: what it lets pass in a burst begins from nought, so that a
+// burst never passes twice (Ceiling::Begin).
 #ifndef IVYGW_PARTS_LENDING_H_
 #define IVYGW_PARTS_LENDING_H_
 
@@ -40,16 +42,16 @@
 // What is no loan of this form counts as one that holds all: nothing is lent until it has gone.
 Loan ReadLoan(const std::string& text);
 
-// The shares that all who ask are to have, in the order given: max-min fair, `least` or nothing each. Sums to one at most.
-// Where `least` does not go round, those with the smallest `since` come first.
+// The shares that all who ask are to have, in the order given: max-min fair, `least` or nothing each. Sums to
+// one at most. Where `least` does not go round, those with the smallest `since` come first.
 std::vector<double> FairShares(const std::vector<Loan>& loans, double least);
 
 struct LendingOptions {
   std::string customer, boot;  // of this gateway's start, unique for ever
   double lease_s = 3, margin = 0.1;
-  double least = 0.01;         // share that holds the largest request
-  double turn_s = 6;           // for which a turn is held where others wait
-  double idle_s = 10;          // without need a share is given back
+  double least = 0.01;  // share that holds the largest request
+  double turn_s = 6;    // for which a turn is held where others wait
+  double idle_s = 10;   // without need a share is given back
 };
 
 class Borrower {
@@ -63,7 +65,9 @@
   using RightOf = std::function<std::optional<shared::Condition>(double now)>;
 
   Borrower(LendingOptions options, RightOf right) : options_(std::move(options)), right_(std::move(right)) {}
-  Borrower(const Borrower& other, RightOf right) : Borrower(other) { right_ = std::move(right); }  // for searches
+  Borrower(const Borrower& other, RightOf right) : Borrower(other) {
+    right_ = std::move(right);
+  }  // for searches
 
   // What it could use now, as a share of the whole.
   void Need(double share, double now, Asks* out);
@@ -102,7 +106,8 @@
   Loan loan_, pending_;                  // as last known in the engine; as written by the call that is out
   uint64_t version_ = 0;                 // of its entry; 0: there is none, as far as is known
   double held_from_ = -1;                // its turn
-  double alive_until_ = -1, quiet_until_ = -1;  // until when its entry must be there; until when nothing is asked for
+  double alive_until_ = -1,
+         quiet_until_ = -1;  // until when its entry must be there; until when nothing is asked for
   Doing doing_ = Doing::kNothing;
   uint64_t number_ = 0, last_ = 0, conflicts_ = 0;
   double sent_ = 0, due_ = 0;
--- a/src/parts/loans.cpp
+++ b/src/parts/loans.cpp
@@ -9,7 +9,8 @@
 namespace {
 constexpr double kNever = 1e300;
 constexpr double kHeadroom = 1.25;  // times the demand seen, that is asked for: it is seen late
-constexpr double kDead = 2;         // leases after its end, for which a call is waited for: the engine's own time-out is shorter
+constexpr double kDead =
+    2;  // leases after its end, for which a call is waited for: the engine's own time-out is shorter
 
 std::string NameOf(uint64_t customer) {
   char text[20];
@@ -55,7 +56,8 @@
     it->second.borrower->OnTime(now, &asks);
     Collect(it->first, &asks, out);
     // Who has neither share nor demand, and no call out, is forgotten; a later request begins anew.
-    bool idle = now > it->second.asked_at + Kept() + kDead * options_.lease_s && it->second.borrower->NextDue() >= kNever;
+    bool idle = now > it->second.asked_at + Kept() + kDead * options_.lease_s &&
+                it->second.borrower->NextDue() >= kNever;
     if (!idle) {
       ++it;
       continue;
@@ -109,7 +111,8 @@
   for (const auto& [customer, a] : accounts_) {
     due = std::min(due, a.borrower->NextDue());
     if (a.told_share > 0) due = std::min(due, a.told_until);
-    if (a.borrower->NextDue() >= kNever) due = std::min(due, a.asked_at + Kept() + kDead * options_.lease_s + 1e-3);
+    if (a.borrower->NextDue() >= kNever)
+      due = std::min(due, a.asked_at + Kept() + kDead * options_.lease_s + 1e-3);
   }
   return due;
 }
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -37,10 +37,10 @@
 };
 
 struct Settings {
-  int gateway = 0;   // this gateway's number
-  int gateways = 0;  // how many there are
-  int told_gateways = 0;  // as the settings say; 0: as `gateways` at the start
-  bool counted = true;    // this one is among them
+  int gateway = 0;             // this gateway's number
+  int gateways = 0;            // how many there are
+  int told_gateways = 0;       // as the settings say; 0: as `gateways` at the start
+  bool counted = true;         // this one is among them
   bool lend_ceilings = false;  // parts of ceilings are told (OnShare), not cut evenly
   int zone = 0;
   double resolution_s = 0;
@@ -124,7 +124,8 @@
 };
 using Actions = std::vector<Action>;
 
-// What a gateway has learned of its servers, for the process that takes its place. Times on the module's clock.
+// What a gateway has learned of its servers, for the process that takes its place. Times on the module's
+// clock.
 struct Learned {
   struct OfBackend {
     uint32_t id = 0;
@@ -148,15 +149,17 @@
   void OnRequest(double now, const Request& request, Actions* out);
   // The request's body is whole: its time begins.
   void OnBodyEnded(double now, uint32_t request, Actions* out);
-  // A good answer has begun, which the client is given as it comes: no time limit holds any more. Its outcome follows.
+  // A good answer has begun, which the client is given as it comes: no time limit holds any more. Its outcome
+  // follows.
   void OnStreamBegun(double now, uint32_t request, Actions* out);
   void OnOutcome(double now, const Outcome& outcome, Actions* out);
   void OnAbandoned(double now, uint32_t request, Actions* out);
   void OnTimer(double now, uint64_t tag, Actions* out);
-  // How many gateways are there now, in place of the number in the settings; and whether this one is counted among them:
-  // otherwise it has no part of what is cut by that number.
+  // How many gateways are there now, in place of the number in the settings; and whether this one is counted
+  // among them: otherwise it has no part of what is cut by that number.
   void OnFleet(int gateways, bool counted);
-  // The share of the customer's lent part that is this gateway's for so many seconds, in place of the one before.
+  // The share of the customer's lent part that is this gateway's for so many seconds, in place of the one
+  // before.
   void OnShare(double now, uint64_t customer, double share, double seconds);
   void OnCount(double now, const CountAnswer& answer, Actions* out);
   Learned Remember(double now) const;
--- a/src/rehearsal/gateway_process.cpp
+++ b/src/rehearsal/gateway_process.cpp
@@ -78,7 +78,9 @@
   if (wait4(pid_, &status, WNOHANG, &use) != pid_) return false;
   pid_ = -1;
   ended->status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-  auto seconds = [](const timeval& t) { return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6; };
+  auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
   ended->cpu_s = seconds(use.ru_utime) + seconds(use.ru_stime);
   ended->peak_kb = use.ru_maxrss;
   return true;
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -15,10 +15,20 @@
 namespace {
 
 json ServiceToJson(const checker::Service& s) {
-  return {{"name", s.name},       {"from_s", s.from_s},   {"to_s", s.to_s},         {"asked", s.asked},
-          {"first_tries", s.chains}, {"served", s.served}, {"refused", s.refused},   {"failed", s.failed},
-          {"unanswered", s.unanswered}, {"service", s.Share()}, {"mean_s", s.mean_s}, {"p50_s", s.p50_s},
-          {"p99_s", s.p99_s},             {"most_over_units", s.most_over_units}};
+  return {{"name", s.name},
+          {"from_s", s.from_s},
+          {"to_s", s.to_s},
+          {"asked", s.asked},
+          {"first_tries", s.chains},
+          {"served", s.served},
+          {"refused", s.refused},
+          {"failed", s.failed},
+          {"unanswered", s.unanswered},
+          {"service", s.Share()},
+          {"mean_s", s.mean_s},
+          {"p50_s", s.p50_s},
+          {"p99_s", s.p99_s},
+          {"most_over_units", s.most_over_units}};
 }
 
 double At(std::vector<double>* list, double share) {
@@ -76,7 +86,8 @@
         if (e.flag) {
           began[e.text] = e.t;
         } else if (began.count(e.text) != 0) {
-          bands.push_back({{"name", e.text}, {"from", began[e.text]}, {"to", std::max(e.t, began[e.text] + step / 2)}});
+          bands.push_back(
+              {{"name", e.text}, {"from", began[e.text]}, {"to", std::max(e.t, began[e.text] + step / 2)}});
           began.erase(e.text);
         }
         break;
@@ -102,9 +113,13 @@
   }
   json plots = json::array();
   plots.push_back({{"title", "Tries and answers a second"},
-                   {"lines", lines({{"asked", &asked}, {"served", &served}, {"refused", &refused},
-                                    {"failed", &failed}, {"not answered", &lost}})}});
-  plots.push_back({{"title", "Served: time from the intended moment, ms"}, {"lines", lines({{"p50", &p50}, {"p99", &p99}})}});
+                   {"lines", lines({{"asked", &asked},
+                                    {"served", &served},
+                                    {"refused", &refused},
+                                    {"failed", &failed},
+                                    {"not answered", &lost}})}});
+  plots.push_back({{"title", "Served: time from the intended moment, ms"},
+                   {"lines", lines({{"p50", &p50}, {"p99", &p99}})}});
   plots.push_back({{"title", "Requests held by each node"}, {"lines", nodes}});
   plots.push_back({{"title", "Units a second sent on, by plan"}, {"lines", plans}});
   return {{"step", step}, {"end", record.facts.duration_s}, {"bands", bands}, {"plots", plots}};
@@ -152,7 +167,8 @@
     rules[checker::RuleName(static_cast<checker::Rule>(i))] = verdict.counts[i];
   }
   for (const auto& b : verdict.breaks) {
-    breaks.push_back({{"rule", checker::RuleName(b.rule)}, {"t", b.t}, {"request", b.request}, {"what", b.what}});
+    breaks.push_back(
+        {{"rule", checker::RuleName(b.rule)}, {"t", b.t}, {"request", b.request}, {"what", b.what}});
   }
   for (const auto& s : verdict.phases) phases.push_back(ServiceToJson(s));
   for (const auto& s : verdict.plans) plans.push_back(ServiceToJson(s));
@@ -179,28 +195,32 @@
 std::string TextReport(const eventlog::Record& record, const checker::Verdict& verdict) {
   std::string out;
   char line[240];
-  std::snprintf(line, sizeof(line), "%-28s %7s %7s %7s %7s %7s %8s %8s %8s\n", "phase", "asked", "served", "refused",
-                "failed", "no answ", "service", "p50 ms", "p99 ms");
+  std::snprintf(line, sizeof(line), "%-28s %7s %7s %7s %7s %7s %8s %8s %8s\n", "phase", "asked", "served",
+                "refused", "failed", "no answ", "service", "p50 ms", "p99 ms");
   out += line;
   auto row = [&](const checker::Service& s) {
-    std::snprintf(line, sizeof(line), "%-28.28s %7llu %7llu %7llu %7llu %7llu %8.3f %8.1f %8.1f\n", s.name.c_str(),
-                  static_cast<unsigned long long>(s.asked), static_cast<unsigned long long>(s.served),
-                  static_cast<unsigned long long>(s.refused), static_cast<unsigned long long>(s.failed),
-                  static_cast<unsigned long long>(s.unanswered), s.Share(), s.p50_s * 1000, s.p99_s * 1000);
+    std::snprintf(line, sizeof(line), "%-28.28s %7llu %7llu %7llu %7llu %7llu %8.3f %8.1f %8.1f\n",
+                  s.name.c_str(), static_cast<unsigned long long>(s.asked),
+                  static_cast<unsigned long long>(s.served), static_cast<unsigned long long>(s.refused),
+                  static_cast<unsigned long long>(s.failed), static_cast<unsigned long long>(s.unanswered),
+                  s.Share(), s.p50_s * 1000, s.p99_s * 1000);
     out += line;
   };
   for (const auto& s : verdict.phases) row(s);
   for (const auto& s : verdict.plans) row(s);
   row(verdict.whole);
-  std::snprintf(line, sizeof(line), "load generator late: p99 %.2f ms, most %.2f ms%s\n", verdict.late_p99_s * 1000,
-                verdict.late_max_s * 1000, Void(verdict) ? " -- TOO LATE, the run is void" : "");
+  std::snprintf(line, sizeof(line), "load generator late: p99 %.2f ms, most %.2f ms%s\n",
+                verdict.late_p99_s * 1000, verdict.late_max_s * 1000,
+                Void(verdict) ? " -- TOO LATE, the run is void" : "");
   out += line;
-  std::snprintf(line, sizeof(line), "added by the gateways, served at the first attempt: p50 %.3f ms, p99 %.3f ms\n",
+  std::snprintf(line, sizeof(line),
+                "added by the gateways, served at the first attempt: p50 %.3f ms, p99 %.3f ms\n",
                 verdict.added_p50_s * 1000, verdict.added_p99_s * 1000);
   out += line;
   for (size_t i = 0; i < checker::kRules; ++i) {
-    std::snprintf(line, sizeof(line), "rule %-26s %s\n", checker::RuleName(static_cast<checker::Rule>(i)),
-                  verdict.counts[i] == 0 ? "kept" : ("BROKEN " + std::to_string(verdict.counts[i]) + " times").c_str());
+    std::snprintf(
+        line, sizeof(line), "rule %-26s %s\n", checker::RuleName(static_cast<checker::Rule>(i)),
+        verdict.counts[i] == 0 ? "kept" : ("BROKEN " + std::to_string(verdict.counts[i]) + " times").c_str());
     out += line;
   }
   for (const auto& b : verdict.breaks) {
@@ -222,9 +242,10 @@
          ".bad{color:#c0392b}.good{color:#2a7d4c}</style></head><body><h1>";
   out += Escaped(record.facts.scenario) + "</h1><p>" + Escaped(record.facts.mode) + ", seed " +
          std::to_string(record.facts.seed) + ", " + std::to_string(record.facts.gateways) + " gateways. ";
-  out += verdict.Kept() ? "<b class=\"good\">All five rules kept.</b>" : "<b class=\"bad\">A rule is broken.</b>";
-  out += "</p><pre>" + Escaped(TextReport(record, verdict)) + "</pre><script>const data=" + data + ";" + kScript +
-         "</script></body></html>\n";
+  out += verdict.Kept() ? "<b class=\"good\">All five rules kept.</b>"
+                        : "<b class=\"bad\">A rule is broken.</b>";
+  out += "</p><pre>" + Escaped(TextReport(record, verdict)) + "</pre><script>const data=" + data + ";" +
+         kScript + "</script></body></html>\n";
   return out;
 }
 
--- a/src/rehearsal/report.h
+++ b/src/rehearsal/report.h
@@ -10,8 +10,8 @@
 
 namespace ivygw::rehearsal {
 
-// The load generator's lateness, p99 of writing a request against its intended time, beyond which a run is void:
-// what it then measured is the generator.
+// The load generator's lateness, p99 of writing a request against its intended time, beyond which a run is
+// void: what it then measured is the generator.
 inline constexpr double kMostLateS = 0.01;
 
 nlohmann::json JsonReport(const eventlog::Record& record, const checker::Verdict& verdict);
--- a/src/rehearsal/socket_run.cpp
+++ b/src/rehearsal/socket_run.cpp
@@ -36,7 +36,9 @@
 double CpuS() {
   rusage use{};
   getrusage(RUSAGE_SELF, &use);
-  auto seconds = [](const timeval& t) { return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6; };
+  auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
   return seconds(use.ru_utime) + seconds(use.ru_stime);
 }
 
@@ -48,8 +50,9 @@
   limit.rlim_cur = limit.rlim_max;
   setrlimit(RLIMIT_NOFILE, &limit);
   if (limit.rlim_max < least) {
-    throw std::runtime_error("this scenario needs " + std::to_string(least) + " descriptors at the least, and " +
-                             std::to_string(limit.rlim_max) + " are allowed (ulimit -Hn)");
+    throw std::runtime_error("this scenario needs " + std::to_string(least) +
+                             " descriptors at the least, and " + std::to_string(limit.rlim_max) +
+                             " are allowed (ulimit -Hn)");
   }
 }
 
@@ -74,7 +77,8 @@
   }
 
  private:
-  static constexpr std::string_view kAsk = "GET /-/ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n";
+  static constexpr std::string_view kAsk =
+      "GET /-/ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n";
   void Again() {
     timer_.expires_after(Seconds(kReadyPollS));
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
@@ -90,7 +94,8 @@
 
 class SocketSite : public emulator::Links {
  public:
-  SocketSite(const scenario::Scenario& s, uint64_t seed, const SocketOptions& options, const OnProgress& on_progress)
+  SocketSite(const scenario::Scenario& s, uint64_t seed, const SocketOptions& options,
+             const OnProgress& on_progress)
       : scenario_(s),
         seed_(seed),
         options_(options),
@@ -103,8 +108,9 @@
                  options.lead_s),
         backends_(io_, &scheduler_, &world_, &clients_, s.gateways),
         counter_(io_, &scheduler_, &world_, s.gateways),
-        discovery_(io_, &scheduler_, &world_, s.gateways, epoch_s_,
-                   [this](int node, int gateway) { return backends_.Address(world_.AddressOf(node), gateway); }),
+        discovery_(
+            io_, &scheduler_, &world_, s.gateways, epoch_s_,
+            [this](int node, int gateway) { return backends_.Address(world_.AddressOf(node), gateway); }),
         port_(io_, s, &clients_) {
     run_.record.facts = emulator::FactsOf(s, seed, "sockets");
     processes_.resize(static_cast<size_t>(s.gateways));
@@ -124,8 +130,8 @@
     scheduler_.At(-kReadyPollS, [this] {
       for (int g = 0; g < scenario_.gateways; ++g) {
         if (ready_[static_cast<size_t>(g)]) continue;
-        failure_ = "gateway n" + std::to_string(g) + " was not ready in time; see " + options_.directory + "/n" +
-                   std::to_string(g) + ".log";
+        failure_ = "gateway n" + std::to_string(g) + " was not ready in time; see " + options_.directory +
+                   "/n" + std::to_string(g) + ".log";
         return io_.stop();
       }
       clients_.Start(&port_);
@@ -206,8 +212,9 @@
   void Close() {
     double longest = 0;
     for (const auto& c : scenario_.classes) longest = std::max(longest, c.deadline_s);
-    double rest = (longest + 0.2) * (1 + scenario_.clients.retries) +
-                  scenario_.clients.retries * std::max(scenario_.clients.backoff_s, scenario_.rules.max_retry_after_s);
+    double rest =
+        (longest + 0.2) * (1 + scenario_.clients.retries) +
+        scenario_.clients.retries * std::max(scenario_.clients.backoff_s, scenario_.rules.max_retry_after_s);
     if (clients_.open() > 0 && scheduler_.Now() < scenario_.duration_s + rest) {
       return scheduler_.After(0.1, [this] { Close(); });
     }
--- a/src/rehearsal/virtual_gateway.cpp
+++ b/src/rehearsal/virtual_gateway.cpp
@@ -22,14 +22,14 @@
 
 namespace {
 
-constexpr double kWatchFailsS = 2;   // after which a silent watch is noticed
-constexpr double kTickS = 1e-6;      // past a due time, so that rounding leaves nothing that is not due yet
+constexpr double kWatchFailsS = 2;  // after which a silent watch is noticed
+constexpr double kTickS = 1e-6;     // past a due time, so that rounding leaves nothing that is not due yet
 
 }  // namespace
 
 VirtualGateway::VirtualGateway(int number, const Config& config, const scenario::Network& network,
-                               emulator::Scheduler* scheduler, emulator::World* world, emulator::Clients* clients,
-                               emulator::EngineModel* engine, uint64_t life)
+                               emulator::Scheduler* scheduler, emulator::World* world,
+                               emulator::Clients* clients, emulator::EngineModel* engine, uint64_t life)
     : number_(number),
       config_(config),
       network_(network),
@@ -91,7 +91,8 @@
   arrival.customer = call.customer;
   arrival.units = call.units;
   arrival.entries = call.spread;
-  arrival.timeout_s = std::min(std::max(0.001, call.patience_s), config_.settings.classes[static_cast<size_t>(call.cls)].deadline_s);
+  arrival.timeout_s = std::min(std::max(0.001, call.patience_s),
+                               config_.settings.classes[static_cast<size_t>(call.cls)].deadline_s);
   if (desk_) {
     desk_->Asked(call.customer, call.plan, call.units);
     KeyedCall work;
@@ -131,12 +132,15 @@
     arrival.ran_cell = a.ran_cell;
     driver_->Tell(std::move(arrival));
   };
-  events.tell = [this](uint64_t client, int status, double retry_after_s, const std::string&, const std::string& body, const char*) {
+  events.tell = [this](uint64_t client, int status, double retry_after_s, const std::string&,
+                       const std::string& body, const char*) {
     taken_.erase(client);
     held_answers_.erase(client);
     Send(client, {status, retry_after_s, body.empty() ? 0 : std::strtoull(body.c_str(), nullptr, 10)});
   };
-  events.intent = [this](uint32_t request, int attempt, bool ok) { driver_->Tell(core::IntentTold{request, attempt, ok}); };
+  events.intent = [this](uint32_t request, int attempt, bool ok) {
+    driver_->Tell(core::IntentTold{request, attempt, ok});
+  };
   events.withdraw = [this](uint64_t client) { driver_->Tell(core::Withdrawn{client}); };
   events.unrecorded = [](uint64_t) {};
   events.release = [this](uint64_t client) {
@@ -147,15 +151,20 @@
     Send(client, answer);
   };
   events.fleet = [this](int gateways, bool counted) { driver_->Tell(core::FleetTold{gateways, counted}); };
-  events.share = [this](uint64_t customer, double share, double seconds) { driver_->Tell(core::ShareTold{customer, share, seconds}); };
+  events.share = [this](uint64_t customer, double share, double seconds) {
+    driver_->Tell(core::ShareTold{customer, share, seconds});
+  };
   fleet::DeskPorts ports;
   auto random = std::make_shared<emulator::Random>(emulator::Random(config_.seed).Fork("desk", life));
-  ports.now = [this] { return 1e4 * (1 + number_) + scheduler_->Now(); };  // monotonic clocks have nothing in common
+  ports.now = [this] {
+    return 1e4 * (1 + number_) + scheduler_->Now();
+  };  // monotonic clocks have nothing in common
   ports.draw = [random] { return random->Unit(); };
   ports.ask = [this, engine](shared::Call call, std::function<void(const shared::Reply&)> done) {
-    engine->Ask(number_, std::move(call), [this, alive = alive_, done = std::move(done)](const shared::Reply& reply) {
-      if (*alive) After(0, [done, reply] { done(reply); });
-    });
+    engine->Ask(number_, std::move(call),
+                [this, alive = alive_, done = std::move(done)](const shared::Reply& reply) {
+                  if (*alive) After(0, [done, reply] { done(reply); });
+                });
   };
   ports.later = [this](std::function<void()> task) { After(0, std::move(task)); };
   ports.wake = [this](double due) {
@@ -165,7 +174,8 @@
     });
   };
   ports.log = [](const std::string&) {};
-  desk_ = std::make_unique<fleet::Desk>(config_, "b" + std::to_string(number_) + "." + std::to_string(life), std::move(events), std::move(ports));
+  desk_ = std::make_unique<fleet::Desk>(config_, "b" + std::to_string(number_) + "." + std::to_string(life),
+                                        std::move(events), std::move(ports));
   After(0, [this] {
     desk_->Start();
     desk_->Serving();
@@ -221,12 +231,14 @@
   link->at_node = 0;
   driver_->Tell(core::Written{connection});
   auto alive = alive_;
-  scheduler_->After(network_.node_s, [this, alive, link, connection, call, patience = effect.patience_s, world = world_,
-                                      gateway = number_] {
+  scheduler_->After(network_.node_s, [this, alive, link, connection, call, patience = effect.patience_s,
+                                      world = world_, gateway = number_] {
     AddressState state = world->address_state(link->address);
     if (state != AddressState::kUp || world->NodeAt(link->address) != link->node) {
-      // Nothing listens there any more: the write is answered with a reset, or by a vanished machine with nothing.
-      if (state != AddressState::kSilent && *alive) After(network_.node_s, [this, link, connection] { Lost(connection, link); });
+      // Nothing listens there any more: the write is answered with a reset, or by a vanished machine with
+      // nothing.
+      if (state != AddressState::kSilent && *alive)
+        After(network_.node_s, [this, link, connection] { Lost(connection, link); });
       return;
     }
     link->at_node = world->Arrive(link->address, gateway, call, scheduler_->Now(), patience,
@@ -240,8 +252,8 @@
   });
 }
 
-void VirtualGateway::Replied(uint64_t connection, const std::shared_ptr<Link>& link, uint64_t call, ReplyKind kind,
-                             uint64_t token) {
+void VirtualGateway::Replied(uint64_t connection, const std::shared_ptr<Link>& link, uint64_t call,
+                             ReplyKind kind, uint64_t token) {
   if (link->closed) return;
   Result result = kind == ReplyKind::kServed       ? Result::kOk
                   : kind == ReplyKind::kError      ? Result::kError
@@ -283,16 +295,15 @@
     if (!*alive) return;
     uint64_t call = effect.call;
     if (reply.result == CounterResult::kRefused) {
-      return After(network_.counter_s, [this, call] {
-        driver_->Tell(core::CountLost{call});
-      });
+      return After(network_.counter_s, [this, call] { driver_->Tell(core::CountLost{call}); });
     }
     driver_->Tell(core::CountWritten{call});
     if (reply.result == CounterResult::kSilent) return;
     Result result = reply.result == CounterResult::kTotal ? Result::kOk : Result::kFull;
-    After(std::max(0.0, reply.at - scheduler_->Now()) + network_.counter_s, [this, call, result, total = reply.total] {
-      driver_->Tell(core::CountAnswered{call, result, total});
-    });
+    After(std::max(0.0, reply.at - scheduler_->Now()) + network_.counter_s,
+          [this, call, result, total = reply.total] {
+            driver_->Tell(core::CountAnswered{call, result, total});
+          });
   });
 }
 
@@ -301,10 +312,12 @@
   world_->Told(number_, news);
   nlohmann::json list = DiscoveryList(news, kVirtualEpochS, [](int) { return std::string("127.0.0.1:1"); });
   BackendList parsed = ParseList(list, config_.site, &ids_);
-  for (const auto& listed : parsed.entries) places_[listed.backend.id] = {listed.backend.zone, listed.backend.cell};
+  for (const auto& listed : parsed.entries)
+    places_[listed.backend.id] = {listed.backend.zone, listed.backend.cell};
   std::vector<core::Listed> entries;
   for (size_t i = 0; i < parsed.entries.size(); ++i) {
-    entries.push_back({parsed.entries[i].backend, static_cast<uint64_t>(world_->AddressOf(news.entries[i].node))});
+    entries.push_back(
+        {parsed.entries[i].backend, static_cast<uint64_t>(world_->AddressOf(news.entries[i].node))});
   }
   ListKind kind = news.snapshot ? ListKind::kFull : ListKind::kDelta;
   driver_->Tell(core::ListTold{kind, std::move(entries)});
--- a/src/rehearsal/virtual_gateway.h
+++ b/src/rehearsal/virtual_gateway.h
@@ -1,5 +1,5 @@
-// A gateway in virtual time: the core that `ivygw` runs, driven by the emulator's clock, with links of stated delays in
-// place of sockets. Keeps links and no book. One thread.
+// A gateway in virtual time: the core that `ivygw` runs, driven by the emulator's clock, with links of stated
+// delays in place of sockets. Keeps links and no book. One thread.
 #ifndef IVYGW_REHEARSAL_VIRTUAL_GATEWAY_H_
 #define IVYGW_REHEARSAL_VIRTUAL_GATEWAY_H_
 
@@ -27,8 +27,9 @@
 
 class VirtualGateway {
  public:
-  VirtualGateway(int number, const Config& config, const scenario::Network& network, emulator::Scheduler* scheduler,
-                 emulator::World* world, emulator::Clients* clients, emulator::EngineModel* engine = nullptr, uint64_t life = 0);
+  VirtualGateway(int number, const Config& config, const scenario::Network& network,
+                 emulator::Scheduler* scheduler, emulator::World* world, emulator::Clients* clients,
+                 emulator::EngineModel* engine = nullptr, uint64_t life = 0);
   ~VirtualGateway();  // as if killed: connections to nodes and clients end
 
   // Does nothing until it goes on; what comes meanwhile waits. Bytes that it has sent are on their way.
@@ -36,8 +37,8 @@
   const fleet::Desk* desk() const { return desk_.get(); }
   void OnRequest(const emulator::ClientCall& call);  // its last byte has come
   void OnClientGone(uint64_t call);
-  void DiscoveryChanged();         // its agent may get something at another time than was thought
-  void AddressDown(int address);   // connections to it have been reset
+  void DiscoveryChanged();        // its agent may get something at another time than was thought
+  void AddressDown(int address);  // connections to it have been reset
 
  private:
   // A connection to a node, as both ends have it.
@@ -82,8 +83,8 @@
 
   void CloseLink(const std::shared_ptr<Link>& link);
   void Lost(uint64_t connection, const std::shared_ptr<Link>& link);
-  void Replied(uint64_t connection, const std::shared_ptr<Link>& link, uint64_t call, emulator::ReplyKind kind,
-               uint64_t token);
+  void Replied(uint64_t connection, const std::shared_ptr<Link>& link, uint64_t call,
+               emulator::ReplyKind kind, uint64_t token);
   void OnNews(const emulator::DiscoveryNews& news);
   void Watch();
 
@@ -101,7 +102,7 @@
   std::set<uint64_t> waiting_;          // calls whose connections to clients are open
   uint64_t index_ = 0, watch_ = 0, armed_turn_ = 0;
   double armed_ = core::kNever;
-  std::map<uint64_t, uint64_t> tokens_;  // of answers told of in this turn, by connection
+  std::map<uint64_t, uint64_t> tokens_;        // of answers told of in this turn, by connection
   std::map<uint64_t, core::Arrival> taken_;    // by call, while the ledger is asked
   std::map<uint64_t, Outgoing> held_answers_;  // by call, until they are recorded
   std::map<uint32_t, std::pair<int, int>> places_;
--- a/src/rehearsal/virtual_run.cpp
+++ b/src/rehearsal/virtual_run.cpp
@@ -7,17 +7,17 @@
 
 #include "emulator/clients.h"
 #include "emulator/engine_model.h"
+#include "emulator/installation.h"
 #include "emulator/scheduler.h"
 #include "emulator/world.h"
 #include "gateway/config.h"
-#include "emulator/installation.h"
 #include "rehearsal/virtual_gateway.h"
 
 namespace ivygw::rehearsal {
 namespace {
 
-constexpr double kBeforeS = 1;  // from the gateways' start to the first arrival
-constexpr double kStartS = 0.1; // from a gateway's start to the first request that it takes
+constexpr double kBeforeS = 1;   // from the gateways' start to the first arrival
+constexpr double kStartS = 0.1;  // from a gateway's start to the first request that it takes
 
 class VirtualSite : public emulator::ClientPort, public emulator::Links {
  public:
@@ -41,7 +41,8 @@
   void Ask(int gateway, const emulator::ClientCall& call) override {
     auto& g = gateways_[static_cast<size_t>(gateway)];
     if (g == nullptr) {
-      return scheduler_->After(2 * scenario_.network.client_s, [this, id = call.id] { clients_->OnNotTaken(id); });
+      return scheduler_->After(2 * scenario_.network.client_s,
+                               [this, id = call.id] { clients_->OnNotTaken(id); });
     }
     clients_->OnWritten(call.id);
     scheduler_->After(scenario_.network.client_s, [this, gateway, id = call.id, life = lives_[g.get()]] {
@@ -94,8 +95,9 @@
   void Up(int gateway) {
     auto& g = gateways_[static_cast<size_t>(gateway)];
     ++last_life_;
-    g = std::make_unique<VirtualGateway>(gateway, *configs_[static_cast<size_t>(gateway)], scenario_.network, scheduler_,
-                                         world_, clients_, engine_ ? &*engine_ : nullptr, last_life_);
+    g = std::make_unique<VirtualGateway>(gateway, *configs_[static_cast<size_t>(gateway)], scenario_.network,
+                                         scheduler_, world_, clients_, engine_ ? &*engine_ : nullptr,
+                                         last_life_);
     lives_[g.get()] = last_life_;
     world_->GatewayUp(gateway);
   }
@@ -114,7 +116,8 @@
 
 }  // namespace
 
-eventlog::Record PlayVirtual(const scenario::Scenario& scenario, uint64_t seed, const OnProgress& on_progress) {
+eventlog::Record PlayVirtual(const scenario::Scenario& scenario, uint64_t seed,
+                             const OnProgress& on_progress) {
   eventlog::Record record;
   record.facts = emulator::FactsOf(scenario, seed, "virtual");
   emulator::VirtualScheduler scheduler(-kBeforeS);
@@ -131,8 +134,9 @@
   // Until all is answered: the longest deadline, a retry's wait and the retry.
   double longest = 0;
   for (const auto& c : scenario.classes) longest = std::max(longest, c.deadline_s);
-  double rest = (longest + 0.2) * (1 + scenario.clients.retries) +
-                scenario.clients.retries * std::max(scenario.clients.backoff_s, scenario.rules.max_retry_after_s);
+  double rest =
+      (longest + 0.2) * (1 + scenario.clients.retries) +
+      scenario.clients.retries * std::max(scenario.clients.backoff_s, scenario.rules.max_retry_after_s);
   double end = scenario.duration_s;
   while (clients.open() > 0 && end < scenario.duration_s + rest) {
     end += 0.1;
--- a/src/rehearsal/virtual_run.h
+++ b/src/rehearsal/virtual_run.h
@@ -1,4 +1,5 @@
-// Plays a scenario in virtual time, without sockets: the same scenario and seed give the same record, byte for byte.
+// Plays a scenario in virtual time, without sockets: the same scenario and seed give the same record, byte
+// for byte.
 #ifndef IVYGW_REHEARSAL_VIRTUAL_RUN_H_
 #define IVYGW_REHEARSAL_VIRTUAL_RUN_H_
 
@@ -13,7 +14,8 @@
 // Called now and then with the time and the events so far.
 using OnProgress = std::function<void(double now, const eventlog::Record& record)>;
 
-eventlog::Record PlayVirtual(const scenario::Scenario& scenario, uint64_t seed, const OnProgress& on_progress = {});
+eventlog::Record PlayVirtual(const scenario::Scenario& scenario, uint64_t seed,
+                             const OnProgress& on_progress = {});
 
 }  // namespace ivygw::rehearsal
 
--- a/src/scenario/scenario.cpp
+++ b/src/scenario/scenario.cpp
@@ -16,7 +16,7 @@
 struct FaultTerms {
   FaultKind kind;
   std::string_view name;
-  bool lasts;                            // needs for_s
+  bool lasts;                             // needs for_s
   std::vector<std::string_view> allowed;  // beside kind and at_s
   std::vector<std::string_view> needed;
 };
@@ -59,15 +59,19 @@
 
   [[noreturn]] void Fail(const toml::node* at, const std::string& what) const {
     const toml::source_region& from = at != nullptr ? at->source() : table_.source();
-    throw ScenarioError((from.path ? *from.path : file_) + ":" + std::to_string(from.begin.line) + ": " + what);
+    throw ScenarioError((from.path ? *from.path : file_) + ":" + std::to_string(from.begin.line) + ": " +
+                        what);
+  }
+  std::string Name(std::string_view key) const {
+    return where_.empty() ? std::string(key) : where_ + "." + std::string(key);
   }
-  std::string Name(std::string_view key) const { return where_.empty() ? std::string(key) : where_ + "." + std::string(key); }
 
   void Number(std::string_view key, double* value, double least, double most) {
     const toml::node* node = Take(key);
     if (node == nullptr) return;
     auto number = node->value<double>();
-    if (!number || node->is_boolean() || node->is_string()) Fail(node, Name(key) + " is to be a number" + Unit(key));
+    if (!number || node->is_boolean() || node->is_string())
+      Fail(node, Name(key) + " is to be a number" + Unit(key));
     if (!std::isfinite(*number) || *number < least || *number > most) {
       Fail(node, Name(key) + " is out of range: " + Plain(least) + " to " + Plain(most) + Unit(key));
     }
@@ -117,7 +121,8 @@
   }
   const toml::table* Table(std::string_view key) {
     const toml::node* node = Take(key);
-    if (node != nullptr && !node->is_table()) Fail(node, Name(key) + " is to be a table [" + std::string(key) + "]");
+    if (node != nullptr && !node->is_table())
+      Fail(node, Name(key) + " is to be a table [" + std::string(key) + "]");
     return node == nullptr ? nullptr : node->as_table();
   }
   const toml::array* Tables(std::string_view key) {
@@ -246,7 +251,8 @@
   for (std::string_view key : terms->needed) {
     if (in.Peek(key) == nullptr) in.Fail(nullptr, in.Name(key) + " is missing: " + name + " needs it");
   }
-  if (terms->lasts && in.Peek("for_s") == nullptr) in.Fail(nullptr, in.Name("for_s") + " is missing: " + name + " needs it");
+  if (terms->lasts && in.Peek("for_s") == nullptr)
+    in.Fail(nullptr, in.Name("for_s") + " is missing: " + name + " needs it");
   if (has("for_s")) in.Number("for_s", &f.for_s, 0.001, kDay);
   if (has("nodes")) in.Number("nodes", &f.nodes, 0, 1);
   if (has("share")) in.Number("share", &f.share, 0, 1);
@@ -361,15 +367,15 @@
     in.Flag("present", &s.counter.present);
     std::string kind = "tally";
     in.Text("kind", &kind, false);
-    if (kind != "tally" && kind != "redis") in.Fail(in.Peek("kind"), in.Name("kind") + " is to be tally or redis");
+    if (kind != "tally" && kind != "redis")
+      in.Fail(in.Peek("kind"), in.Name("kind") + " is to be tally or redis");
     s.counter.redis = kind == "redis";
     in.Number("timeout_s", &s.counter.timeout_s, 0.001, 10);
     in.Whole("parts", &s.counter.parts, 1, 64);
     in.Number("calls_per_s", &s.counter.calls_per_s, 1, kMany);
   });
-  sub("discovery", [&](Reader& in) {
-    in.Range("late_s", &s.discovery.least_late_s, &s.discovery.most_late_s, 0, 3600);
-  });
+  sub("discovery",
+      [&](Reader& in) { in.Range("late_s", &s.discovery.least_late_s, &s.discovery.most_late_s, 0, 3600); });
   sub("network", [&](Reader& in) {
     in.Number("client_s", &s.network.client_s, 0, 1);
     in.Number("node_s", &s.network.node_s, 0, 1);
@@ -388,7 +394,8 @@
   auto each = [&](std::string_view key, bool needed, auto read) {
     const toml::array* tables = top.Tables(key);
     if (tables == nullptr) {
-      if (needed) top.Fail(nullptr, std::string(key) + " is missing: at least one [[" + std::string(key) + "]]");
+      if (needed)
+        top.Fail(nullptr, std::string(key) + " is missing: at least one [[" + std::string(key) + "]]");
       return;
     }
     for (const toml::node& node : *tables) read(Reader(*node.as_table(), file, std::string(key)));
@@ -437,9 +444,8 @@
   if (s.load.rate > 0 && (!shared(s.classes) || !shared(s.plans))) {
     top.Fail(nullptr, "every class.share or plan.share is nought");
   }
-  each("fault", false, [&](Reader in) {
-    s.faults.push_back(ReadFault(in, s.duration_s, s.gateways, s.counter.parts));
-  });
+  each("fault", false,
+       [&](Reader in) { s.faults.push_back(ReadFault(in, s.duration_s, s.gateways, s.counter.parts)); });
   top.End();
   std::stable_sort(s.faults.begin(), s.faults.end(),
                    [](const Fault& a, const Fault& b) { return a.at_s < b.at_s; });
@@ -448,7 +454,8 @@
     for (size_t j = i + 1; j < s.faults.size(); ++j) {
       const Fault &a = s.faults[i], &b = s.faults[j];
       if (a.kind != b.kind || a.for_s <= 0 || b.at_s >= a.at_s + a.for_s) continue;
-      if ((a.kind == FaultKind::kGatewayKill || a.kind == FaultKind::kGatewayPause) && a.gateway != b.gateway) continue;
+      if ((a.kind == FaultKind::kGatewayKill || a.kind == FaultKind::kGatewayPause) && a.gateway != b.gateway)
+        continue;
       if (a.part >= 0 && b.part >= 0 && a.part != b.part) continue;
       throw ScenarioError(file + ":" + std::to_string(b.line) + ": " + std::string(FaultName(b.kind)) +
                           " begins before the one of line " + std::to_string(a.line) + " has ended");
@@ -462,7 +469,8 @@
                           " in a scenario without a counter");
     }
     if (f.kind == FaultKind::kCounterSplit && s.gateways < 2) {
-      throw ScenarioError(file + ":" + std::to_string(f.line) + ": counter_split wants two gateways at least");
+      throw ScenarioError(file + ":" + std::to_string(f.line) +
+                          ": counter_split wants two gateways at least");
     }
   }
   return s;
--- a/src/scenario/scenario.h
+++ b/src/scenario/scenario.h
@@ -22,9 +22,9 @@
 struct RequestClass {
   std::string name;
   Effect effect = Effect::kSafe;
-  double share = 1;       // of first tries
-  double work_s = 0.05;   // mean, of one core of speed 1, for a request of mean size
-  double work_cv = 0;     // coefficient of variation at one size
+  double share = 1;      // of first tries
+  double work_s = 0.05;  // mean, of one core of speed 1, for a request of mean size
+  double work_cv = 0;    // coefficient of variation at one size
   double aim_s = 1, deadline_s = 3, window_s = 3;
   double worth = 1;
 };
@@ -32,13 +32,14 @@
 struct Plan {
   std::string name;
   int customers = 1;
-  double share = 1;       // of first tries
+  double share = 1;            // of first tries
   double rate = 0, burst = 0;  // quota in units a second and units; rate 0: none
   double ceiling_rate = 0, ceiling_burst = 0, ceiling_slack = 0;
-  int parallel = 0;       // attempts out at once; 0: no cap
+  int parallel = 0;  // attempts out at once; 0: no cap
   double price = 1, excess_worth = 0, over_cost = 0;
-  double heavy_share = 0, heavy_times = 1;  // share of its customers that ask for so many times what others do
-  int spread = 0;         // gateways that a customer's requests come through; 0: all
+  double heavy_share = 0,
+         heavy_times = 1;  // share of its customers that ask for so many times what others do
+  int spread = 0;          // gateways that a customer's requests come through; 0: all
 };
 
 struct NodeGroup {
@@ -48,7 +49,7 @@
   int slots = 12, queue = 60, connections = 400;
   double thrash = 0, thrash_at = 4;
   double handshake_work_s = 0;
-  bool cold = false;      // freshly started at the beginning
+  bool cold = false;  // freshly started at the beginning
 };
 
 struct Load {
@@ -58,8 +59,8 @@
   double guess_error = 0.2;  // share of requests whose guess is a unit off the true number
 };
 
-// Requests of one customer at set times, for days that are worked by hand: `batch` at once every `every_s`, of
-// mean size, with the class's mean work, waited for as long as the class allows.
+// Requests of one customer at set times, for days that are worked by hand: `batch` at once every `every_s`,
+// of mean size, with the class's mean work, waited for as long as the class allows.
 struct Stream {
   std::string plan, request_class;
   double every_s = 1;
@@ -69,7 +70,7 @@
 };
 
 struct Clients {
-  int retries = 1;              // of a try that was refused, failed or not answered
+  int retries = 1;  // of a try that was refused, failed or not answered
   double backoff_s = 0.1;
   double honour = 0.8;          // share of retries that wait as long as Retry-After says
   bool mark_retries = true;     // Client-Retry: 1
@@ -98,34 +99,59 @@
 
 struct Network {
   double client_s = 0.0005, node_s = 0.001, counter_s = 0.0005;  // one way; in virtual time only
-  double clocks_apart_s = 0;  // from the first gateway's clock to the last one's, evenly; in virtual time only
+  double clocks_apart_s =
+      0;  // from the first gateway's clock to the last one's, evenly; in virtual time only
 };
 
-// Gateways that know of each other through a shared engine, and take over each other's work; in virtual time only.
+// Gateways that know of each other through a shared engine, and take over each other's work; in virtual time
+// only.
 struct Fleet {
-  bool on = false;  // the table is there
+  bool on = false;       // the table is there
   bool lending = false;  // parts of ceilings are lent
   double lease_s = 1, hold_s = 2, life_s = 60;
-  double engine_s = 0.0005, engine_lost = 0;  // one way; share of calls, and of answers, that don't come through
+  double engine_s = 0.0005,
+         engine_lost = 0;  // one way; share of calls, and of answers, that don't come through
 };
 
 enum class FaultKind {
-  kJump, kFastErrors, kTurnAway, kHang, kResetEarly, kResetLate, kSpoilt, kCut, kEndless, kPause, kVanish,
-  kReplace, kRestart, kCounterSilent, kCounterRefusing, kCounterSlow, kCounterStale, kCounterLossy,
-  kCounterLose, kCounterEmpty, kCounterSplit, kDiscoverySilent, kGatewayKill, kGatewayPause, kEngineAway,
+  kJump,
+  kFastErrors,
+  kTurnAway,
+  kHang,
+  kResetEarly,
+  kResetLate,
+  kSpoilt,
+  kCut,
+  kEndless,
+  kPause,
+  kVanish,
+  kReplace,
+  kRestart,
+  kCounterSilent,
+  kCounterRefusing,
+  kCounterSlow,
+  kCounterStale,
+  kCounterLossy,
+  kCounterLose,
+  kCounterEmpty,
+  kCounterSplit,
+  kDiscoverySilent,
+  kGatewayKill,
+  kGatewayPause,
+  kEngineAway,
 };
 std::string_view FaultName(FaultKind kind);
 
 struct Fault {
   FaultKind kind = FaultKind::kJump;
   double at_s = 0, for_s = 0;
-  double nodes = 0;       // share of the fleet that it strikes, drawn; at least one
-  double share = 1;       // of requests, names or calls
-  double times = 1;       // of a rate or a slowness
-  double every_s = 0;     // restart: from one node's turn to the next's
-  double drain_s = 1;     // restart: between leaving and the end of the process
-  double down_s = 1;      // restart and replace: until the next process runs
-  int part = -1;          // of the counter; -1: all
+  double nodes = 0;    // share of the fleet that it strikes, drawn; at least one
+  double share = 1;    // of requests, names or calls
+  double times = 1;    // of a rate or a slowness
+  double every_s = 0;  // restart: from one node's turn to the next's
+  double drain_s = 1;  // restart: between leaving and the end of the process
+  double down_s = 1;   // restart and replace: until the next process runs
+  int part = -1;       // of the counter; -1: all
   int gateway = 0;
   int line = 0;
 };
@@ -153,13 +179,14 @@
   std::vector<Fault> faults;  // by time
   // The day cut at each fault's begin and end; named by what holds.
   std::vector<Phase> Phases() const;
-  // The same day in `share` of its time: each time of the timeline and the duration shrink, nothing else does.
+  // The same day in `share` of its time: each time of the timeline and the duration shrink, nothing else
+  // does.
   Scenario Shortened(double share) const;
   int NodeCount() const;
 };
 
-// Throws ScenarioError. `file` is what messages call it. A file that says `extends = "OTHER"` takes from that one,
-// beside it, what it leaves unsaid: single values and tables; lists of tables are replaced as a whole.
+// Throws ScenarioError. `file` is what messages call it. A file that says `extends = "OTHER"` takes from that
+// one, beside it, what it leaves unsaid: single values and tables; lists of tables are replaced as a whole.
 Scenario ParseScenario(std::string_view toml, const std::string& file);
 Scenario LoadScenario(const std::string& path);
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,5 +1,5 @@
-// The settings of one gateway, from the flat path=value form that the simulator sends and a configuration file is
-// brought into. Pure; throws WireError on what is missing or unreadable.
+// The settings of one gateway, from the flat path=value form that the simulator sends and a configuration
+// file is brought into. Pure; throws WireError on what is missing or unreadable.
 #ifndef MICADOCK_SETTINGS_SETTINGS_H_
 #define MICADOCK_SETTINGS_SETTINGS_H_
 
@@ -18,8 +18,8 @@
   using std::runtime_error::runtime_error;
 };
 
-// Reads path=value lines; throws WireError naming the key that is missing or unreadable. With `faults` every such
-// key is named there instead, and what is returned is of use only where there is none.
+// Reads path=value lines; throws WireError naming the key that is missing or unreadable. With `faults` every
+// such key is named there instead, and what is returned is of use only where there is none.
 Settings ParseSettings(std::string_view text, std::vector<std::string>* faults = nullptr);
 
 // What a real gateway needs of the same lines and the module does not: names and the limits of sockets.
@@ -31,7 +31,6 @@
 };
 SiteSettings ParseSite(std::string_view text, std::vector<std::string>* faults = nullptr);
 
-
 // Spaces and commas in names become '_', as they do in the flat form.
 std::string PlainName(std::string_view name);
 
--- a/src/shared/engine.cpp
+++ b/src/shared/engine.cpp
@@ -30,7 +30,8 @@
     case CallKind::kChanges: return "";
     case CallKind::kCommit: break;
   }
-  if (batch.conditions.size() + batch.changes.size() > kMostChanges) return "batch: 64 conditions and changes at most";
+  if (batch.conditions.size() + batch.changes.size() > kMostChanges)
+    return "batch: 64 conditions and changes at most";
   for (const Condition& c : batch.conditions) {
     if (bad_key(c.key)) return "condition: a key has 1 to 256 bytes";
   }
@@ -38,7 +39,8 @@
     if (bad_key(c.key)) return "change: a key has 1 to 256 bytes";
     if (c.value && c.value->size() > kMostValue) return "change: a value has 1 MiB at most";
     if (c.renew && !c.lease_s) return "change: a renewal needs a lease";
-    if (c.lease_s && (!std::isfinite(*c.lease_s) || *c.lease_s <= 0 || *c.lease_s > 1e7)) return "change: a lease has 0 to 1e7 s";
+    if (c.lease_s && (!std::isfinite(*c.lease_s) || *c.lease_s <= 0 || *c.lease_s > 1e7))
+      return "change: a lease has 0 to 1e7 s";
   }
   return "";
 }
--- a/src/shared/engine.h
+++ b/src/shared/engine.h
@@ -1,11 +1,14 @@
-// What gateways share through an engine: small entries by key, each with the revision that wrote it, some with a lease.
-// One interface for an embedded SQLite file, for Redis and Valkey, and for the emulator's model. Types only; no I/O.
+// What gateways share through an engine: small entries by key, each with the revision that wrote it, some
+// with a lease. One interface for an embedded SQLite file, for Redis and Valkey, and for the emulator's
+// model. Types only; no I/O.
 //
-// Time: a lease ends by the engine's own clock and by no gateway's. Revisions rise with every batch that is done, also
-// over a loss of the newest ones, as far as any caller knows of them (`at_least`); so a revision serves as a fence.
+// Time: a lease ends by the engine's own clock and by no gateway's. Revisions rise with every batch that is
+// done, also over a loss of the newest ones, as far as any caller knows of them (`at_least`); so a revision
+// serves as a fence.
 //
-// Every reply says whether the call is done, not done, or may have been done; the third is settled by reading, and is
-// never taken for either of the others. A call that only reads changes nothing and is never "may have been done".
+// Every reply says whether the call is done, not done, or may have been done; the third is settled by
+// reading, and is never taken for either of the others. A call that only reads changes nothing and is never
+// "may have been done".
 #ifndef IVYGW_SHARED_ENGINE_H_
 #define IVYGW_SHARED_ENGINE_H_
 
@@ -55,7 +58,8 @@
   std::string key;
   std::optional<std::string> value;  // none: it goes
   std::optional<double> lease_s;     // from when the engine writes it; none: it stays
-  bool renew = false;  // the entry stays as it is, in its version, and its lease begins anew; none is there: nothing
+  bool renew =
+      false;  // the entry stays as it is, in its version, and its lease begins anew; none is there: nothing
 };
 // All of it, or nothing. One with conditions alone changes nothing, and tells whether they hold.
 struct Batch {
@@ -67,9 +71,9 @@
 enum class CallKind { kGet, kRange, kCommit, kChanges };
 struct Call {
   CallKind kind = CallKind::kGet;
-  std::string key;       // kGet; the prefix of kRange; the space of kChanges
-  Batch batch;           // kCommit
-  uint64_t since = 0;    // kChanges: entries that were written after this revision
+  std::string key;     // kGet; the prefix of kRange; the space of kChanges
+  Batch batch;         // kCommit
+  uint64_t since = 0;  // kChanges: entries that were written after this revision
   // A fault of this call, before it reaches the engine: empty if it is sound.
   std::string Unsound() const;
 };
@@ -77,12 +81,12 @@
 struct Reply {
   Outcome outcome = Outcome::kNotDone;
   Fault fault = Fault::kUnreachable;
-  std::string why;             // in words, where it was not done
-  std::string generation;      // of the store: another one where it was made anew
-  uint64_t revision = 0;       // that it has; of kCommit, that which it wrote
-  std::vector<Entry> entries;  // kGet (none or one), kRange by key, kChanges by version
+  std::string why;                // in words, where it was not done
+  std::string generation;         // of the store: another one where it was made anew
+  uint64_t revision = 0;          // that it has; of kCommit, that which it wrote
+  std::vector<Entry> entries;     // kGet (none or one), kRange by key, kChanges by version
   std::vector<std::string> gone;  // kChanges: keys whose entries have gone since
-  bool whole = true;           // kChanges: false where the engine no longer knows so far back: read the range
+  bool whole = true;  // kChanges: false where the engine no longer knows so far back: read the range
   bool done() const { return outcome == Outcome::kDone; }
 };
 
@@ -99,8 +103,11 @@
 inline Call Get(std::string key) { return {CallKind::kGet, std::move(key), {}, 0}; }
 inline Call Range(std::string prefix) { return {CallKind::kRange, std::move(prefix), {}, 0}; }
 inline Call Commit(Batch batch) { return {CallKind::kCommit, "", std::move(batch), 0}; }
-inline Call ChangesSince(std::string space, uint64_t revision) { return {CallKind::kChanges, std::move(space), {}, revision}; }
-// What a key has before its first '/'. Changes are told by space, so that who follows one pays nothing for the others.
+inline Call ChangesSince(std::string space, uint64_t revision) {
+  return {CallKind::kChanges, std::move(space), {}, revision};
+}
+// What a key has before its first '/'. Changes are told by space, so that who follows one pays nothing for
+// the others.
 inline std::string SpaceOf(const std::string& key) { return key.substr(0, key.find('/')); }
 
 inline Change Put(std::string key, std::string value, std::optional<double> lease_s = std::nullopt) {
@@ -112,8 +119,9 @@
 Reply NotDone(Fault fault, std::string why);
 Reply MaybeDone(Fault fault, std::string why);
 
-// Has the engine lost what it had told? A store made anew, put back from a copy, or a fail-over that lost writes shows
-// by its generation, or by a revision under one that it told before. One for each engine, whose replies come in order.
+// Has the engine lost what it had told? A store made anew, put back from a copy, or a fail-over that lost
+// writes shows by its generation, or by a revision under one that it told before. One for each engine, whose
+// replies come in order.
 class Watermark {
  public:
   enum class Seen { kSame, kFirst, kLost };
--- a/src/shared/memory_store.cpp
+++ b/src/shared/memory_store.cpp
@@ -50,7 +50,8 @@
     auto it = entries_.find(call.key);
     if (it != entries_.end()) reply.entries.push_back(Told(it->first, it->second, now));
   } else if (call.kind == CallKind::kRange) {
-    for (auto it = entries_.lower_bound(call.key); it != entries_.end() && it->first.compare(0, call.key.size(), call.key) == 0; ++it) {
+    for (auto it = entries_.lower_bound(call.key);
+         it != entries_.end() && it->first.compare(0, call.key.size(), call.key) == 0; ++it) {
       if (reply.entries.size() >= kMostEntries) return NotDone(Fault::kBad, "range: over 20000 entries");
       reply.entries.push_back(Told(it->first, it->second, now));
     }
--- a/src/shared/memory_store.h
+++ b/src/shared/memory_store.h
@@ -1,6 +1,6 @@
-// The engine's entries in memory, by the same rules as the real ones: what the emulator plays, and what the others are
-// compared with in tests. No I/O and no clock: the time of each call is told. Copies are whole stores, so that a test
-// can put an old one back. One thread.
+// The engine's entries in memory, by the same rules as the real ones: what the emulator plays, and what the
+// others are compared with in tests. No I/O and no clock: the time of each call is told. Copies are whole
+// stores, so that a test can put an old one back. One thread.
 #ifndef IVYGW_SHARED_MEMORY_STORE_H_
 #define IVYGW_SHARED_MEMORY_STORE_H_
 
--- a/src/shared/redis_engine.cpp
+++ b/src/shared/redis_engine.cpp
@@ -47,7 +47,8 @@
       timer_.cancel();
       const RedisOptions& o = engine_->options_;
       if (!o.password.empty()) {
-        Greet(o.username.empty() ? RedisCommand({"AUTH", o.password}) : RedisCommand({"AUTH", o.username, o.password}));
+        Greet(o.username.empty() ? RedisCommand({"AUTH", o.password})
+                                 : RedisCommand({"AUTH", o.username, o.password}));
       }
       if (o.database != 0) Greet(RedisCommand({"SELECT", std::to_string(o.database)}));
       Greet(RedisCommand({"SCRIPT", "LOAD", RedisScript()}));
@@ -81,12 +82,14 @@
     text_ += text;
   }
 
-  // What waits goes out as one write; once it may have been written, its fate is no longer known without an answer.
+  // What waits goes out as one write; once it may have been written, its fate is no longer known without an
+  // answer.
   void Flush() {
     if (writing_) return;
     while (!unsent_.empty()) {
       Waiting& w = unsent_.front();
-      text_ += RedisCall(w.call, w.whole_script ? "" : sha_, engine_->options_.prefix, engine_->options_.generation);
+      text_ += RedisCall(w.call, w.whole_script ? "" : sha_, engine_->options_.prefix,
+                         engine_->options_.generation);
       sent_.push_back(std::move(w));
       unsent_.pop_front();
     }
@@ -122,7 +125,8 @@
       if (error) return Close(error.message());
       heard_ = Clock::now();
       unread_ += bytes.size();
-      if (redisReaderFeed(reader_.get(), bytes.data(), bytes.size()) != REDIS_OK) return Close("an answer that is none");
+      if (redisReaderFeed(reader_.get(), bytes.data(), bytes.size()) != REDIS_OK)
+        return Close("an answer that is none");
       while (!closed_) {
         void* raw = nullptr;
         if (redisReaderGetReply(reader_.get(), &raw) != REDIS_OK) return Close("an answer that is none");
@@ -177,7 +181,8 @@
     std::deque<Waiting> sent = std::move(sent_), unsent = std::move(unsent_);
     for (Waiting& w : sent) {
       bool writes = Writes(w.call);
-      engine_->Tell(std::move(w), writes ? MaybeDone(Fault::kUnreachable, why) : NotDone(Fault::kUnreachable, why));
+      engine_->Tell(std::move(w),
+                    writes ? MaybeDone(Fault::kUnreachable, why) : NotDone(Fault::kUnreachable, why));
     }
     engine_->Lost(this, std::move(unsent), why);
   }
@@ -193,7 +198,8 @@
   bool open_ = false, ready_ = false, closed_ = false, writing_ = false, watching_ = false;
 };
 
-RedisEngine::RedisEngine(asio::io_context& io, RedisOptions options) : io_(io), options_(std::move(options)) {}
+RedisEngine::RedisEngine(asio::io_context& io, RedisOptions options)
+    : io_(io), options_(std::move(options)) {}
 
 RedisEngine::~RedisEngine() {
   *alive_ = false;
@@ -208,13 +214,16 @@
 
 void RedisEngine::Ask(Call call, Done done) {
   Waiting waiting{std::move(call), std::move(done), false};
-  if (std::string why = waiting.call.Unsound(); !why.empty()) return Tell(std::move(waiting), NotDone(Fault::kBad, why));
+  if (std::string why = waiting.call.Unsound(); !why.empty())
+    return Tell(std::move(waiting), NotDone(Fault::kBad, why));
   if (!connection_) {
-    if (Clock::now() < not_before_) return Tell(std::move(waiting), NotDone(Fault::kUnreachable, "no connection"));
+    if (Clock::now() < not_before_)
+      return Tell(std::move(waiting), NotDone(Fault::kUnreachable, "no connection"));
     connection_ = std::make_shared<Connection>(this);
     connection_->Connect();
   }
-  if (connection_->out() >= options_.most_out) return Tell(std::move(waiting), NotDone(Fault::kBusy, "too many calls wait for the engine"));
+  if (connection_->out() >= options_.most_out)
+    return Tell(std::move(waiting), NotDone(Fault::kBusy, "too many calls wait for the engine"));
   connection_->Add(std::move(waiting));
 }
 
--- a/src/shared/redis_engine.h
+++ b/src/shared/redis_engine.h
@@ -1,5 +1,5 @@
-// The shared engine over Redis 7 or Valkey: one connection of the event loop's own, calls pipelined on it in their order.
-// One thread.
+// The shared engine over Redis 7 or Valkey: one connection of the event loop's own, calls pipelined on it in
+// their order. One thread.
 #ifndef IVYGW_SHARED_REDIS_ENGINE_H_
 #define IVYGW_SHARED_REDIS_ENGINE_H_
 
@@ -17,11 +17,11 @@
   tcp::endpoint address;
   std::string username, password;  // empty: none
   int database = 0;
-  std::string prefix = "ivygw";    // of all keys
-  std::string generation;          // drawn by the caller, for a store that is new
-  double connect_s = 1;            // for which a connection may take to come up
-  double silence_s = 2;            // without a byte while calls are out, a connection counts as dead
-  size_t most_out = 4096;          // calls that are out or wait; more are not done (kBusy)
+  std::string prefix = "ivygw";  // of all keys
+  std::string generation;        // drawn by the caller, for a store that is new
+  double connect_s = 1;          // for which a connection may take to come up
+  double silence_s = 2;          // without a byte while calls are out, a connection counts as dead
+  size_t most_out = 4096;        // calls that are out or wait; more are not done (kBusy)
 };
 
 class RedisEngine : public Engine {
--- a/src/shared/redis_protocol.cpp
+++ b/src/shared/redis_protocol.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 // Times are microseconds of the server's clock, revisions whole numbers under 2^53, both exact in a double.
-// <tag>:m  form, generation g, revision r      <tag>:e  entries, "version value" by key    <tag>:l  ends of leases by key
-// <tag>:k  keys in order                       <tag>:w:<space>  keys by version            <tag>:g:<space>  keys that went
-// <tag>:f  by space, the revision up to which those that went are forgotten
+// <tag>:m  form, generation g, revision r      <tag>:e  entries, "version value" by key    <tag>:l  ends of
+// leases by key <tag>:k  keys in order                       <tag>:w:<space>  keys by version <tag>:g:<space>
+// keys that went <tag>:f  by space, the revision up to which those that went are forgotten
 constexpr std::string_view kScript = R"lua(
 local tag, op = KEYS[1], ARGV[1]
 local M, E, L, K, F = tag .. ':m', tag .. ':e', tag .. ':l', tag .. ':k', tag .. ':f'
@@ -137,11 +137,15 @@
 return redis.error_reply('IVYGW no such call')
 )lua";
 
-std::string Micros(double seconds) { return std::to_string(static_cast<long long>(std::llround(std::max(seconds * 1e6, 1.0)))); }
+std::string Micros(double seconds) {
+  return std::to_string(static_cast<long long>(std::llround(std::max(seconds * 1e6, 1.0))));
+}
 
 bool Begins(std::string_view text, std::string_view with) { return text.substr(0, with.size()) == with; }
 
-std::string_view Part(const redisReply& array, size_t i) { return {array.element[i]->str, array.element[i]->len}; }
+std::string_view Part(const redisReply& array, size_t i) {
+  return {array.element[i]->str, array.element[i]->len};
+}
 
 std::optional<uint64_t> Number(std::string_view text) {
   uint64_t n = 0;
@@ -159,11 +163,13 @@
 
 std::string RedisCommand(const std::vector<std::string_view>& words) {
   std::string text = "*" + std::to_string(words.size()) + "\r\n";
-  for (std::string_view word : words) text.append("$").append(std::to_string(word.size())).append("\r\n").append(word).append("\r\n");
+  for (std::string_view word : words)
+    text.append("$").append(std::to_string(word.size())).append("\r\n").append(word).append("\r\n");
   return text;
 }
 
-std::string RedisCall(const Call& call, std::string_view sha, const std::string& prefix, const std::string& generation) {
+std::string RedisCall(const Call& call, std::string_view sha, const std::string& prefix,
+                      const std::string& generation) {
   std::string tag = prefix + ":{fleet}";
   std::vector<std::string> made;  // words that live here
   made.reserve(8 + 2 * call.batch.conditions.size() + 4 * call.batch.changes.size());
@@ -206,20 +212,33 @@
     const char* begins;
     Fault fault;
   };
-  // Each is told before the script has changed anything: it looks at all that it reads before it writes, and the server
-  // turns a first write away whole.
+  // Each is told before the script has changed anything: it looks at all that it reads before it writes, and
+  // the server turns a first write away whole.
   static constexpr Known kKnown[] = {
-      {"READONLY", Fault::kReadOnly}, {"MISCONF", Fault::kReadOnly},       {"NOREPLICAS", Fault::kBusy},
-      {"LOADING", Fault::kBusy},      {"BUSY", Fault::kBusy},              {"TRYAGAIN", Fault::kBusy},
-      {"OOM", Fault::kFull},          {"MOVED", Fault::kMoved},            {"ASK", Fault::kMoved},
-      {"CLUSTERDOWN", Fault::kBusy},  {"MASTERDOWN", Fault::kUnreachable}, {"NOAUTH", Fault::kUnreachable},
-      {"NOPERM", Fault::kUnreachable}, {"WRONGPASS", Fault::kUnreachable}, {"NOSCRIPT", Fault::kBusy},
+      {"READONLY", Fault::kReadOnly},
+      {"MISCONF", Fault::kReadOnly},
+      {"NOREPLICAS", Fault::kBusy},
+      {"LOADING", Fault::kBusy},
+      {"BUSY", Fault::kBusy},
+      {"TRYAGAIN", Fault::kBusy},
+      {"OOM", Fault::kFull},
+      {"MOVED", Fault::kMoved},
+      {"ASK", Fault::kMoved},
+      {"CLUSTERDOWN", Fault::kBusy},
+      {"MASTERDOWN", Fault::kUnreachable},
+      {"NOAUTH", Fault::kUnreachable},
+      {"NOPERM", Fault::kUnreachable},
+      {"WRONGPASS", Fault::kUnreachable},
+      {"NOSCRIPT", Fault::kBusy},
   };
   for (const Known& k : kKnown) {
     if (Begins(error, k.begins)) return NotDone(k.fault, std::string(error));
   }
-  if (Begins(error, "WRONGTYPE")) return writes ? MaybeDone(Fault::kBroken, std::string(error)) : NotDone(Fault::kBroken, std::string(error));
-  return writes ? MaybeDone(Fault::kUnreachable, std::string(error)) : NotDone(Fault::kUnreachable, std::string(error));
+  if (Begins(error, "WRONGTYPE"))
+    return writes ? MaybeDone(Fault::kBroken, std::string(error))
+                  : NotDone(Fault::kBroken, std::string(error));
+  return writes ? MaybeDone(Fault::kUnreachable, std::string(error))
+                : NotDone(Fault::kUnreachable, std::string(error));
 }
 
 std::optional<Reply> RedisAnswer(const redisReply& reply, const Call& call) {
@@ -230,7 +249,9 @@
     if (reply.element[i]->type != REDIS_REPLY_STRING) return std::nullopt;
   }
   std::string_view word = Part(reply, 0);
-  if (word == "newer") return NotDone(Fault::kNewer, "its form " + std::string(Part(reply, 1)) + " is newer than " + std::to_string(kRedisForm));
+  if (word == "newer")
+    return NotDone(Fault::kNewer, "its form " + std::string(Part(reply, 1)) + " is newer than " +
+                                      std::to_string(kRedisForm));
   if (reply.elements < 3) return std::nullopt;
   std::optional<uint64_t> revision = Number(Part(reply, 2));
   if (!revision) return std::nullopt;
--- a/src/shared/sqlite_store.cpp
+++ b/src/shared/sqlite_store.cpp
@@ -13,7 +13,7 @@
 namespace ivygw::shared {
 namespace {
 
-constexpr int kForm = 1;            // of the tables; a file of a higher one is left alone
+constexpr int kForm = 1;               // of the tables; a file of a higher one is left alone
 constexpr uint64_t kTrimEvery = 4000;  // revisions
 
 constexpr const char* kTables = R"(
@@ -77,7 +77,8 @@
   }
   std::string Text(int column) const {
     const void* bytes = sqlite3_column_blob(raw, column);
-    return std::string(static_cast<const char*>(bytes), static_cast<size_t>(bytes == nullptr ? 0 : sqlite3_column_bytes(raw, column)));
+    return std::string(static_cast<const char*>(bytes),
+                       static_cast<size_t>(bytes == nullptr ? 0 : sqlite3_column_bytes(raw, column)));
   }
   uint64_t Number(int column) const { return static_cast<uint64_t>(sqlite3_column_int64(raw, column)); }
 };
@@ -103,7 +104,9 @@
 }
 
 void SqliteStore::Close() {
-  for (auto* s : {&get_, &range_, &put_, &renew_, &remove_, &written_, &expired_, &lapsed_, &log_, &logged_, &horizon_, &meta_, &raise_}) s->reset();
+  for (auto* s : {&get_, &range_, &put_, &renew_, &remove_, &written_, &expired_, &lapsed_, &log_, &logged_,
+                  &horizon_, &meta_, &raise_})
+    s->reset();
   if (db_ != nullptr) sqlite3_close_v2(db_);
   db_ = nullptr;
 }
@@ -116,7 +119,8 @@
 }
 
 void SqliteStore::Open() {
-  int code = sqlite3_open_v2(options_.path.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX, nullptr);
+  int code = sqlite3_open_v2(options_.path.c_str(), &db_,
+                             SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX, nullptr);
   if (code != SQLITE_OK) Fail(code);
   sqlite3_extended_result_codes(db_, 1);
   sqlite3_busy_timeout(db_, static_cast<int>(options_.patience_s * 1000));
@@ -126,9 +130,11 @@
     inode_ = static_cast<uint64_t>(at.st_ino);
   }
   Execute("PRAGMA journal_mode=WAL");
-  Execute(options_.durability == Durability::kPower ? "PRAGMA synchronous=FULL" : "PRAGMA synchronous=NORMAL");
+  Execute(options_.durability == Durability::kPower ? "PRAGMA synchronous=FULL"
+                                                    : "PRAGMA synchronous=NORMAL");
   Execute("PRAGMA wal_autocheckpoint=400");
-  Execute(("PRAGMA max_page_count=" + std::to_string(std::max(1, options_.most_mb) * 256)).c_str());  // of 4 KiB each
+  Execute(("PRAGMA max_page_count=" + std::to_string(std::max(1, options_.most_mb) * 256))
+              .c_str());  // of 4 KiB each
   Execute("BEGIN IMMEDIATE");
   Statement form;
   Prepare(&form, "PRAGMA user_version");
@@ -136,7 +142,8 @@
   uint64_t found = form.Number(0);
   sqlite3_reset(form.raw);
   if (found > kForm) {
-    throw Failure{Fault::kNewer, options_.path + ": its form " + std::to_string(found) + " is newer than " + std::to_string(kForm)};
+    throw Failure{Fault::kNewer, options_.path + ": its form " + std::to_string(found) + " is newer than " +
+                                     std::to_string(kForm)};
   }
   Execute(kTables);
   Execute(("PRAGMA user_version=" + std::to_string(kForm)).c_str());
@@ -158,15 +165,20 @@
     Prepare(statement->get(), text);
   };
   make(&get_, "SELECT key, value, version, until FROM entry WHERE key = ?");
-  make(&range_, "SELECT key, value, version, until FROM entry WHERE key >= ? AND key < ? ORDER BY key LIMIT ?");
-  make(&written_, "SELECT key, value, version, until FROM entry WHERE space = ? AND version > ? ORDER BY version LIMIT ?");
+  make(&range_,
+       "SELECT key, value, version, until FROM entry WHERE key >= ? AND key < ? ORDER BY key LIMIT ?");
+  make(&written_,
+       "SELECT key, value, version, until FROM entry WHERE space = ? AND version > ? ORDER BY version LIMIT "
+       "?");
   make(&put_, "INSERT INTO entry VALUES(?, ?, ?, ?, ?)");
   make(&renew_, "UPDATE entry SET until = ? WHERE key = ? AND (until IS NULL OR until > ?)");
   make(&remove_, "DELETE FROM entry WHERE key = ?");
   make(&expired_, "SELECT key FROM entry WHERE until <= ? ORDER BY until, key LIMIT 1000");
   make(&lapsed_, "SELECT key FROM entry WHERE until <= ? AND space = ? ORDER BY until LIMIT 10000");
   make(&log_, "INSERT INTO gone VALUES(?, ?, ?)");
-  make(&logged_, "SELECT DISTINCT key FROM gone WHERE space = ? AND revision > ? AND key NOT IN (SELECT key FROM entry) ORDER BY key");
+  make(&logged_,
+       "SELECT DISTINCT key FROM gone WHERE space = ? AND revision > ? AND key NOT IN (SELECT key FROM "
+       "entry) ORDER BY key");
   make(&meta_, "SELECT generation, revision FROM meta");
   make(&horizon_, "SELECT forgotten FROM space WHERE name = ?");
   make(&raise_, "UPDATE meta SET revision = ?");
@@ -190,7 +202,8 @@
 
 std::vector<Reply> SqliteStore::Take(const std::vector<Call>& calls) {
   std::vector<Reply> replies;
-  bool committing = false, writes = std::any_of(calls.begin(), calls.end(), [](const Call& c) { return c.kind == CallKind::kCommit; });
+  bool committing = false, writes = std::any_of(calls.begin(), calls.end(),
+                                                [](const Call&c) { return c.kind == CallKind::kCommit; });
   try {
     if (db_ != nullptr && Replaced()) Close();
     if (db_ == nullptr) Open();
@@ -217,9 +230,11 @@
     Execute("COMMIT");
     return replies;
   } catch (const Failure& failure) {
-    // A commit that was turned away for room or a lock is rolled back whole; one whose write failed may be on the disk.
+    // A commit that was turned away for room or a lock is rolled back whole; one whose write failed may be on
+    // the disk.
     bool unknown = committing && failure.fault == Fault::kUnreachable;
-    if (db_ != nullptr && sqlite3_get_autocommit(db_) == 0) sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
+    if (db_ != nullptr && sqlite3_get_autocommit(db_) == 0)
+      sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
     if (failure.fault != Fault::kBusy && failure.fault != Fault::kFull) Close();
     replies.clear();
     for (const Call& call : calls) {
@@ -286,9 +301,12 @@
 Reply SqliteStore::Run(const Call& call, double now) {
   if (call.kind == CallKind::kCommit) return RunCommit(call.batch, now);
   Reply reply = Answer();
-  Statement* read = call.kind == CallKind::kGet ? get_.get() : call.kind == CallKind::kRange ? range_.get() : written_.get();
+  Statement* read = call.kind == CallKind::kGet     ? get_.get()
+                    : call.kind == CallKind::kRange ? range_.get()
+                                                    : written_.get();
   if (call.kind == CallKind::kGet) read->Bind(1, call.key);
-  if (call.kind == CallKind::kRange) read->Bind(1, call.key).Bind(2, call.key + "\xff").Bind(3, uint64_t{kMostEntries + 1});
+  if (call.kind == CallKind::kRange)
+    read->Bind(1, call.key).Bind(2, call.key + "\xff").Bind(3, uint64_t{kMostEntries + 1});
   if (call.kind == CallKind::kChanges) {
     horizon_->Bind(1, call.key);
     int code = sqlite3_step(horizon_->raw);
@@ -302,7 +320,8 @@
   int code;
   while ((code = sqlite3_step(read->raw)) == SQLITE_ROW) {
     Entry entry{read->Text(0), read->Text(1), read->Number(2), std::nullopt};
-    if (sqlite3_column_type(read->raw, 3) != SQLITE_NULL) entry.lease_left_s = sqlite3_column_double(read->raw, 3) - now;
+    if (sqlite3_column_type(read->raw, 3) != SQLITE_NULL)
+      entry.lease_left_s = sqlite3_column_double(read->raw, 3) - now;
     if (entry.lease_left_s && *entry.lease_left_s <= 0) {
       continue;  // it has ended, and nobody has written since
     }
@@ -331,7 +350,8 @@
     get_->Bind(1, c.key);
     int code = sqlite3_step(get_->raw);
     uint64_t version = code == SQLITE_ROW ? get_->Number(2) : 0;
-    bool ended = code == SQLITE_ROW && sqlite3_column_type(get_->raw, 3) != SQLITE_NULL && sqlite3_column_double(get_->raw, 3) <= now;
+    bool ended = code == SQLITE_ROW && sqlite3_column_type(get_->raw, 3) != SQLITE_NULL &&
+                 sqlite3_column_double(get_->raw, 3) <= now;
     if (ended) version = 0;  // of many that end at once, some are still to be taken out
     sqlite3_reset(get_->raw);
     if (code != SQLITE_ROW && code != SQLITE_DONE) Fail(code);
@@ -345,7 +365,9 @@
   revision_ = std::max(revision_, batch.at_least);
   for (const Change& change : batch.changes) {
     if (change.renew) {
-      renew_->Bind(1, std::optional<double>(now + *change.lease_s)).Bind(2, change.key).Bind(3, std::optional<double>(now));
+      renew_->Bind(1, std::optional<double>(now + *change.lease_s))
+          .Bind(2, change.key)
+          .Bind(3, std::optional<double>(now));
       int code = sqlite3_step(renew_->raw);
       sqlite3_reset(renew_->raw);
       if (code != SQLITE_DONE) Fail(code);
@@ -356,7 +378,11 @@
     if (!change.value) continue;
     std::optional<double> until;
     if (change.lease_s) until = now + *change.lease_s;
-    put_->Bind(1, change.key).Blob(2, *change.value).Bind(3, revision_).Bind(4, until).Bind(5, SpaceOf(change.key));
+    put_->Bind(1, change.key)
+        .Blob(2, *change.value)
+        .Bind(3, revision_)
+        .Bind(4, until)
+        .Bind(5, SpaceOf(change.key));
     int code = sqlite3_step(put_->raw);
     sqlite3_reset(put_->raw);
     if (code != SQLITE_DONE) Fail(code);
--- a/src/shared/sqlite_store.h
+++ b/src/shared/sqlite_store.h
@@ -1,11 +1,12 @@
-// The engine's entries in an SQLite file (WAL) that several gateways of one machine share: the embedded default. Blocks:
-// it runs on a thread of its own (threaded_engine.h).
+// The engine's entries in an SQLite file (WAL) that several gateways of one machine share: the embedded
+// default. Blocks: it runs on a thread of its own (threaded_engine.h).
 //
-// Leases end by the machine's monotonic clock, which all its processes share and nobody sets; a file from before the
-// machine's last start has no lease left. What happens when things go wrong:
+// Leases end by the machine's monotonic clock, which all its processes share and nobody sets; a file from
+// before the machine's last start has no lease left. What happens when things go wrong:
 //   - held by another process for longer than the patience: kBusy, not done;
 //   - no room: kFull, not done. No right to write: kReadOnly, not done;
-//   - not an SQLite file, or spoilt: kBroken, not done, until it is replaced; it is never made anew by itself;
+//   - not an SQLite file, or spoilt: kBroken, not done, until it is replaced; it is never made anew by
+//   itself;
 //   - replaced or removed while it is open: opened (or made) again, with another generation;
 //   - a process killed in a transaction: the next to open it finds the transaction whole or not at all;
 //   - made by a later version of this program: kNewer, and nothing is written;
@@ -25,15 +26,16 @@
 
 namespace ivygw::shared {
 
-// What a commit survives: the end of every process, or the machine's loss of power as well (it waits for the disk).
+// What a commit survives: the end of every process, or the machine's loss of power as well (it waits for the
+// disk).
 enum class Durability { kProcess, kPower };
 
 struct SqliteOptions {
   std::string path;
   double patience_s = 0.25;  // for which another's transaction is waited for
   Durability durability = Durability::kPower;
-  int most_mb = 256;      // that the file may have
-  std::string boot;       // of the machine; empty: as the system tells it. Tests set it
+  int most_mb = 256;              // that the file may have
+  std::string boot;               // of the machine; empty: as the system tells it. Tests set it
   std::function<double()> clock;  // in place of the machine's, s; for tests
 };
 
@@ -44,8 +46,8 @@
   SqliteStore(const SqliteStore&) = delete;
   SqliteStore& operator=(const SqliteStore&) = delete;
 
-  // One transaction for all of them, so that many ride on one write to the disk; a call whose conditions don't hold is
-  // no fault of the others. Replies in the calls' order.
+  // One transaction for all of them, so that many ride on one write to the disk; a call whose conditions
+  // don't hold is no fault of the others. Replies in the calls' order.
   std::vector<Reply> Take(const std::vector<Call>& calls);
   Reply Take(const Call& call) { return Take(std::vector<Call>{call}).front(); }
 
@@ -74,7 +76,8 @@
   sqlite3* db_ = nullptr;
   std::string generation_;
   uint64_t revision_ = 0, device_ = 0, inode_ = 0;
-  std::unique_ptr<Statement> get_, range_, put_, renew_, remove_, written_, expired_, lapsed_, log_, logged_, horizon_, meta_, raise_;
+  std::unique_ptr<Statement> get_, range_, put_, renew_, remove_, written_, expired_, lapsed_, log_, logged_,
+      horizon_, meta_, raise_;
 };
 
 }  // namespace ivygw::shared
--- a/src/shared/threaded_engine.cpp
+++ b/src/shared/threaded_engine.cpp
@@ -6,7 +6,9 @@
 }
 
 ThreadedEngine::ThreadedEngine(std::function<Store()> make, Post post, size_t most_waiting)
-    : post_(std::move(post)), most_waiting_(most_waiting), thread_([this, make = std::move(make)] { Work(make); }) {}
+    : post_(std::move(post)),
+      most_waiting_(most_waiting),
+      thread_([this, make = std::move(make)] { Work(make); }) {}
 
 ThreadedEngine::~ThreadedEngine() {
   *alive_ = false;
@@ -51,7 +53,8 @@
     for (Waiting& w : taken) calls.push_back(std::move(w.call));
     auto told = std::make_shared<std::vector<std::pair<Done, Reply>>>();
     std::vector<Reply> replies = store(calls);
-    for (size_t i = 0; i < taken.size(); ++i) told->push_back({std::move(taken[i].done), std::move(replies[i])});
+    for (size_t i = 0; i < taken.size(); ++i)
+      told->push_back({std::move(taken[i].done), std::move(replies[i])});
     post_([alive = alive_, told] {
       for (auto& [done, reply] : *told) {
         if (*alive) done(reply);
--- a/src/shared/threaded_engine.h
+++ b/src/shared/threaded_engine.h
@@ -1,6 +1,6 @@
-// A store that blocks, behind the engine's interface: one thread of its own takes what has been asked for meanwhile and
-// hands it to the store at once, so that many calls ride on one transaction. The caller's thread never waits; where the
-// queue is full a call is not done (kBusy).
+// A store that blocks, behind the engine's interface: one thread of its own takes what has been asked for
+// meanwhile and hands it to the store at once, so that many calls ride on one transaction. The caller's
+// thread never waits; where the queue is full a call is not done (kBusy).
 #ifndef IVYGW_SHARED_THREADED_ENGINE_H_
 #define IVYGW_SHARED_THREADED_ENGINE_H_
 
@@ -26,7 +26,8 @@
 
   // `make` runs on the engine's thread and gives the store, which lives and dies there.
   ThreadedEngine(std::function<Store()> make, Post post, size_t most_waiting = 4096);
-  ~ThreadedEngine() override;  // what the store has begun is ended; what waits is dropped, and nothing is told any more
+  ~ThreadedEngine()
+      override;  // what the store has begun is ended; what waits is dropped, and nothing is told any more
 
   void Ask(Call call, Done done) override;
 
--- a/src/standin/backend_servers.cpp
+++ b/src/standin/backend_servers.cpp
@@ -23,8 +23,8 @@
     : io_(io), scheduler_(scheduler), world_(world), clients_(clients), gateways_(gateways) {
   for (int a = 0; a < world->addresses(); ++a) {
     for (int g = 0; g < gateways; ++g) {
-      listeners_.push_back(
-          std::make_unique<Listener>(io_, [this, a, g](tcp::socket socket) { Taken(a, g, std::move(socket)); }));
+      listeners_.push_back(std::make_unique<Listener>(
+          io_, [this, a, g](tcp::socket socket) { Taken(a, g, std::move(socket)); }));
     }
   }
 }
@@ -70,11 +70,12 @@
   double patience_ms = 0;
   ReadNumber(View(request["Request-Timeout-Ms"]), &patience_ms);
   double ago = std::chrono::duration<double>(Clock::now() - first_byte).count();
-  connection.attempt = world_->Arrive(
-      connection.address, connection.gateway, id, scheduler_->Now() - ago, patience_ms / 1000,
-      [this, weak = peer.weak_from_this(), id](ReplyKind kind, uint64_t token) {
-        if (auto kept = weak.lock(); kept != nullptr && kept->open()) Answer(kept.get(), id, kind, token);
-      });
+  connection.attempt =
+      world_->Arrive(connection.address, connection.gateway, id, scheduler_->Now() - ago, patience_ms / 1000,
+                     [this, weak = peer.weak_from_this(), id](ReplyKind kind, uint64_t token) {
+                       if (auto kept = weak.lock(); kept != nullptr && kept->open())
+                         Answer(kept.get(), id, kind, token);
+                     });
 }
 
 void BackendServers::Answer(HttpPeer* peer, uint64_t request, ReplyKind kind, uint64_t token) {
@@ -84,19 +85,22 @@
   switch (kind) {
     case ReplyKind::kServed: {
       const emulator::ClientCall* call = clients_->Find(request);
-      std::string units = "X-Cost-Units: " + std::to_string(std::max(1L, std::lround(call->true_units))) + "\r\n";
+      std::string units =
+          "X-Cost-Units: " + std::to_string(std::max(1L, std::lround(call->true_units))) + "\r\n";
       return peer->Write(HttpAnswer(200, std::to_string(request) + ":" + std::to_string(token), units));
     }
     case ReplyKind::kError: return peer->Write(HttpAnswer(500, ""));
     case ReplyKind::kNotStarted: return peer->Write(HttpAnswer(503, "", "Not-Started: 1\r\n"));
     case ReplyKind::kResetEarly:
     case ReplyKind::kReset: return peer->Reset();
-    case ReplyKind::kSpoilt: return peer->Write(std::string("\x01\x02 this is no answer\r\n\r\n") + std::string(64, '\x7f'));
+    case ReplyKind::kSpoilt:
+      return peer->Write(std::string("\x01\x02 this is no answer\r\n\r\n") + std::string(64, '\x7f'));
     case ReplyKind::kCut:
       peer->Write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + std::to_string(request) + ":");
       return peer->Close();
     case ReplyKind::kEndless:
-      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(kEndlessBytes, '.'));
+      return peer->Write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" +
+                         std::string(kEndlessBytes, '.'));
   }
 }
 
--- a/src/standin/client_sockets.cpp
+++ b/src/standin/client_sockets.cpp
@@ -72,17 +72,18 @@
 
   void Read() {
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error, size_t n) {
-      reading_ = false;
-      if (closed_) return;
-      buffer_.commit(n);
-      if (error) return Failed();
-      if (id_ == 0) return Leave();  // bytes that nobody asked for
-      got_any_ = true;
-      if (Feed(*parser_, buffer_)) return Failed();
-      if (parser_->is_done()) return Answered();
-      Read();
-    });
+    socket_.async_read_some(buffer_.prepare(kReadChunk),
+                            [self = shared_from_this(), this](error_code error, size_t n) {
+                              reading_ = false;
+                              if (closed_) return;
+                              buffer_.commit(n);
+                              if (error) return Failed();
+                              if (id_ == 0) return Leave();  // bytes that nobody asked for
+                              got_any_ = true;
+                              if (Feed(*parser_, buffer_)) return Failed();
+                              if (parser_->is_done()) return Answered();
+                              Read();
+                            });
   }
 
   void Answered() {
@@ -111,8 +112,8 @@
     Close();
   }
 
-  // The connection ended. One that was kept may have been closed by the gateway just as the request was written:
-  // that is sent once more, on a new one.
+  // The connection ended. One that was kept may have been closed by the gateway just as the request was
+  // written: that is sent once more, on a new one.
   void Failed() {
     if (closed_) return;
     auto self = shared_from_this();
@@ -147,7 +148,8 @@
   bool open_ = false, closed_ = false, reading_ = false, reused_ = false, got_any_ = false;
 };
 
-ClientSockets::ClientSockets(asio::io_context& io, const scenario::Scenario& scenario, emulator::Clients* clients)
+ClientSockets::ClientSockets(asio::io_context& io, const scenario::Scenario& scenario,
+                             emulator::Clients* clients)
     : io_(io), scenario_(scenario), clients_(clients) {
   addresses_.resize(static_cast<size_t>(scenario.gateways));
   idle_.resize(static_cast<size_t>(scenario.gateways));
@@ -193,8 +195,8 @@
                         safe ? "GET" : "POST", cls.name.c_str(), static_cast<unsigned long long>(call.id),
                         scenario_.plans[static_cast<size_t>(call.plan)].name.c_str(),
                         static_cast<unsigned long long>(call.customer),
-                        std::max(1L, static_cast<long>(std::floor(call.patience_s * 1000))), call.units, call.spread,
-                        call.first);
+                        std::max(1L, static_cast<long>(std::floor(call.patience_s * 1000))), call.units,
+                        call.spread, call.first);
   std::string message(text, static_cast<size_t>(n));
   if (!call.key.empty()) message += "Idempotency-Key: " + call.key + "\r\n";
   if (call.tries > 0 && scenario_.clients.mark_retries) message += "Client-Retry: 1\r\n";
--- a/src/standin/client_sockets.h
+++ b/src/standin/client_sockets.h
@@ -1,5 +1,5 @@
-// The clients' side of the gateways on sockets: kept connections, one request at a time on each, more when all are
-// busy; a connection that the gateway has closed between requests is replaced once.
+// The clients' side of the gateways on sockets: kept connections, one request at a time on each, more when
+// all are busy; a connection that the gateway has closed between requests is replaced once.
 #ifndef IVYGW_STANDIN_CLIENT_SOCKETS_H_
 #define IVYGW_STANDIN_CLIENT_SOCKETS_H_
 
@@ -23,7 +23,8 @@
   void Ask(int gateway, const emulator::ClientCall& call) override;
   void Drop(uint64_t id) override;
   void CloseIdle();
-  // Requests that were not sent for want of a descriptor or of memory here: the generator's fault, not a gateway's.
+  // Requests that were not sent for want of a descriptor or of memory here: the generator's fault, not a
+  // gateway's.
   uint64_t own_failures() const { return own_failures_; }
 
  private:
--- a/src/standin/counter_servers.cpp
+++ b/src/standin/counter_servers.cpp
@@ -70,16 +70,17 @@
   }
 
   void Read() {
-    socket_.async_read_some(asio::buffer(part_), [self = shared_from_this(), this](error_code error, size_t n) {
-      if (closed_) return;
-      if (error) return Close();
-      in_.append(part_, n);
-      std::vector<std::vector<std::string>> calls;
-      bool sound = ReadCalls(&in_, &calls);
-      for (const auto& call : calls) Take(call);
-      if (!sound) return Close();
-      if (!closed_) Read();
-    });
+    socket_.async_read_some(asio::buffer(part_),
+                            [self = shared_from_this(), this](error_code error, size_t n) {
+                              if (closed_) return;
+                              if (error) return Close();
+                              in_.append(part_, n);
+                              std::vector<std::vector<std::string>> calls;
+                              bool sound = ReadCalls(&in_, &calls);
+                              for (const auto& call : calls) Take(call);
+                              if (!sound) return Close();
+                              if (!closed_) Read();
+                            });
   }
 
   void Close() {
@@ -119,7 +120,8 @@
     double amount = 0, life_ms = 0;
     if (call[0] != "TALLY" || call.size() != 4) return now("-ERR no such call\r\n");
     if (call[1].empty() || call[1].size() > 64) return now("-ERR a name has 1 to 64 bytes\r\n");
-    if (!ReadDouble(call[2], &amount) || std::fabs(amount) > 1e9) return now("-ERR the amount is no number\r\n");
+    if (!ReadDouble(call[2], &amount) || std::fabs(amount) > 1e9)
+      return now("-ERR the amount is no number\r\n");
     if (!ReadDouble(call[3], &life_ms) || life_ms < 1) return now("-ERR the life is no number\r\n");
     Count(call[1], amount, life_ms / 1000, slot, "-BUSY\r\n", [](const std::string& total) { return total; });
   }
@@ -145,8 +147,8 @@
     }
     if (!std::exchange(in_transaction_, false)) return now("-ERR EXEC without MULTI\r\n");
     double amount = 0, life_ms = 0;
-    bool sound = !spoilt_ && queued_.size() == 2 && queued_[0][0] == "INCRBYFLOAT" && queued_[1][0] == "PEXPIRE" &&
-                 queued_[0][1] == queued_[1][1] && queued_[1].back() == "NX";
+    bool sound = !spoilt_ && queued_.size() == 2 && queued_[0][0] == "INCRBYFLOAT" &&
+                 queued_[1][0] == "PEXPIRE" && queued_[0][1] == queued_[1][1] && queued_[1].back() == "NX";
     if (!sound || !ReadDouble(queued_[0][2], &amount) || !ReadDouble(queued_[1][2], &life_ms)) {
       return now("-EXECABORT Transaction discarded because of previous errors.\r\n");
     }
@@ -204,7 +206,8 @@
   bool writing_ = false, closed_ = false;
 };
 
-CounterServers::CounterServers(asio::io_context& io, AsioScheduler* scheduler, emulator::World* world, int gateways)
+CounterServers::CounterServers(asio::io_context& io, AsioScheduler* scheduler, emulator::World* world,
+                               int gateways)
     : scheduler_(scheduler), world_(world), open_(static_cast<size_t>(gateways)) {
   for (int g = 0; g < gateways; ++g) {
     listeners_.push_back(std::make_unique<Listener>(io, [this, g](tcp::socket socket) {
--- a/src/standin/counter_servers.h
+++ b/src/standin/counter_servers.h
@@ -1,5 +1,5 @@
-// The shared counter on sockets (RESP2): TALLY, and what Redis has of the like (INCRBYFLOAT, PEXPIRE, MULTI, EXEC,
-// AUTH, SELECT): a listener for each gateway, so that it is known who calls.
+// The shared counter on sockets (RESP2): TALLY, and what Redis has of the like (INCRBYFLOAT, PEXPIRE, MULTI,
+// EXEC, AUTH, SELECT): a listener for each gateway, so that it is known who calls.
 #ifndef IVYGW_STANDIN_COUNTER_SERVERS_H_
 #define IVYGW_STANDIN_COUNTER_SERVERS_H_
 
@@ -31,12 +31,13 @@
   std::unordered_set<std::shared_ptr<Connection>> connections_;
 };
 
-// One call as it came: the words of a RESP2 array of bulk strings. Reads as many whole calls as `bytes` begins with
-// and takes them off. False where it is no such thing.
+// One call as it came: the words of a RESP2 array of bulk strings. Reads as many whole calls as `bytes`
+// begins with and takes them off. False where it is no such thing.
 struct CallLimits {
   size_t words = 16, word = 4096, bytes = 256 * 1024;  // of a call; of a word; that are not a whole call yet
 };
-bool ReadCalls(std::string* bytes, std::vector<std::vector<std::string>>* calls, const CallLimits& limits = {});
+bool ReadCalls(std::string* bytes, std::vector<std::vector<std::string>>* calls,
+               const CallLimits& limits = {});
 
 }  // namespace ivygw::standin
 
--- a/src/standin/discovery_servers.cpp
+++ b/src/standin/discovery_servers.cpp
@@ -7,8 +7,8 @@
 
 namespace ivygw::standin {
 
-DiscoveryServers::DiscoveryServers(asio::io_context& io, AsioScheduler* scheduler, emulator::World* world, int gateways,
-                                   double epoch_s, AddressOf address_of)
+DiscoveryServers::DiscoveryServers(asio::io_context& io, AsioScheduler* scheduler, emulator::World* world,
+                                   int gateways, double epoch_s, AddressOf address_of)
     : scheduler_(scheduler), world_(world), epoch_s_(epoch_s), address_of_(std::move(address_of)) {
   for (int g = 0; g < gateways; ++g) {
     listeners_.push_back(std::make_unique<Listener>(io, [this, g](tcp::socket socket) {
--- a/src/standin/discovery_servers.h
+++ b/src/standin/discovery_servers.h
@@ -20,8 +20,8 @@
  public:
   // `address_of(node, gateway)` as that gateway is to see it; `epoch_s`: Unix time of the run's nought.
   using AddressOf = std::function<std::string(int node, int gateway)>;
-  DiscoveryServers(asio::io_context& io, AsioScheduler* scheduler, emulator::World* world, int gateways, double epoch_s,
-                   AddressOf address_of);
+  DiscoveryServers(asio::io_context& io, AsioScheduler* scheduler, emulator::World* world, int gateways,
+                   double epoch_s, AddressOf address_of);
   ~DiscoveryServers();
 
   std::string Address(int gateway) const { return listeners_[static_cast<size_t>(gateway)]->address(); }
--- a/src/standin/http_peer.cpp
+++ b/src/standin/http_peer.cpp
@@ -10,13 +10,14 @@
 }
 
 void HttpPeer::Read() {
-  socket_.async_read_some(buffer_.prepare(kReadChunk), [self = shared_from_this(), this](error_code error, size_t n) {
-    if (ended_ || frozen_) return;
-    if (error) return End();
-    buffer_.commit(n);
-    Parse();
-    if (!ended_ && !frozen_) Read();
-  });
+  socket_.async_read_some(buffer_.prepare(kReadChunk),
+                          [self = shared_from_this(), this](error_code error, size_t n) {
+                            if (ended_ || frozen_) return;
+                            if (error) return End();
+                            buffer_.commit(n);
+                            Parse();
+                            if (!ended_ && !frozen_) Read();
+                          });
 }
 
 void HttpPeer::Parse() {
@@ -79,7 +80,8 @@
 }
 
 std::string HttpAnswer(int status, const std::string& body, const std::string& headers) {
-  std::string text = "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Other") + "\r\n" + headers;
+  std::string text =
+      "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Other") + "\r\n" + headers;
   return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
--- a/src/standin/redis_server.cpp
+++ b/src/standin/redis_server.cpp
@@ -1,13 +1,12 @@
 #include "standin/redis_server.h"
 
-#include <lua.hpp>
-
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
 #include <limits>
+#include <lua.hpp>
 #include <utility>
 
 #include "standin/counter_servers.h"
@@ -19,7 +18,9 @@
   for (char& c : text) c = static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
   return text;
 }
-std::string Bulk(const std::string& text) { return "$" + std::to_string(text.size()) + "\r\n" + text + "\r\n"; }
+std::string Bulk(const std::string& text) {
+  return "$" + std::to_string(text.size()) + "\r\n" + text + "\r\n";
+}
 std::string Error(const std::string& text) { return "-" + text + "\r\n"; }
 std::string Score(double score) {
   char text[40];
@@ -134,7 +135,8 @@
 std::string RedisServer::Answer(const std::vector<std::string>& words, Connection* connection) {
   std::string name = Upper(words.empty() ? "" : words[0]);
   if (name == "AUTH" && words.size() >= 2) {
-    if (words.back() != password_) return Error("WRONGPASS invalid username-password pair or user is disabled.");
+    if (words.back() != password_)
+      return Error("WRONGPASS invalid username-password pair or user is disabled.");
     connection->authorised = true;
     return "+OK\r\n";
   }
@@ -144,10 +146,13 @@
     scripts_[NameOf(words[2])] = words[2];
     return Bulk(NameOf(words[2]));
   }
-  if ((name != "EVAL" && name != "EVALSHA") || words.size() < 4) return Error("ERR unknown command '" + name + "'");
+  if ((name != "EVAL" && name != "EVALSHA") || words.size() < 4)
+    return Error("ERR unknown command '" + name + "'");
   Fate f;
-  if (fate) f = fate(++calls_, words.size() > 4 ? words[4] : "");
-  else ++calls_;
+  if (fate)
+    f = fate(++calls_, words.size() > 4 ? words[4] : "");
+  else
+    ++calls_;
   if (f.what == Fate::kError) return Error(f.text);
   if (f.what == Fate::kLostBefore) {
     connection->Close();
@@ -267,7 +272,8 @@
     for (int i = 1; i <= lua_gettop(lua); ++i) {
       if (lua_type(lua, i) == LUA_TNUMBER) {
         double n = lua_tonumber(lua, i);
-        words.push_back(n == std::floor(n) && std::fabs(n) < 1e15 ? std::to_string(static_cast<long long>(n)) : Score(n));
+        words.push_back(n == std::floor(n) && std::fabs(n) < 1e15 ? std::to_string(static_cast<long long>(n))
+                                                                  : Score(n));
       } else {
         size_t size = 0;
         const char* text = lua_tolstring(lua, i, &size);
@@ -300,10 +306,14 @@
 void RedisServer::Tidy(const std::string& key) {
   auto it = data_.find(key);
   if (it == data_.end()) return;
-  bool empty = std::visit([](const auto& v) {
-    if constexpr (std::is_same_v<std::decay_t<decltype(v)>, Hash>) return v.empty();
-    else return v.scores.empty();
-  }, it->second);
+  bool empty = std::visit(
+      [](const auto& v) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(v)>, Hash>)
+          return v.empty();
+        else
+          return v.scores.empty();
+      },
+      it->second);
   if (empty) data_.erase(it);
 }
 
@@ -328,7 +338,8 @@
   }
   if (words.size() < 2) return error("ERR wrong number of arguments");
   const std::string& key = words[1];
-  if (tag_.empty() || key.compare(0, tag_.size(), tag_) != 0) return error("ERR a key outside of the script's hash tag: " + key);
+  if (tag_.empty() || key.compare(0, tag_.size(), tag_) != 0)
+    return error("ERR a key outside of the script's hash tag: " + key);
   bool writes = std::find(std::begin(kWrites), std::end(kWrites), name) != std::end(kWrites);
   if (writes && !write_error.empty()) return error(write_error);
   bool hash = name[0] == 'H';
@@ -343,7 +354,8 @@
     return text(h->at(words[2]));
   }
   if (name == "HMGET") {
-    for (size_t i = 2; i < words.size(); ++i) list.list.push_back(h != nullptr && h->count(words[i]) != 0 ? text(h->at(words[i])) : Said{});
+    for (size_t i = 2; i < words.size(); ++i)
+      list.list.push_back(h != nullptr && h->count(words[i]) != 0 ? text(h->at(words[i])) : Said{});
     return list;
   }
   if (name == "HSET") {
--- a/src/standin/redis_server.h
+++ b/src/standin/redis_server.h
@@ -1,6 +1,7 @@
-// A stand-in of Redis 7 on sockets (RESP2), for what the shared engine asks of it: AUTH, SELECT, SCRIPT LOAD, EVAL and
-// EVALSHA, with hashes and sorted sets inside of scripts, which run in Lua 5.1 as the server's do. One database that is
-// told apart by nothing but its keys. Faults are set from outside, between calls. One thread.
+// A stand-in of Redis 7 on sockets (RESP2), for what the shared engine asks of it: AUTH, SELECT, SCRIPT LOAD,
+// EVAL and EVALSHA, with hashes and sorted sets inside of scripts, which run in Lua 5.1 as the server's do.
+// One database that is told apart by nothing but its keys. Faults are set from outside, between calls. One
+// thread.
 #ifndef IVYGW_STANDIN_REDIS_SERVER_H_
 #define IVYGW_STANDIN_REDIS_SERVER_H_
 
@@ -30,25 +31,25 @@
   struct Fate {
     enum What {
       kNormal,
-      kError,          // turned away with `text`
-      kLostBefore,     // the connection ends, and it did not run
-      kLostAfter,      // the connection ends, and it ran
-      kNoAnswer,       // it ran, and nothing is heard of that connection any more
+      kError,       // turned away with `text`
+      kLostBefore,  // the connection ends, and it did not run
+      kLostAfter,   // the connection ends, and it ran
+      kNoAnswer,    // it ran, and nothing is heard of that connection any more
     } what = kNormal;
     std::string text;
   };
   std::function<Fate(uint64_t number, const std::string& operation)> fate;
-  std::string write_error;  // of each first write within a script: READONLY, OOM
+  std::string write_error;        // of each first write within a script: READONLY, OOM
   std::function<double()> clock;  // seconds; none: the machine's
   uint64_t calls() const { return calls_; }
 
   void ForgetScripts() { scripts_.clear(); }
-  void Keep() { kept_ = data_; }       // what a replica has
-  void FailOver() { data_ = kept_; }   // and that takes over: what came since is lost
+  void Keep() { kept_ = data_; }      // what a replica has
+  void FailOver() { data_ = kept_; }  // and that takes over: what came since is lost
   void Empty() { data_.clear(); }
-  void Refuse();                       // connections end, and none is taken
+  void Refuse();  // connections end, and none is taken
   void Accept() { listener_->Accept(); }
-  void DropAll();                      // connections end
+  void DropAll();  // connections end
 
  private:
   class Connection;
--- a/src/standin/relay.cpp
+++ b/src/standin/relay.cpp
@@ -53,20 +53,21 @@
 
   void Read(Half* half, tcp::socket* from, tcp::socket* to) {
     half->to = to;
-    ReadSome(*from, kMostRead, [self = shared_from_this(), this, half, from, to](error_code error, std::string_view bytes) {
-      if (ended_) return;
-      if (error) {  // what is under way still comes
-        half->over = true;
-        return Write(half);
-      }
-      const Way& way = relay_->*half->way;
-      if (half == &there_) relay_->bytes_there_ += bytes.size();
-      if (!way.swallows) {
-        half->pieces.push_back({Clock::now() + Seconds(way.delay_s), std::string(bytes)});
-        Write(half);
-      }
-      if (!ended_) Read(half, from, to);
-    });
+    ReadSome(*from, kMostRead,
+             [self = shared_from_this(), this, half, from, to](error_code error, std::string_view bytes) {
+               if (ended_) return;
+               if (error) {  // what is under way still comes
+                 half->over = true;
+                 return Write(half);
+               }
+               const Way& way = relay_->*half->way;
+               if (half == &there_) relay_->bytes_there_ += bytes.size();
+               if (!way.swallows) {
+                 half->pieces.push_back({Clock::now() + Seconds(way.delay_s), std::string(bytes)});
+                 Write(half);
+               }
+               if (!ended_) Read(half, from, to);
+             });
   }
 
   void Write(Half* half) {
--- a/src/standin/relay.h
+++ b/src/standin/relay.h
@@ -1,5 +1,5 @@
-// A relay of bytes between two sides, with faults between them: what one gateway's link to the engine, the counter,
-// discovery or a backend runs through in tests. Knows no protocol. One thread.
+// A relay of bytes between two sides, with faults between them: what one gateway's link to the engine, the
+// counter, discovery or a backend runs through in tests. Knows no protocol. One thread.
 #ifndef IVYGW_STANDIN_RELAY_H_
 #define IVYGW_STANDIN_RELAY_H_
 
@@ -15,11 +15,14 @@
 class Relay {
  public:
   struct Way {
-    bool passes = true;    // else bytes are taken and held: they come when it passes again, if the connection lives then
-    bool swallows = false; // bytes are taken, and never come
-    double delay_s = 0;    // more, for each piece
-    uint64_t stall_after = UINT64_MAX;  // bytes of a connection, after which nothing more comes: in the middle of a message
-    uint64_t reset_after = UINT64_MAX;  // bytes of a connection passed on, after which it is reset on both sides
+    bool passes =
+        true;  // else bytes are taken and held: they come when it passes again, if the connection lives then
+    bool swallows = false;  // bytes are taken, and never come
+    double delay_s = 0;     // more, for each piece
+    uint64_t stall_after =
+        UINT64_MAX;  // bytes of a connection, after which nothing more comes: in the middle of a message
+    uint64_t reset_after =
+        UINT64_MAX;  // bytes of a connection passed on, after which it is reset on both sides
   };
   Relay(asio::io_context& io, tcp::endpoint to);
   ~Relay();
--- a/src/state/files.cpp
+++ b/src/state/files.cpp
@@ -13,7 +13,8 @@
 
 std::string PathOf(const std::string& directory, const std::string& gateway, const std::string& name) {
   std::string plain;
-  for (char c : gateway) plain += std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' ? c : '_';
+  for (char c : gateway)
+    plain += std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' ? c : '_';
   return directory + "/ivygw-" + plain + "-" + name;
 }
 
@@ -49,7 +50,8 @@
       at += static_cast<size_t>(n);
     }
   }
-  if (rename(fresh.c_str(), path.c_str()) != 0) throw StateError("cannot put " + path + " in place: " + Why());
+  if (rename(fresh.c_str(), path.c_str()) != 0)
+    throw StateError("cannot put " + path + " in place: " + Why());
 }
 
 }  // namespace ivygw::state
--- a/src/state/learned_file.cpp
+++ b/src/state/learned_file.cpp
@@ -20,12 +20,23 @@
   for (const Learned::OfBackend& b : learned.backends) {
     std::string name = name_of(b.id);
     if (name.empty()) continue;
-    backends.push_back({{"name", name}, {"speed", b.speed}, {"pace", b.pace}, {"limit", b.limit}, {"fails", b.fails},
+    backends.push_back({{"name", name},
+                        {"speed", b.speed},
+                        {"pace", b.pace},
+                        {"limit", b.limit},
+                        {"fails", b.fails},
                         {"cold_since", b.cold_since}});
   }
-  return json{{"version", kVersion}, {"gateway", gateway}, {"at", at_s}, {"backends", std::move(backends)},
-              {"work", learned.work}, {"units", learned.units}, {"let_in", learned.let_in},
-              {"warm_work", learned.warm_work}}.dump() + "\n";
+  return json{{"version", kVersion},
+              {"gateway", gateway},
+              {"at", at_s},
+              {"backends", std::move(backends)},
+              {"work", learned.work},
+              {"units", learned.units},
+              {"let_in", learned.let_in},
+              {"warm_work", learned.warm_work}}
+             .dump() +
+         "\n";
 }
 
 std::optional<Learned> ParseLearned(std::string_view text, double now_s, const std::string& gateway,
@@ -50,7 +61,8 @@
     learned.let_in = field(all, "let_in").get<double>();
     learned.warm_work = field(all, "warm_work").get<double>();
     const json& backends = field(all, "backends");
-    if (!backends.is_array() || backends.size() > kMostBackends) throw StateError("backends is no list of ours");
+    if (!backends.is_array() || backends.size() > kMostBackends)
+      throw StateError("backends is no list of ours");
     for (const json& entry : backends) {
       if (!entry.is_object()) throw StateError("backends is no list of ours");
       Learned::OfBackend b;
@@ -71,11 +83,13 @@
 LearnedFile::LearnedFile(const std::string& directory, std::string gateway)
     : path_(PathOf(directory, gateway, "learned.json")), gateway_(std::move(gateway)) {}
 
-void LearnedFile::Write(const Learned& learned, double at_s, const std::function<std::string(uint32_t)>& name_of) const {
+void LearnedFile::Write(const Learned& learned, double at_s,
+                        const std::function<std::string(uint32_t)>& name_of) const {
   WriteWhole(path_, FormatLearned(learned, at_s, gateway_, name_of));
 }
 
-std::optional<Learned> LearnedFile::Read(double now_s, const std::function<uint32_t(const std::string&)>& id_of) const {
+std::optional<Learned> LearnedFile::Read(double now_s,
+                                         const std::function<uint32_t(const std::string&)>& id_of) const {
   std::optional<std::string> text = ReadWhole(path_);
   if (!text) return std::nullopt;
   try {
--- a/src/state/operators_file.cpp
+++ b/src/state/operators_file.cpp
@@ -40,7 +40,8 @@
 std::string Format(const OperatorsWord& word, const std::string& gateway) {
   json bans = json::array();
   for (const std::string& name : word.bans) bans.push_back(name);
-  return json{{"version", kVersion}, {"gateway", gateway}, {"bans", bans}, {"drained", word.drained}}.dump() + "\n";
+  return json{{"version", kVersion}, {"gateway", gateway}, {"bans", bans}, {"drained", word.drained}}.dump() +
+         "\n";
 }
 
 OperatorsWord Parse(std::string_view text, const std::string& gateway) {
@@ -66,7 +67,8 @@
   return word;
 }
 
-OperatorsFile::OperatorsFile(const std::string& directory, std::string gateway) : gateway_(std::move(gateway)) {
+OperatorsFile::OperatorsFile(const std::string& directory, std::string gateway)
+    : gateway_(std::move(gateway)) {
   path_ = PathOf(directory, gateway_, "operators.json");
 }
 
--- a/src/state/operators_file.h
+++ b/src/state/operators_file.h
@@ -1,11 +1,11 @@
-// What operators have said and what must outlive an upgrade: backends taken out by hand, and whether the gateway is
-// drained. One small JSON file in a directory that the old process and the new one share; each writes it whole under a
-// lock, so that a call taken by either binds both. No thread, no timer of its own.
+// What operators have said and what must outlive an upgrade: backends taken out by hand, and whether the
+// gateway is drained. One small JSON file in a directory that the old process and the new one share; each
+// writes it whole under a lock, so that a call taken by either binds both. No thread, no timer of its own.
 #ifndef IVYGW_STATE_OPERATORS_FILE_H_
 #define IVYGW_STATE_OPERATORS_FILE_H_
 
-#include <functional>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -20,10 +20,10 @@
   bool operator==(const OperatorsWord&) const = default;
 };
 
-inline constexpr size_t kMostBans = 100000;        // in a file; more is no file of ours
+inline constexpr size_t kMostBans = 100000;  // in a file; more is no file of ours
 
-// The file's text, and back. Parse throws StateError naming the field on what is torn, of another gateway or of a form
-// that is not known.
+// The file's text, and back. Parse throws StateError naming the field on what is torn, of another gateway or
+// of a form that is not known.
 std::string Format(const OperatorsWord& word, const std::string& gateway);
 OperatorsWord Parse(std::string_view text, const std::string& gateway);
 
@@ -34,8 +34,9 @@
 
   // What the file says; nothing said where there is none. Throws StateError where it cannot be read.
   OperatorsWord Read() const;
-  // Reads, changes and writes it as one step among all processes; gives what it says now. Throws StateError where it
-  // cannot be written: then it says what it said before. A file that cannot be read is replaced, and set aside as .bad.
+  // Reads, changes and writes it as one step among all processes; gives what it says now. Throws StateError
+  // where it cannot be written: then it says what it said before. A file that cannot be read is replaced, and
+  // set aside as .bad.
   OperatorsWord Change(const std::function<void(OperatorsWord*)>& change) const;
   // Whether it has been written since it was asked last; cheap.
   bool Changed();
--- a/src/trace/codec.cpp
+++ b/src/trace/codec.cpp
@@ -14,13 +14,15 @@
 
 namespace {
 
-// A length that is only claimed must not fill the memory: room for an array is made before its parts are there.
+// A length that is only claimed must not fill the memory: room for an array is made before its parts are
+// there.
 const msgpack::unpack_limit kLimits(1 << 16, 0, 1 << 20, 64 << 20, 0, 8);
 
-// The fields of each, in the order in which they are written. A field added here is a new version of the form.
+// The fields of each, in the order in which they are written. A field added here is a new version of the
+// form.
 auto Tie(core::Arrival& e) {
-  return std::tie(e.client, e.id, e.cls, e.plan, e.customer, e.units, e.entries, e.timeout_s, e.body_s, e.recorded, e.resumed, e.may_have_run, e.ran_age_s,
-                  e.ran_zone, e.ran_cell);
+  return std::tie(e.client, e.id, e.cls, e.plan, e.customer, e.units, e.entries, e.timeout_s, e.body_s,
+                  e.recorded, e.resumed, e.may_have_run, e.ran_age_s, e.ran_zone, e.ran_cell);
 }
 auto Tie(core::ClientGone& e) { return std::tie(e.client); }
 auto Tie(core::Connected& e) { return std::tie(e.connection); }
@@ -48,7 +50,9 @@
   micadock::Learned& l = e.learned;
   return std::tie(l.backends, l.work, l.units, l.let_in, l.warm_work);
 }
-auto Tie(micadock::Learned::OfBackend& b) { return std::tie(b.id, b.speed, b.pace, b.limit, b.fails, b.cold_since); }
+auto Tie(micadock::Learned::OfBackend& b) {
+  return std::tie(b.id, b.speed, b.pace, b.limit, b.fails, b.cold_since);
+}
 auto Tie(core::Listed& e) {
   micadock::Backend& b = e.backend;
   return std::tie(b.id, b.state, b.kind, b.zone, b.cell, b.weight, b.started_s, e.address);
@@ -73,13 +77,29 @@
 auto Tie(core::Intend& e) { return std::tie(e.request, e.attempt, e.backend); }
 auto Tie(core::AttemptOver& e) { return std::tie(e.request, e.attempt, e.may_have_run); }
 
-constexpr const char* kEventNames[] = {"arrival", "client_gone", "connected", "written", "answered", "lost", "stale",
-                                       "list", "list_failed", "count_written", "count_answered", "count_lost", "time",
-                                       "shutdown", "ban", "drain", "body_gone", "body_ended", "answer_begun", "learned",
-                                       "intent", "withdrawn", "fleet", "share"};
-constexpr const char* kEffectNames[] = {"hold", "answer", "forget", "connect", "write", "close", "count", "drop_count",
-                                        "log", "subscribe", "ask_clients_to_close", "close_idle_clients",
-                                        "stop_if_quiet", "stop", "keep_clients", "begin_answer", "break_answer", "intend",
+constexpr const char* kEventNames[] = {
+    "arrival",      "client_gone", "connected",   "written",       "answered",       "lost",
+    "stale",        "list",        "list_failed", "count_written", "count_answered", "count_lost",
+    "time",         "shutdown",    "ban",         "drain",         "body_gone",      "body_ended",
+    "answer_begun", "learned",     "intent",      "withdrawn",     "fleet",          "share"};
+constexpr const char* kEffectNames[] = {"hold",
+                                        "answer",
+                                        "forget",
+                                        "connect",
+                                        "write",
+                                        "close",
+                                        "count",
+                                        "drop_count",
+                                        "log",
+                                        "subscribe",
+                                        "ask_clients_to_close",
+                                        "close_idle_clients",
+                                        "stop_if_quiet",
+                                        "stop",
+                                        "keep_clients",
+                                        "begin_answer",
+                                        "break_answer",
+                                        "intend",
                                         "attempt_over"};
 static_assert(std::size(kEventNames) == std::variant_size_v<core::Event>);
 static_assert(std::size(kEffectNames) == std::variant_size_v<core::Effect>);
@@ -103,10 +123,12 @@
   } else if constexpr (kListOfStructs<Field>) {
     p->pack_array(static_cast<uint32_t>(field.size()));
     for (auto& listed : field) {
-      std::apply([p](auto&... f) {
-        p->pack_array(sizeof...(f));
-        (Put(p, f), ...);
-      }, Tie(listed));
+      std::apply(
+          [p](auto&... f) {
+            p->pack_array(sizeof...(f));
+            (Put(p, f), ...);
+          },
+          Tie(listed));
     }
   } else {
     p->pack(field);
@@ -118,11 +140,14 @@
 
 template <typename Struct>
 void GetAll(const msgpack::object& from, size_t skip, Struct* out) {
-  std::apply([&](auto&... f) {
-    if (from.type != msgpack::type::ARRAY || from.via.array.size != skip + sizeof...(f)) throw msgpack::type_error();
-    size_t at = skip;
-    (Get(from.via.array.ptr[at++], &f), ...);
-  }, Tie(*out));
+  std::apply(
+      [&](auto&... f) {
+        if (from.type != msgpack::type::ARRAY || from.via.array.size != skip + sizeof...(f))
+          throw msgpack::type_error();
+        size_t at = skip;
+        (Get(from.via.array.ptr[at++], &f), ...);
+      },
+      Tie(*out));
 }
 
 template <typename Field>
@@ -142,13 +167,17 @@
 template <typename Variant>
 void PutVariant(Packer* p, Variant what) {
   uint64_t kind = what.index();
-  std::visit([&](auto& e) {
-    std::apply([&](auto&... f) {
-      p->pack_array(1 + sizeof...(f));
-      p->pack(kind);
-      (Put(p, f), ...);
-    }, Tie(e));
-  }, what);
+  std::visit(
+      [&](auto& e) {
+        std::apply(
+            [&](auto&... f) {
+              p->pack_array(1 + sizeof...(f));
+              p->pack(kind);
+              (Put(p, f), ...);
+            },
+            Tie(e));
+      },
+      what);
 }
 
 template <typename Variant, size_t... Kinds>
@@ -162,7 +191,8 @@
 template <typename Variant>
 Variant GetVariant(const msgpack::object& from) {
   if (from.type != msgpack::type::ARRAY || from.via.array.size == 0) throw msgpack::type_error();
-  auto out = Make<Variant>(from.via.array.ptr[0].as<size_t>(), std::make_index_sequence<std::variant_size_v<Variant>>());
+  auto out = Make<Variant>(from.via.array.ptr[0].as<size_t>(),
+                           std::make_index_sequence<std::variant_size_v<Variant>>());
   std::visit([&](auto& e) { GetAll(from, 1, &e); }, out);
   return out;
 }
@@ -173,7 +203,8 @@
     out << ' ' << static_cast<int>(field);
   } else if constexpr (std::is_same_v<Field, std::vector<core::Listed>>) {
     for (const core::Listed& l : field) {
-      bool ready = l.backend.state == micadock::BackendState::kReady, gone = l.backend.state == micadock::BackendState::kGone;
+      bool ready = l.backend.state == micadock::BackendState::kReady,
+           gone = l.backend.state == micadock::BackendState::kGone;
       out << ' ' << l.backend.id << (ready ? "+" : gone ? "-" : "~");
     }
   } else if constexpr (std::is_same_v<Field, std::vector<micadock::Learned::OfBackend>>) {
@@ -259,7 +290,8 @@
   size_t at = 0;
   try {
     while (at < bytes.size()) {
-      msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), at, nullptr, nullptr, kLimits);
+      msgpack::object_handle handle =
+          msgpack::unpack(bytes.data(), bytes.size(), at, nullptr, nullptr, kLimits);
       const msgpack::object& o = handle.get();
       if (o.type != msgpack::type::ARRAY || o.via.array.size != 3) throw msgpack::type_error();
       Turn turn;
@@ -283,7 +315,8 @@
     msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, kLimits);
     const msgpack::object& o = handle.get();
     if (o.type != msgpack::type::ARRAY) throw msgpack::type_error();
-    for (size_t i = 0; i < o.via.array.size; ++i) effects.push_back(GetVariant<core::Effect>(o.via.array.ptr[i]));
+    for (size_t i = 0; i < o.via.array.size; ++i)
+      effects.push_back(GetVariant<core::Effect>(o.via.array.ptr[i]));
   } catch (const std::exception&) {
     throw TraceError("a record's effects cannot be read");
   }
@@ -294,10 +327,12 @@
 std::string Text(const core::Effect& effect) { return TextOf(effect, kEffectNames); }
 
 uint32_t RequestOf(const core::Effect& effect) {
-  return std::visit([](const auto& e) -> uint32_t {
-    if constexpr (requires { e.request; }) return e.request;
-    return 0;
-  }, effect);
+  return std::visit(
+      [](const auto& e) -> uint32_t {
+        if constexpr (requires { e.request; }) return e.request;
+        return 0;
+      },
+      effect);
 }
 
 }  // namespace ivygw::trace
--- a/src/trace/codec.h
+++ b/src/trace/codec.h
@@ -1,8 +1,8 @@
-// Events and effects of the core as bytes (MessagePack, https://github.com/msgpack/msgpack/blob/master/spec.md) and as
-// text. Pure.
+// Events and effects of the core as bytes (MessagePack,
+// https://github.com/msgpack/msgpack/blob/master/spec.md) and as text. Pure.
 //
-// Left out or made unreadable: bodies, which the core never sees; customers, clients' request ids and names at the
-// counter, which stand as keyed hashes or numbers of their own (Mask).
+// Left out or made unreadable: bodies, which the core never sees; customers, clients' request ids and names
+// at the counter, which stand as keyed hashes or numbers of their own (Mask).
 #ifndef IVYGW_TRACE_CODEC_H_
 #define IVYGW_TRACE_CODEC_H_
 
@@ -38,8 +38,8 @@
   std::array<unsigned char, 16> key_;
 };
 
-// Names at the counter come of the customer, so a replay with hashed customers has other names: they stand for the
-// order in which they were first met.
+// Names at the counter come of the customer, so a replay with hashed customers has other names: they stand
+// for the order in which they were first met.
 class CounterNames {
  public:
   uint64_t Of(uint64_t name) { return numbers_.try_emplace(name, numbers_.size() + 1).first->second; }
--- a/src/trace/replay.cpp
+++ b/src/trace/replay.cpp
@@ -14,7 +14,8 @@
       start_ = turn.now;
       core_.emplace(settings_, turn.now, &effects);
     } else {
-      if (!core_) throw TraceError("the trace does not begin at the gateway's start: what was before has been dropped");
+      if (!core_)
+        throw TraceError("the trace does not begin at the gateway's start: what was before has been dropped");
       core_->On(turn.now, turn.event, &effects);
     }
     std::string got = EncodeEffects(effects, &names_);
@@ -23,7 +24,9 @@
       // Both decoded, so that names at the counter stand for the same in both.
       core::Effects mine = DecodeEffects(got), theirs = DecodeEffects(turn.effects);
       size_t i = 0;
-      auto text = [](const core::Effects& e, size_t at) { return at < e.size() ? Text(e[at]) : std::string("nothing"); };
+      auto text = [](const core::Effects& e, size_t at) {
+        return at < e.size() ? Text(e[at]) : std::string("nothing");
+      };
       while (i < std::max(mine.size(), theirs.size()) && text(mine, i) == text(theirs, i)) ++i;
       Difference d;
       d.turn = turns_;
@@ -54,9 +57,12 @@
   for (size_t i = 0; i < held->attempts.size(); ++i) {
     const core::Attempt& a = held->attempts[i];
     core::BackendBook::View b = core_->backends().Look(a.backend);
-    std::snprintf(line, sizeof(line), "; attempt %zu at backend %u (%s, %zu connections kept) %s, begun %.3f s ago", i, a.backend,
-                  !b.known ? "gone" : b.draining ? "draining" : "ready", b.kept, a.out ? "is out" : "has ended",
-                  now_ - a.began);
+    std::snprintf(line, sizeof(line),
+                  "; attempt %zu at backend %u (%s, %zu connections kept) %s, begun %.3f s ago", i, a.backend,
+                  !b.known     ? "gone"
+                  : b.draining ? "draining"
+                               : "ready",
+                  b.kept, a.out ? "is out" : "has ended", now_ - a.began);
     out += line;
   }
   return out;
@@ -66,8 +72,8 @@
   if (!core_) return "nothing was played\n";
   std::string out = std::to_string(core_->requests().held()) + " requests held, " +
                     std::to_string(core_->backends().connections()) + " connections (" +
-                    std::to_string(core_->backends().idle()) + " idle), " + std::to_string(core_->counts().out()) +
-                    " counter calls out\n";
+                    std::to_string(core_->backends().idle()) + " idle), " +
+                    std::to_string(core_->counts().out()) + " counter calls out\n";
   for (uint32_t request : core_->requests().Numbers()) out += Describe(request) + "\n";
   return out;
 }
--- a/src/trace/replay.h
+++ b/src/trace/replay.h
@@ -1,5 +1,5 @@
-// Plays a trace to a core built from the same configuration and tells the first turn whose effects are others than those
-// that were recorded. Pure but for the reading.
+// Plays a trace to a core built from the same configuration and tells the first turn whose effects are others
+// than those that were recorded. Pure but for the reading.
 #ifndef IVYGW_TRACE_REPLAY_H_
 #define IVYGW_TRACE_REPLAY_H_
 
@@ -14,9 +14,9 @@
 namespace ivygw::trace {
 
 struct Difference {
-  size_t turn = 0;      // from 0, the core's start
-  double at_s = 0;      // since the trace's start
-  std::string event;    // as text
+  size_t turn = 0;                 // from 0, the core's start
+  double at_s = 0;                 // since the trace's start
+  std::string event;               // as text
   std::string recorded, replayed;  // the first effect that differs; "nothing" where one list is shorter
   uint32_t request = 0;            // that it is about; 0: none
   std::string state;               // of that request and its backends
@@ -24,13 +24,16 @@
 
 class Replay {
  public:
-  // `each` is called after each turn with its number, its time since the start, and the effects of the replay.
-  using Each = std::function<bool(size_t turn, double at_s, const Turn& recorded, const core::Effects& effects)>;
+  // `each` is called after each turn with its number, its time since the start, and the effects of the
+  // replay.
+  using Each =
+      std::function<bool(size_t turn, double at_s, const Turn& recorded, const core::Effects& effects)>;
 
   explicit Replay(const core::CoreSettings& settings) : settings_(settings) {}
 
   // Plays on. Stops at the first difference, where one is looked for, or where `each` says false.
-  std::optional<Difference> Play(const std::vector<Turn>& turns, const Each& each = nullptr, bool compare = true);
+  std::optional<Difference> Play(const std::vector<Turn>& turns, const Each& each = nullptr,
+                                 bool compare = true);
 
   size_t turns() const { return turns_; }
   double at_s() const { return now_ - start_; }
--- a/src/trace/segments.cpp
+++ b/src/trace/segments.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-// A segment's head: the magic, then the version, its number and the fingerprint, little-endian as everything here.
+// A segment's head: the magic, then the version, its number and the fingerprint, little-endian as everything
+// here.
 constexpr char kMagic[8] = {'I', 'V', 'Y', 'T', 'R', 'A', 'C', 'E'};
 constexpr size_t kHead = sizeof(kMagic) + 4 + 8 + 8;
 constexpr size_t kChunkHead = 8;  // length and checksum
@@ -149,7 +150,8 @@
 }
 
 bool SegmentWriter::Write(const std::string& chunk) {
-  if (written_ > kHead && written_ + kChunkHead + chunk.size() > limits_.segment_bytes && !Begin()) return false;
+  if (written_ > kHead && written_ + kChunkHead + chunk.size() > limits_.segment_bytes && !Begin())
+    return false;
   std::string head;
   PutNumber(&head, static_cast<uint32_t>(chunk.size()));
   PutNumber(&head, Checksum(chunk.data(), chunk.size()));
@@ -161,7 +163,8 @@
 TraceFile ReadTrace(const std::string& file) {
   TraceFile trace;
   std::vector<uint64_t> numbers = SegmentsOf(file);
-  if (numbers.empty()) throw TraceError(file + ": there is no trace of this name (" + SegmentName(file, 1) + ")");
+  if (numbers.empty())
+    throw TraceError(file + ": there is no trace of this name (" + SegmentName(file, 1) + ")");
   trace.first_segment = numbers.front();
   for (size_t i = 0; i < numbers.size(); ++i) {
     std::string name = SegmentName(file, numbers[i]);
@@ -179,13 +182,15 @@
     }
     uint32_t version = GetNumber<uint32_t>(bytes.data() + sizeof(kMagic));
     if (version != kVersion) {
-      throw TraceError(name + ": a trace of version " + std::to_string(version) + ", and this program reads version " +
-                       std::to_string(kVersion));
+      throw TraceError(name + ": a trace of version " + std::to_string(version) +
+                       ", and this program reads version " + std::to_string(kVersion));
     }
-    if (GetNumber<uint64_t>(bytes.data() + sizeof(kMagic) + 4) != numbers[i]) return wrong(12, "another segment's number");
+    if (GetNumber<uint64_t>(bytes.data() + sizeof(kMagic) + 4) != numbers[i])
+      return wrong(12, "another segment's number");
     uint64_t fingerprint = GetNumber<uint64_t>(bytes.data() + sizeof(kMagic) + 12);
     if (i == 0) trace.fingerprint = fingerprint;
-    if (fingerprint != trace.fingerprint) return wrong(20, "of another configuration than the segment before");
+    if (fingerprint != trace.fingerprint)
+      return wrong(20, "of another configuration than the segment before");
     size_t at = kHead;
     while (at < bytes.size()) {
       bool head = bytes.size() - at >= kChunkHead;
@@ -196,7 +201,8 @@
         return wrong(at, "the file ends in the middle of a chunk");
       }
       const char* chunk = bytes.data() + at + kChunkHead;
-      if (Checksum(chunk, size) != GetNumber<uint32_t>(bytes.data() + at + 4)) return wrong(at, "a chunk is damaged");
+      if (Checksum(chunk, size) != GetNumber<uint32_t>(bytes.data() + at + 4))
+        return wrong(at, "a chunk is damaged");
       if (size == 0) return wrong(at, "chunks were dropped here, since the disk was slow");
       trace.chunks.emplace_back(chunk, size);
       at += kChunkHead + size;
--- a/src/trace/segments.h
+++ b/src/trace/segments.h
@@ -1,6 +1,6 @@
-// A trace on disk: FILE.000001, FILE.000002, ..., each a run of chunks with a length and a checksum. Bounded: past the
-// bound whole segments are dropped, the oldest first, and the numbers tell so. One thread writes, so that a slow disk holds
-// nobody up; what it has no room for is dropped and counted.
+// A trace on disk: FILE.000001, FILE.000002, ..., each a run of chunks with a length and a checksum. Bounded:
+// past the bound whole segments are dropped, the oldest first, and the numbers tell so. One thread writes, so
+// that a slow disk holds nobody up; what it has no room for is dropped and counted.
 #ifndef IVYGW_TRACE_SEGMENTS_H_
 #define IVYGW_TRACE_SEGMENTS_H_
 
@@ -23,8 +23,8 @@
 
 class SegmentWriter {
  public:
-  // `fingerprint`: of the configuration. Segments of an earlier trace of this name are removed. Throws TraceError if the
-  // first one cannot be written.
+  // `fingerprint`: of the configuration. Segments of an earlier trace of this name are removed. Throws
+  // TraceError if the first one cannot be written.
   SegmentWriter(const std::string& file, uint64_t fingerprint, const TraceLimits& limits = {});
   ~SegmentWriter();  // writes what waits
 
--- a/system/adapters/control_client/followers.cpp
+++ b/system/adapters/control_client/followers.cpp
@@ -73,7 +73,8 @@
     }
   };
   int port = settings_.first_port + (table == Table::kBackends ? 0 : 1);
-  dialers_[key] = std::make_unique<transport::Dialer>(io_, tcp::endpoint(ip, static_cast<uint16_t>(port)), std::move(events));
+  dialers_[key] = std::make_unique<transport::Dialer>(io_, tcp::endpoint(ip, static_cast<uint16_t>(port)),
+                                                      std::move(events));
 }
 
 void Followers::OnState(const Key& key, const messages::State& state) {
@@ -94,7 +95,8 @@
   if (asking.core == key.first) AskNext(key.second);
 }
 
-// The next that is in touch and has not given its list. One that takes long stays asked, and another is asked beside it.
+// The next that is in touch and has not given its list. One that takes long stays asked, and another is asked
+// beside it.
 void Followers::AskNext(Table table) {
   Asking& asking = asking_[table];
   std::string before = asking.core;
@@ -126,7 +128,8 @@
 
 void Followers::OnTime() {
   // While no core is in touch nothing tells that an address has lost its meaning.
-  bool in_touch = std::any_of(dialers_.begin(), dialers_.end(), [](const auto& entry) { return entry.second->up(); });
+  bool in_touch =
+      std::any_of(dialers_.begin(), dialers_.end(), [](const auto& entry) { return entry.second->up(); });
   std::set<std::string> named = Named();
   for (auto& [core, at] : named_at_) {
     if (!in_touch || named.count(core) > 0) at = Clock::now();
--- a/system/adapters/control_client/followers.h
+++ b/system/adapters/control_client/followers.h
@@ -1,5 +1,6 @@
-// A gateway's held connections to the cores. One to the registry and one to the store of each core machine that is
-// known, by the seeds or by what cores tell. What they push is acknowledged and handed on. One thread.
+// A gateway's held connections to the cores. One to the registry and one to the store of each core machine
+// that is known, by the seeds or by what cores tell. What they push is acknowledged and handed on. One
+// thread.
 #ifndef IVYGW_SYSTEM_CONTROL_CLIENT_FOLLOWERS_H_
 #define IVYGW_SYSTEM_CONTROL_CLIENT_FOLLOWERS_H_
 
@@ -10,8 +11,8 @@
 #include <string>
 
 #include "discovery/copy.h"
-#include "transport/links.h"
 #include "process/settings.h"
+#include "transport/links.h"
 
 namespace ivygw::control_client {
 
@@ -22,14 +23,14 @@
     std::function<void(discovery::Table, const std::string& core, const messages::State&)> state;
     std::function<void(const std::string& core, const messages::Loans&)> loans;
     std::function<void(const std::string& core, bool up)> registry;  // a registry's connection
-    std::function<std::vector<uint64_t>(discovery::Table)> have;       // digests of what this gateway has
+    std::function<std::vector<uint64_t>(discovery::Table)> have;     // digests of what this gateway has
   };
   Followers(asio::io_context& io, const process::Settings& settings, Events events);
 
   // To the registry of that core.
   void Send(const std::string& core, const messages::Message& message);
-  // The cores that lend parts of limits, as far as their registries are in touch: the members of the newest epoch that
-  // a registry has told.
+  // The cores that lend parts of limits, as far as their registries are in touch: the members of the newest
+  // epoch that a registry has told.
   std::vector<std::string> Lenders() const;
   // Some times a second: lets go of addresses that no core has named for a while.
   void OnTime();
@@ -58,8 +59,8 @@
   };
   std::map<discovery::Table, Asking> asking_;
   std::map<Key, std::unique_ptr<transport::Dialer>> dialers_;
-  std::map<Key, std::vector<std::string>> named_by_;       // the cores that each connection's core names
-  std::map<std::string, Clock::time_point> named_at_;      // when an address was last a seed or named
+  std::map<Key, std::vector<std::string>> named_by_;   // the cores that each connection's core names
+  std::map<std::string, Clock::time_point> named_at_;  // when an address was last a seed or named
   uint64_t epoch_ = 0;
   std::set<std::string> voters_;  // of that epoch of the registry
 };
--- a/system/adapters/process/log.cpp
+++ b/system/adapters/process/log.cpp
@@ -1,12 +1,12 @@
 #include "process/log.h"
 
-#include "config_model/json.h"
-
 #include <glog/logging.h>
 
 #include <chrono>
 #include <cstdio>
 
+#include "config_model/json.h"
+
 namespace ivygw::process {
 namespace {
 
--- a/system/adapters/process/log.h
+++ b/system/adapters/process/log.h
@@ -21,7 +21,9 @@
   Log& Add(std::string_view name, const char* text) { return Add(name, std::string_view(text)); }
   Log& Add(std::string_view name, double number);
   template <std::integral T>
-  Log& Add(std::string_view name, T number) { return Add(name, static_cast<double>(number)); }
+  Log& Add(std::string_view name, T number) {
+    return Add(name, static_cast<double>(number));
+  }
 
  private:
   std::string line_;
--- a/system/adapters/process/settings.h
+++ b/system/adapters/process/settings.h
@@ -10,8 +10,8 @@
 struct Settings {
   std::string node, ip, zone;
   std::string front_http, readiness, control_plane;  // IP:port; empty where not served
-  int first_port = 0;                                 // of the internal range, which holds two at least
-  std::vector<std::string> seeds;                     // control_plane addresses
+  int first_port = 0;                                // of the internal range, which holds two at least
+  std::vector<std::string> seeds;                    // control_plane addresses
   bool initial_boot = false;
   std::string data_directory;  // empty: no disk
   int memory_mb = 256, descriptors = 1024;
--- a/system/adapters/replicated_table/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -141,7 +141,8 @@
   events_.message(peer, std::move(message));
 }
 
-// An operator's tool copies the table; it is no core, and the replica isn't told of it. docs/operate/snapshots.md
+// An operator's tool copies the table; it is no core, and the replica isn't told of it.
+// docs/operate/snapshots.md
 void CoreNode::OnExportMessage(uint64_t peer, const messages::Message& message) {
   const auto* asked = std::get_if<messages::PeerMessage>(&message);
   const auto* request = asked ? std::get_if<messages::DeltaRequest>(&asked->body) : nullptr;
--- a/system/adapters/replicated_table/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -12,12 +12,12 @@
 #include <string>
 #include <vector>
 
-#include "transport/links.h"
 #include "process/settings.h"
 #include "replicated_table/known_cores.h"
 #include "replicated_table/publisher.h"
 #include "replication/replica.h"
 #include "storage/table_store.h"
+#include "transport/links.h"
 
 namespace ivygw::replicated_table {
 
@@ -34,7 +34,7 @@
     // What isn't the table's own: of gateways, of the other process of this machine, of other cores.
     std::function<void(uint64_t peer, messages::Message)> message = [](uint64_t, messages::Message) {};
     std::function<void(const std::string& core, messages::Message)> core_message = [](const std::string&,
-                                                                                    messages::Message) {};
+                                                                                      messages::Message) {};
     std::function<void()> membership_changed = [] {};
     std::function<void()> tick = [] {};  // some ten times a second
   };
@@ -101,7 +101,8 @@
   std::unique_ptr<Publisher> publisher_;
   transport::Host host_;
   KnownCores known_;
-  std::map<std::string, std::unique_ptr<transport::Dialer>> dialers_;  // what is sent to a core goes over these
+  std::map<std::string, std::unique_ptr<transport::Dialer>>
+      dialers_;                               // what is sent to a core goes over these
   std::map<uint64_t, std::string> cores_in_;  // connections that other cores have dialled
   std::set<uint64_t> exports_;                // peers that copy the table for an operator
   std::map<uint64_t, OnEnded> waiting_;       // by ticket
--- a/system/adapters/replicated_table/publisher.cpp
+++ b/system/adapters/replicated_table/publisher.cpp
@@ -110,8 +110,8 @@
 
 // `listing`: a follower whose list is under way; what that list is still to tell is left out.
 messages::Push Publisher::NewsFor(const std::set<std::string>& keys,
-                                const std::map<std::string, Item>& provisional,
-                                const Follower* listing) const {
+                                  const std::map<std::string, Item>& provisional,
+                                  const Follower* listing) const {
   messages::Push push;
   push.number = last_push_;
   push.revision = replica_.revision();
--- a/system/adapters/replicated_table/publisher.h
+++ b/system/adapters/replicated_table/publisher.h
@@ -76,8 +76,8 @@
   void StartGathering();
   void PushNews();
   messages::Push NewsFor(const std::set<std::string>& keys,
-                       const std::map<std::string, messages::Item>& provisional,
-                       const Follower* listing) const;
+                         const std::map<std::string, messages::Item>& provisional,
+                         const Follower* listing) const;
   void AnswerQuestions();
   void BeginList(uint64_t peer, Follower* follower);
   void ContinueList(uint64_t peer, Follower* follower);
--- a/system/adapters/snapshot/exporter.h
+++ b/system/adapters/snapshot/exporter.h
@@ -7,9 +7,9 @@
 #include <memory>
 #include <string>
 
-#include "transport/links.h"
 #include "replication/catch_up.h"
 #include "snapshot/snapshot.h"
+#include "transport/links.h"
 
 namespace ivygw::snapshot {
 
--- a/system/adapters/transport/links.cpp
+++ b/system/adapters/transport/links.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kFirstPause = 0.05, kLongestPause = 0.25;  // s
-constexpr auto kComesUp = std::chrono::milliseconds(300);  // for a connection to come up
+constexpr auto kComesUp = std::chrono::milliseconds(300);   // for a connection to come up
 
 void Guard(tcp::socket& socket) {
   unsigned ms = static_cast<unsigned>(kSilence * 1000);
@@ -71,7 +71,8 @@
 void Link::SendFrame(const std::string& frame) {
   if (!open_) return;
   out_ += frame;
-  if (out_.size() > kMostUnsent) return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Lost(); });
+  if (out_.size() > kMostUnsent)
+    return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Lost(); });
   if (sending_ || flushing_) return;
   // What one turn of the loop sends goes out in one write.
   flushing_ = true;
@@ -107,7 +108,11 @@
 }
 
 Dialer::Dialer(asio::io_context& io, tcp::endpoint address, Events events)
-    : io_(io), address_(std::move(address)), events_(std::move(events)), timer_(io), dice_(std::random_device{}()) {
+    : io_(io),
+      address_(std::move(address)),
+      events_(std::move(events)),
+      timer_(io),
+      dice_(std::random_device{}()) {
   asio::post(io_, [this, alive = alive_] {
     if (*alive) Dial();
   });
--- a/system/adapters/transport/links.h
+++ b/system/adapters/transport/links.h
@@ -1,5 +1,6 @@
-// Held connections between the system's processes. Frames of messages over TCP, dialled again with a pause that
-// grows and is drawn by chance, watched by pings so that silence ends them. One thread, that of the event loop.
+// Held connections between the system's processes. Frames of messages over TCP, dialled again with a pause
+// that grows and is drawn by chance, watched by pings so that silence ends them. One thread, that of the
+// event loop.
 #ifndef IVYGW_SYSTEM_HEAPHY_LINKS_H_
 #define IVYGW_SYSTEM_HEAPHY_LINKS_H_
 
@@ -17,8 +18,9 @@
 namespace ivygw::transport {
 
 // For which a peer may say nothing before the connection counts as dead; each side pings three times in it.
-inline constexpr double kSilence = 1.5;          // s
-inline constexpr size_t kMostUnsent = size_t{64} << 20;  // bytes; a peer that reads no more loses its connection
+inline constexpr double kSilence = 1.5;  // s
+inline constexpr size_t kMostUnsent = size_t{64}
+                                      << 20;  // bytes; a peer that reads no more loses its connection
 
 class Link : public std::enable_shared_from_this<Link> {
  public:
@@ -62,7 +64,9 @@
   Dialer(const Dialer&) = delete;
   Dialer& operator=(const Dialer&) = delete;
   // Lost without a word where the connection isn't up.
-  void Send(const Message& message) { if (link_) link_->Send(message); }
+  void Send(const Message& message) {
+    if (link_) link_->Send(message);
+  }
   bool up() const { return link_ != nullptr; }
 
  private:
@@ -87,7 +91,8 @@
     std::function<void(uint64_t, Message)> message;
     std::function<void(uint64_t)> down;
   };
-  Host(asio::io_context& io, Events events) : io_(io), acceptor_(io), retry_(io), events_(std::move(events)) {}
+  Host(asio::io_context& io, Events events)
+      : io_(io), acceptor_(io), retry_(io), events_(std::move(events)) {}
   ~Host();
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
   void Send(uint64_t peer, const Message& message);
@@ -101,7 +106,10 @@
   asio::steady_timer retry_;
   Events events_;
   uint64_t last_ = 0;
-  struct Peer { std::shared_ptr<Link> link; bool greeted = false; };
+  struct Peer {
+    std::shared_ptr<Link> link;
+    bool greeted = false;
+  };
   std::unordered_map<uint64_t, Peer> links_;
 };
 
--- a/system/decisions/config_model/json.cpp
+++ b/system/decisions/config_model/json.cpp
@@ -104,7 +104,8 @@
 
 Fault Object::Only(std::initializer_list<std::string_view> fields) const {
   for (auto pair : object_) {
-    if (std::find(fields.begin(), fields.end(), pair.key) == fields.end()) return Name(pair.key) + ": is not known";
+    if (std::find(fields.begin(), fields.end(), pair.key) == fields.end())
+      return Name(pair.key) + ": is not known";
   }
   return {};
 }
--- a/system/decisions/config_model/json.h
+++ b/system/decisions/config_model/json.h
@@ -24,8 +24,11 @@
   Object() = default;
   Object(simdjson::dom::object object, std::string place) : object_(object), place_(std::move(place)) {}
 
-  std::string Name(std::string_view field) const { return place_.empty() ? std::string(field) : place_ + "." + std::string(field); }
-  // A field that is missing is a fault where it is `wanted`; otherwise `out` stays as it is. So is one of null.
+  std::string Name(std::string_view field) const {
+    return place_.empty() ? std::string(field) : place_ + "." + std::string(field);
+  }
+  // A field that is missing is a fault where it is `wanted`; otherwise `out` stays as it is. So is one of
+  // null.
   Fault Get(const char* field, std::string* out, bool wanted = true) const;
   Fault Get(const char* field, int* out, bool wanted = true) const;
   Fault Get(const char* field, double* out, bool wanted = true) const;
--- a/system/decisions/config_model/model.cpp
+++ b/system/decisions/config_model/model.cpp
@@ -36,9 +36,11 @@
   if (!(fault = item.Get("public_access", &out->open, false)).empty()) return fault;
   if (out->name.empty()) return item.Name("name") + ": must not be empty";
   if (out->host.empty()) return item.Name("host_name") + ": must not be empty";
-  if (out->prefix.empty() || out->prefix.front() != '/') return item.Name("path_prefix") + ": must begin with a slash";
+  if (out->prefix.empty() || out->prefix.front() != '/')
+    return item.Name("path_prefix") + ": must begin with a slash";
   if (out->prefix.back() != '/') return item.Name("path_prefix") + ": must end with a slash";
-  if (type != "idempotent" && type != "non_idempotent") return item.Name("route_type") + ": idempotent or non_idempotent";
+  if (type != "idempotent" && type != "non_idempotent")
+    return item.Name("route_type") + ": idempotent or non_idempotent";
   out->idempotent = type == "idempotent";
   if (out->timeout_ms <= 0) return item.Name("timeout_ms") + ": must be over 0";
   if (out->max_attempts < 1) return item.Name("max_attempts") + ": must be 1 or more";
@@ -112,9 +114,18 @@
 
 // Checks an item by its table.
 Fault CheckItem(std::string_view table, const Object& item) {
-  if (table == kRoutes) { Route route; return ReadRoute(item, &route); }
-  if (table == kTenants) { Tenant tenant; return ReadTenant(item, &tenant); }
-  if (table == kServices) { Service service; return ReadService(item, &service); }
+  if (table == kRoutes) {
+    Route route;
+    return ReadRoute(item, &route);
+  }
+  if (table == kTenants) {
+    Tenant tenant;
+    return ReadTenant(item, &tenant);
+  }
+  if (table == kServices) {
+    Service service;
+    return ReadService(item, &service);
+  }
   Limits limits;
   return ReadLimits(item, &limits);
 }
@@ -179,7 +190,8 @@
         }
         continue;
       }
-      Fault fault = part.Each(std::string(table).c_str(), false, [&](const Object& item) { return take(table, item, dropped); });
+      Fault fault = part.Each(std::string(table).c_str(), false,
+                              [&](const Object& item) { return take(table, item, dropped); });
       if (!fault.empty()) return fault;
     }
     if (Fault fault = part.Only({kRoutes, kTenants, kServices, kLimits}); !fault.empty()) return fault;
@@ -246,7 +258,9 @@
     if (table == kTenants) {
       Tenant tenant;
       ReadTenant(item.body, &tenant);
-      auto share = [&](const std::string& other) { return "tenant_table: api_keys: " + tenant.name + " and " + other + " share a key"; };
+      auto share = [&](const std::string& other) {
+        return "tenant_table: api_keys: " + tenant.name + " and " + other + " share a key";
+      };
       for (const std::string& api : tenant.keys) {
         auto [at, fresh] = owner.try_emplace(api, tenant.name);
         if (!fresh && at->second != tenant.name) return share(at->second);
@@ -284,7 +298,8 @@
     list += item.body;
   }
   std::string out = "{";
-  for (const auto& [table, list] : tables) out.append("\"").append(table).append("\":[").append(list).append("],");
+  for (const auto& [table, list] : tables)
+    out.append("\"").append(table).append("\":[").append(list).append("],");
   if (limits.empty()) {
     out.pop_back();
   } else {
--- a/system/decisions/config_model/model.h
+++ b/system/decisions/config_model/model.h
@@ -39,8 +39,8 @@
   int header_timeout_ms = 3000, idle_timeout_ms = 15000;
 };
 
-inline constexpr std::string_view kRoutes = "route_table", kTenants = "tenant_table", kServices = "service_table",
-                                  kLimits = "limits";
+inline constexpr std::string_view kRoutes = "route_table", kTenants = "tenant_table",
+                                  kServices = "service_table", kLimits = "limits";
 // The key under which an item of a table is replicated.
 std::string KeyOf(std::string_view table, std::string_view name);
 // Its table, and its name.
@@ -63,7 +63,7 @@
 class Index {
  public:
   void Fold(const messages::Item& item);  // the newest of its key
-  void Erase(const std::string& key);   // nothing stands under it any more
+  void Erase(const std::string& key);     // nothing stands under it any more
   // Of a tenant's key, the tenants that hold it; whether there is such a service.
   const std::set<std::string>* Holders(const std::string& api_key) const;
   bool Service(const std::string& name) const { return services_.count(name) > 0; }
@@ -76,7 +76,8 @@
   std::map<std::string, uint64_t> versions_;
 };
 
-// Whether a change may be taken on top of what stands: routes name services that are there, no two tenants share a key.
+// Whether a change may be taken on top of what stands: routes name services that are there, no two tenants
+// share a key.
 Fault CheckChange(const Change& change, const Index& standing);
 
 // The answer to configuration.show.
--- a/system/decisions/discovery/backend.cpp
+++ b/system/decisions/discovery/backend.cpp
@@ -36,9 +36,9 @@
 
 std::string WriteBackend(const Backend& b) {
   using config_model::Quoted;
-  return "{\"target_service\":" + Quoted(b.service) + ",\"address\":" + Quoted(b.address) + ",\"zone\":" + Quoted(b.zone) +
-         ",\"slot_count\":" + std::to_string(b.slots) + ",\"oper_state\":\"" + (b.draining ? "draining" : "ready") +
-         "\",\"warmup_left_ms\":" + std::to_string(b.warm_ms) + "}";
+  return "{\"target_service\":" + Quoted(b.service) + ",\"address\":" + Quoted(b.address) +
+         ",\"zone\":" + Quoted(b.zone) + ",\"slot_count\":" + std::to_string(b.slots) + ",\"oper_state\":\"" +
+         (b.draining ? "draining" : "ready") + "\",\"warmup_left_ms\":" + std::to_string(b.warm_ms) + "}";
 }
 
 std::string ReadBackend(const std::string& json, Backend* out) {
--- a/system/decisions/discovery/backend.h
+++ b/system/decisions/discovery/backend.h
@@ -11,7 +11,7 @@
   std::string id, service, address, zone;
   int slots = 1;
   bool draining = false;
-  int warm_ms = 0;  // how much longer it stays slow, when this was told
+  int warm_ms = 0;        // how much longer it stays slow, when this was told
   uint64_t sequence = 0;  // of the beat that told it
 };
 
--- a/system/decisions/discovery/copy.h
+++ b/system/decisions/discovery/copy.h
@@ -1,8 +1,8 @@
-// A gateway's copy of a table. What several cores push is merged item by item, so that within one life nothing
-// goes back. Pure; one thread.
+// A gateway's copy of a table. What several cores push is merged item by item, so that within one life
+// nothing goes back. Pure; one thread.
 //
-// Cores tell the revision of their table with what they push. What was told at an older one is never taken for news of a
-// key that a later list, or a later word of a core, has shown to have ended.
+// Cores tell the revision of their table with what they push. What was told at an older one is never taken
+// for news of a key that a later list, or a later word of a core, has shown to have ended.
 #ifndef IVYGW_SYSTEM_DISCOVERY_COPY_H_
 #define IVYGW_SYSTEM_DISCOVERY_COPY_H_
 
@@ -26,7 +26,8 @@
 
 class Copy {
  public:
-  Copy(Table table, Journal<Changed>* journal) : table_(table), journal_(journal), digests_(messages::kListRanges, 0) {}
+  Copy(Table table, Journal<Changed>* journal)
+      : table_(table), journal_(journal), digests_(messages::kListRanges, 0) {}
 
   void OnPush(double now, const messages::Push& push) {
     for (const messages::Item& item : push.items) Take(now, item, push.revision);
@@ -42,8 +43,8 @@
     if (state.list_revision > 0) OnListEnd(now, state);
   }
 
-  // A list is here from a core of the highest epoch known then, to which a majority had confirmed that nothing is missing.
-  // Stays so.
+  // A list is here from a core of the highest epoch known then, to which a majority had confirmed that
+  // nothing is missing. Stays so.
   bool complete() const { return complete_; }
   uint64_t epoch() const { return epoch_; }
   // By range, of what is here and isn't dropped.
@@ -60,7 +61,8 @@
   void OnListEnd(double now, const messages::State& state) {
     std::set<size_t> ranges(state.listed_ranges.begin(), state.listed_ranges.end());
     for (auto& [key, held] : held_) {
-      if (ranges.count(messages::RangeOf(key, messages::kListRanges)) > 0) EndIfOlder(now, &held, state.list_revision);
+      if (ranges.count(messages::RangeOf(key, messages::kListRanges)) > 0)
+        EndIfOlder(now, &held, state.list_revision);
     }
     list_revision_ = std::max(list_revision_, state.list_revision);
     // What ended before the list can't be told anew by anything older than it.
--- a/system/decisions/load_balancing/pool.cpp
+++ b/system/decisions/load_balancing/pool.cpp
@@ -25,7 +25,8 @@
     services_[it->second.backend.service].erase(id);
     seen_.erase(it);
   } else {
-    if (it != seen_.end() && it->second.backend.service != told.service) services_[it->second.backend.service].erase(id);
+    if (it != seen_.end() && it->second.backend.service != told.service)
+      services_[it->second.backend.service].erase(id);
     Seen& seen = seen_[id];
     seen.backend = told;
     seen.warm_until = told.warm_ms > 0 ? now + told.warm_ms / 1000.0 : 0;
@@ -45,7 +46,8 @@
 void Pool::Deal() {
   dealt_ = true;
   for (auto& [id, seen] : seen_) seen.own = 0;
-  // Within each zone first, where answers cost nothing between zones; a zone without gateways is dealt to all.
+  // Within each zone first, where answers cost nothing between zones; a zone without gateways is dealt to
+  // all.
   std::vector<std::string> peers;
   std::set<std::string> zones;
   bool member = false;
@@ -63,7 +65,8 @@
     for (int round = 0; round < most; ++round) {
       for (const std::string& id : ids) {
         Seen& seen = seen_.at(id);
-        if (seen.backend.zone != zone_ || round >= seen.backend.slots || seen.backend.draining || seen.gone) continue;
+        if (seen.backend.zone != zone_ || round >= seen.backend.slots || seen.backend.draining || seen.gone)
+          continue;
         slots.push_back(&seen);
       }
     }
@@ -125,7 +128,10 @@
     case Met::kFailed:
     case Met::kLeft: break;
     case Met::kFull: seen.full_until = now + kFullFor; break;
-    case Met::kGone: seen.gone = true; dealt_ = false; break;
+    case Met::kGone:
+      seen.gone = true;
+      dealt_ = false;
+      break;
     case Met::kRefusedConnection:
     case Met::kSilent:
     case Met::kBroken: {
--- a/system/decisions/load_balancing/pool.h
+++ b/system/decisions/load_balancing/pool.h
@@ -1,9 +1,10 @@
 // Choice of backends. The backends of each service as one gateway sees them, and which one a request goes to.
-// Folded from the registry's items and from what this gateway's own requests met. Pure: the time of each event is told
-// (seconds of one steady clock), chance is a generator's. One thread.
+// Folded from the registry's items and from what this gateway's own requests met. Pure: the time of each
+// event is told (seconds of one steady clock), chance is a generator's. One thread.
 //
-// How choices of gateways that know nothing of each other add up: the slots of each service are dealt out to the gateways,
-// so that each has some of its own which it takes first; only past these does it take a place at another's backend.
+// How choices of gateways that know nothing of each other add up: the slots of each service are dealt out to
+// the gateways, so that each has some of its own which it takes first; only past these does it take a place
+// at another's backend.
 #ifndef IVYGW_SYSTEM_LOAD_BALANCING_POOL_H_
 #define IVYGW_SYSTEM_LOAD_BALANCING_POOL_H_
 
@@ -24,13 +25,13 @@
 
 struct Seen {
   discovery::Backend backend;
-  int out = 0;               // attempts of this gateway
+  int out = 0;  // attempts of this gateway
   double warm_until = 0;
-  double avoid_until = 0;    // after failures
-  double full_until = 0;     // it said that it had no room
-  int failures = 0;          // in a row
-  bool gone = false;         // another backend answers at its address, or none
-  int own = 0;               // slots dealt to this gateway
+  double avoid_until = 0;  // after failures
+  double full_until = 0;   // it said that it had no room
+  int failures = 0;        // in a row
+  bool gone = false;       // another backend answers at its address, or none
+  int own = 0;             // slots dealt to this gateway
 };
 
 class Pool {
@@ -55,8 +56,8 @@
   double Cost(double now, const Seen& seen) const;
   const std::string zone_;
   std::mt19937_64 dice_;
-  std::map<std::string, Seen> seen_;                        // by id
-  std::map<std::string, std::set<std::string>> services_;   // ids of each
+  std::map<std::string, Seen> seen_;                       // by id
+  std::map<std::string, std::set<std::string>> services_;  // ids of each
   std::vector<messages::Member> members_;
   std::string self_;
   bool dealt_ = true;
--- a/system/decisions/messages/item.h
+++ b/system/decisions/messages/item.h
@@ -26,7 +26,8 @@
   return micadock::Mix(micadock::TextHash(item.key, 1) ^ micadock::Mix(item.version) ^ micadock::Mix(body));
 }
 
-// One total order over the contents that a key may have, the same on every machine: version, then digest, then bytes.
+// One total order over the contents that a key may have, the same on every machine: version, then digest,
+// then bytes.
 inline bool Newer(const Item& a, const Item& b) {
   if (a.version != b.version) return a.version > b.version;
   uint64_t digest_a = DigestOf(a), digest_b = DigestOf(b);
--- a/system/decisions/rate_limit/admission.cpp
+++ b/system/decisions/rate_limit/admission.cpp
@@ -12,11 +12,11 @@
 constexpr double kComeBack = 0.05;   // s, at the least
 constexpr double kRound = 0.05;      // s, in which pools are asked one after the other
 constexpr int kDraws = 3;            // at most
-constexpr double kHeadroom = 1.15;     // of the demand, as it is asked for
+constexpr double kHeadroom = 1.15;   // of the demand, as it is asked for
 constexpr double kWorthLending = 1;  // requests a second
 constexpr double kStill = 1;         // s
-constexpr double kDry = 0.05;        // s, for which pools that were empty are not asked for more than is usual
-constexpr double kAnswered = 0.03;   // s, within which a batch that was asked for has come
+constexpr double kDry = 0.05;       // s, for which pools that were empty are not asked for more than is usual
+constexpr double kAnswered = 0.03;  // s, within which a batch that was asked for has come
 
 }  // namespace
 
@@ -55,7 +55,8 @@
   double guarantee = fraction * bucket->rate * options_.tick_s;
   double share = 0;
   if (bucket->asks_before > 0 && asks_sum_before_ > 0) {
-    share = static_cast<double>(bucket->asks_before) / static_cast<double>(asks_sum_before_) * (free - bucket->tokens);
+    share = static_cast<double>(bucket->asks_before) / static_cast<double>(asks_sum_before_) *
+            (free - bucket->tokens);
   }
   share = std::clamp(share, 0.0, kLift * guarantee);
   double most = Store(now, *bucket);
@@ -80,14 +81,16 @@
   double length = std::max(bucket->burst, 1.0) / bucket->rate;
   if (now < bucket->window_from + length) return;
   double windows = std::floor((now - bucket->window_from) / length);
-  bucket->store = std::clamp(bucket->store + bucket->rate * length - bucket->window_total, 0.0, bucket->burst);
-  if (windows > 1) bucket->store = std::min(bucket->burst, bucket->store + (windows - 1) * bucket->rate * length);
+  bucket->store =
+      std::clamp(bucket->store + bucket->rate * length - bucket->window_total, 0.0, bucket->burst);
+  if (windows > 1)
+    bucket->store = std::min(bucket->burst, bucket->store + (windows - 1) * bucket->rate * length);
   bucket->window_total = 0;
   bucket->window_from += windows * length;
 }
 
-// When a request that is refused now may be served: at once where requests come in a clump; where more are asked than the
-// limit lets pass, after all those that were refused before it.
+// When a request that is refused now may be served: at once where requests come in a clump; where more are
+// asked than the limit lets pass, after all those that were refused before it.
 double Admission::ComeBack(double now, const Bucket& bucket) const {
   if (Fraction(now, bucket) <= 0) return 2 * kComeBack;  // new here: what it is lent is on its way
   double flow = std::max(Fraction(now, bucket) / kLent * (kLent + kPool) * bucket.rate, 0.5);
@@ -145,7 +148,8 @@
   }
   bool drawn = now <= bucket->drawn_at + kAnswered;
   if (bucket->tokens < 1) {
-    // The pools may have what is wanted: their word is a few milliseconds away. Where they were empty just now it is no.
+    // The pools may have what is wanted: their word is a few milliseconds away. Where they were empty just
+    // now it is no.
     if (!Alone(now) && now >= bucket->dry_until) {
       ++bucket->wanting;
       urgent_ = urgent_ || !drawn;
@@ -183,7 +187,8 @@
     double wanted = pays ? kHeadroom * demand / bucket.rate / parts : 0;
     LentPart& told = bucket.lent[core];
     // What has not moved is told once a second.
-    bool still = now < told.told_at + kStill && bucket.sent == told.told_sent && std::abs(wanted - told.told_wanted) <= 0.3 * told.told_wanted;
+    bool still = now < told.told_at + kStill && bucket.sent == told.told_sent &&
+                 std::abs(wanted - told.told_wanted) <= 0.3 * told.told_wanted;
     if (lacking == 0 && (!all || still)) {
       ++it;
       continue;
@@ -204,7 +209,8 @@
       out.drawn.insert(it->first);
     }
     auto lent = bucket.lent.find(core);
-    if (lent != bucket.lent.end() && now < lent->second.until) use.held = static_cast<float>(lent->second.fraction);
+    if (lent != bucket.lent.end() && now < lent->second.until)
+      use.held = static_cast<float>(lent->second.fraction);
     out.sent[it->first] = bucket.sent;
     report.uses.push_back(std::move(use));
     ++it;
@@ -271,8 +277,6 @@
   }
 }
 
-Admission::Figures Admission::figures() const {
-  return figures_;
-}
+Admission::Figures Admission::figures() const { return figures_; }
 
 }  // namespace ivygw::rate_limit
--- a/system/decisions/rate_limit/admission.h
+++ b/system/decisions/rate_limit/admission.h
@@ -1,15 +1,17 @@
-// Admission. Whether a tenant's request may pass at this gateway, on arrival, before any backend is chosen. Pure:
-// the time of each event is told (seconds of one steady clock of this gateway). One thread.
+// Admission. Whether a tenant's request may pass at this gateway, on arrival, before any backend is chosen.
+// Pure: the time of each event is told (seconds of one steady clock of this gateway). One thread.
 //
 // Each tenant has a bucket here. Every tick it is refilled by
 //     u_i = u_g_i + V_i / sum(V) * (W - mu_i), capped at T_i - mu_i
-// with the guarantee u_g_i from the parts of the tenant's limit that the cores have lent to this gateway, V_i its requests of
-// the last tick, W what this gateway served in it (nought after a backend without room, or latencies past the aim) and mu_i
-// what is in the bucket. The share term lifts a tenant by kLift of its guarantee at most, so that all gateways together stay
-// within what the limit's stated overrun allows. What the guarantee leaves wanting, as requests come in clumps, is drawn from
-// the cores' pools in small batches ahead of need. Beside that stands the counter check: in windows of burst / rate, the store
-// estimate S = clip(S + rate * window - last total, 0, burst); refused is what passes S + rate * window by the counter's total
-// and this gateway's newer count. A gateway that is cut off goes on with what it was lent until that ends.
+// with the guarantee u_g_i from the parts of the tenant's limit that the cores have lent to this gateway, V_i
+// its requests of the last tick, W what this gateway served in it (nought after a backend without room, or
+// latencies past the aim) and mu_i what is in the bucket. The share term lifts a tenant by kLift of its
+// guarantee at most, so that all gateways together stay within what the limit's stated overrun allows. What
+// the guarantee leaves wanting, as requests come in clumps, is drawn from the cores' pools in small batches
+// ahead of need. Beside that stands the counter check: in windows of burst / rate, the store estimate S =
+// clip(S + rate * window - last total, 0, burst); refused is what passes S + rate * window by the counter's
+// total and this gateway's newer count. A gateway that is cut off goes on with what it was lent until that
+// ends.
 #ifndef IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
 #define IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
 
@@ -19,14 +21,14 @@
 #include <string>
 #include <vector>
 
+#include "config_model/model.h"
 #include "messages/control.h"
 #include "rate_limit/terms.h"
-#include "config_model/model.h"
 
 namespace ivygw::rate_limit {
 
-// `pending`: its token is on its way from a core's pool; Again tells more once loans have come. Nobody waits longer than
-// kAsked for that.
+// `pending`: its token is on its way from a core's pool; Again tells more once loans have come. Nobody waits
+// longer than kAsked for that.
 struct Verdict {
   bool admitted = true, pending = false;
   double retry_after_s = 0;
@@ -34,9 +36,9 @@
 
 struct AdmissionOptions {
   double tick_s = 0.1;
-  double slack = 20;       // requests over the limit that the operators allow in a window, over all gateways
+  double slack = 20;  // requests over the limit that the operators allow in a window, over all gateways
   double window_s = 5;
-  double idle_s = 30;      // a bucket that nobody has asked for so long is dropped
+  double idle_s = 30;  // a bucket that nobody has asked for so long is dropped
 };
 
 class Admission {
@@ -68,30 +70,31 @@
  private:
   struct LentPart {
     double fraction = 0, until = -1;
-    uint64_t total = 0;      // the counter's, at its last word
+    uint64_t total = 0;  // the counter's, at its last word
     bool counted = false;
     double told_at = -1, told_wanted = 0;  // this gateway's last word on it
     uint64_t told_sent = 0;
   };
   struct Bucket {
-    double rate = 0, burst = 0;              // as lent on: with its part of the slack
+    double rate = 0, burst = 0;  // as lent on: with its part of the slack
     uint64_t version = 0;
     double tokens = 0, refilled = 0;
-    double asked = 0;                        // when, last
-    double demand = 0, demand_at = 0;        // requests a second, of late
-    size_t wanting = 0;                      // requests that are pending
-    double dry_until = -1;                   // all pools were empty
-    double drawn_at = -1;                    // when a batch was asked for that hasn't come
-    double round_at = -1;                    // when pools began to be asked one after the other
+    double asked = 0;                  // when, last
+    double demand = 0, demand_at = 0;  // requests a second, of late
+    size_t wanting = 0;                // requests that are pending
+    double dry_until = -1;             // all pools were empty
+    double drawn_at = -1;              // when a batch was asked for that hasn't come
+    double round_at = -1;              // when pools began to be asked one after the other
     int draws = 0;
     uint64_t asks_now = 0, asks_before = 0;  // of this tick and the last
     uint64_t sent = 0;                       // in all
     std::map<std::string, LentPart> lent;    // by core
     double store = 0, window_from = 0;       // S; when the window began
-    double window_total = 0, newer = 0;      // the counter's total of the window; own requests that it does not know yet
+    double window_total = 0,
+           newer = 0;  // the counter's total of the window; own requests that it does not know yet
     bool counting = false;
-    std::string counter;                     // the core whose totals count
-    double counter_until = 0;                // without a word of it, another's do
+    std::string counter;       // the core whose totals count
+    double counter_until = 0;  // without a word of it, another's do
   };
   void Refill(double now, Bucket* bucket);
   Verdict Take(double now, Bucket* bucket);
@@ -114,7 +117,8 @@
   };
   std::map<uint64_t, Out> reports_;
   uint64_t last_report_ = 0;
-  double heard_ = -1, alone_at_ = -1;  // when a core answered last; when this gateway last added what is for times without
+  double heard_ = -1,
+         alone_at_ = -1;  // when a core answered last; when this gateway last added what is for times without
   size_t gateways_ = 1;
   uint64_t served_ = 0, served_before_ = 0, asks_sum_ = 0, asks_sum_before_ = 0;
   double tick_ = 0;
--- a/system/decisions/rate_limit/lender.cpp
+++ b/system/decisions/rate_limit/lender.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr double kShareEvery = 0.2;  // s
-constexpr double kQuiet = 2;  // s; who has not reported for so long wants nothing more, but keeps what it holds
+constexpr double kQuiet =
+    2;  // s; who has not reported for so long wants nothing more, but keeps what it holds
 
 }  // namespace
 
@@ -39,8 +40,8 @@
   tenant->filled = now;
 }
 
-// Max-min fair among those that report: nobody gets more while another that wants more has less. What nobody wants stays in
-// the pool.
+// Max-min fair among those that report: nobody gets more while another that wants more has less. What nobody
+// wants stays in the pool.
 double Lender::Fair(const Tenant& tenant, const std::string& gateway, double most, double now) const {
   std::vector<double> wants;
   double mine = tenant.held.at(gateway).wanted;
@@ -59,7 +60,8 @@
   return mine;
 }
 
-messages::Loans Lender::OnReport(double now, const std::string& gateway, uint64_t boot, const messages::Report& report, size_t lenders) {
+messages::Loans Lender::OnReport(double now, const std::string& gateway, uint64_t boot,
+                                 const messages::Report& report, size_t lenders) {
   messages::Loans out;
   out.number = report.number;
   double part = 1 / static_cast<double>(std::max<size_t>(lenders, 1)), most = kLent * part;
@@ -76,7 +78,8 @@
     Fill(now, &tenant, part);
     Held& held = tenant.held[gateway];
     if (held.boot != boot) {  // another life of it: what the one before held has ended with it
-      // What one that this lender had not met before has sent was counted in this lender's earlier life, if at all.
+      // What one that this lender had not met before has sent was counted in this lender's earlier life, if
+      // at all.
       bool met = held.boot != 0;
       held = Held();
       held.boot = boot;
--- a/system/decisions/request_lifecycle/answer_reading.h
+++ b/system/decisions/request_lifecycle/answer_reading.h
@@ -2,8 +2,8 @@
 #ifndef IVYGW_SYSTEM_REQUEST_LIFECYCLE_ANSWER_READING_H_
 #define IVYGW_SYSTEM_REQUEST_LIFECYCLE_ANSWER_READING_H_
 
-#include "request_lifecycle/outcome.h"
 #include "load_balancing/pool.h"
+#include "request_lifecycle/outcome.h"
 
 namespace ivygw::request_lifecycle {
 
@@ -21,8 +21,8 @@
 struct AnswerReading {
   Evidence evidence = Evidence::kUnidentifiedAnswer;
   load_balancing::Met met = load_balancing::Met::kBroken;  // for the choice of backends
-  bool trusted = false;                          // the answer to this request: its connection isn't in doubt
-  bool forwardable = false;                      // may go to the client as it stands
+  bool trusted = false;      // the answer to this request: its connection isn't in doubt
+  bool forwardable = false;  // may go to the client as it stands
 };
 
 AnswerReading ReadAnswer(const AnswerFacts& answer);
--- a/system/decisions/request_lifecycle/lifecycle.cpp
+++ b/system/decisions/request_lifecycle/lifecycle.cpp
@@ -346,7 +346,8 @@
                          const char* not_run_reason, const char* unknown_reason, Effects* effects) {
   if (!request->client_gone) {
     if (std::optional<NotDone> proof = request->record.NothingDone()) {
-      effects->emplace_back(ReplyNotRun{request->client, id, *proof, kRefused, retry_after_s, not_run_reason});
+      effects->emplace_back(
+          ReplyNotRun{request->client, id, *proof, kRefused, retry_after_s, not_run_reason});
     } else {
       effects->emplace_back(ReplyUnknown{request->client, id, unknown_status, unknown_reason});
     }
--- a/system/decisions/request_lifecycle/lifecycle.h
+++ b/system/decisions/request_lifecycle/lifecycle.h
@@ -15,10 +15,10 @@
 #include <variant>
 #include <vector>
 
+#include "load_balancing/pool.h"
 #include "request_lifecycle/answer_reading.h"
 #include "request_lifecycle/identities.h"
 #include "request_lifecycle/outcome.h"
-#include "load_balancing/pool.h"
 
 namespace ivygw::request_lifecycle {
 
--- a/system/decisions/routing/routes.cpp
+++ b/system/decisions/routing/routes.cpp
@@ -23,7 +23,8 @@
   if (table == config_model::kRoutes) {
     config_model::Route route;
     if (!item.dropped) {
-      if (config_model::Fault fault = config_model::ReadRoute(item.body, &route); !fault.empty()) return fault;
+      if (config_model::Fault fault = config_model::ReadRoute(item.body, &route); !fault.empty())
+        return fault;
     }
     Unlink(name);
     if (item.dropped) return {};
@@ -35,7 +36,8 @@
     tenants_seen_ = true;
     config_model::Tenant tenant;
     if (!item.dropped) {
-      if (config_model::Fault fault = config_model::ReadTenant(item.body, &tenant); !fault.empty()) return fault;
+      if (config_model::Fault fault = config_model::ReadTenant(item.body, &tenant); !fault.empty())
+        return fault;
     }
     auto old = tenants_.find(name);
     if (old != tenants_.end()) {
@@ -71,12 +73,14 @@
 
 Routes::Route Routes::Find(std::string_view host, std::string_view path) const {
   size_t colon = host.rfind(':');
-  if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos) host = host.substr(0, colon);
+  if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
+    host = host.substr(0, colon);
   auto it = hosts_.find(Lower(host));
   if (it == hosts_.end()) return nullptr;
   path = path.substr(0, std::min(path.find('?'), path.find('#')));
   // Prefixes end with a slash: one look for each of the path's, the longest first.
-  for (size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
     auto place = it->second.find(std::string(path.substr(0, slash + 1)));
     if (place != it->second.end()) return place->second.begin()->second;
   }
--- a/system/decisions/routing/routes.h
+++ b/system/decisions/routing/routes.h
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "messages/control.h"
 #include "config_model/model.h"
+#include "messages/control.h"
 
 namespace ivygw::routing {
 
--- a/system/programs/apps/daemon.cpp
+++ b/system/programs/apps/daemon.cpp
@@ -26,8 +26,10 @@
   std::string path;
   try {
     cxxopts::Options options(daemon.name, daemon.what);
-    options.add_options()("config", "the settings file; else $IVYGW_NODE_FILE", cxxopts::value<std::string>())(
-        "check", "read the settings, name every fault, start nothing")("version", "print the version")("help", "print this");
+    options.add_options()("config", "the settings file; else $IVYGW_NODE_FILE",
+                          cxxopts::value<std::string>())(
+        "check", "read the settings, name every fault, start nothing")("version", "print the version")(
+        "help", "print this");
     auto told = options.parse(argc, argv);
     if (told.count("help")) return std::puts(options.help().c_str()) < 0;
     if (told.count("version")) return std::printf("%s (ivygw system) 0.1\n", daemon.name) < 0;
@@ -44,7 +46,8 @@
     }
     process::Settings settings;
     std::vector<std::string> faults = process::ReadSettings(text, &settings);
-    for (const std::string& fault : faults) std::fprintf(stderr, "%s: %s: %s\n", daemon.name, path.c_str(), fault.c_str());
+    for (const std::string& fault : faults)
+      std::fprintf(stderr, "%s: %s: %s\n", daemon.name, path.c_str(), fault.c_str());
     if (!faults.empty()) return 2;
     if (told.count("check")) return std::puts("the settings are sound") < 0;
     std::signal(SIGPIPE, SIG_IGN);
