--- a/system/programs/apps/load_test.cpp
+++ b/system/programs/apps/load_test.cpp
@@ -18,17 +18,24 @@
     Plan plan;
     cxxopts::Options options("load_test", "hollow gateways and backends beside real cores, over loopback");
     auto number = [](int value) { return cxxopts::value<int>()->default_value(std::to_string(value)); };
-    options.add_options()("cores", "core machines", number(3))("gateways", "hollow gateways", number(100))("backends", "hollow backends", number(300))(
-        "services", "services", number(20))("routes", "routes", number(100))("tenants", "tenants", number(100))(
-        "active", "tenants with traffic at each gateway", number(8))("changes", "changes of a route a second", cxxopts::value<double>()->default_value("0.5"))(
-        "restarts", "gateways started anew a second", cxxopts::value<double>()->default_value("0"))("seconds", "of the load", number(10))(
-        "seed", "of what is drawn", number(1))("port", "first of three", number(21000))(
-        "programs", "folder of ivygw-registry and ivygw-config-store", cxxopts::value<std::string>()->default_value(std::filesystem::path(argv[0]).parent_path().string()))(
-        "over", "NAME=A,B,C: one run for each, and slopes by least squares", cxxopts::value<std::string>())("help", "print this");
+    options.add_options()("cores", "core machines", number(3))("gateways", "hollow gateways", number(100))(
+        "backends", "hollow backends", number(300))("services", "services", number(20))(
+        "routes", "routes", number(100))("tenants", "tenants", number(100))(
+        "active", "tenants with traffic at each gateway", number(8))(
+        "changes", "changes of a route a second", cxxopts::value<double>()->default_value("0.5"))(
+        "restarts", "gateways started anew a second", cxxopts::value<double>()->default_value("0"))(
+        "seconds", "of the load", number(10))("seed", "of what is drawn", number(1))("port", "first of three",
+                                                                                     number(21000))(
+        "programs", "folder of ivygw-registry and ivygw-config-store",
+        cxxopts::value<std::string>()->default_value(std::filesystem::path(argv[0]).parent_path().string()))(
+        "over", "NAME=A,B,C: one run for each, and slopes by least squares", cxxopts::value<std::string>())(
+        "help", "print this");
     auto told = options.parse(argc, argv);
     if (told.count("help")) return std::puts(options.help().c_str()) < 0;
-    std::map<std::string, int*> fields = {{"cores", &plan.cores}, {"gateways", &plan.gateways}, {"backends", &plan.backends}, {"services", &plan.services},
-                                          {"routes", &plan.routes}, {"tenants", &plan.tenants}, {"active", &plan.active}, {"port", &plan.first_port}};
+    std::map<std::string, int*> fields = {{"cores", &plan.cores},       {"gateways", &plan.gateways},
+                                          {"backends", &plan.backends}, {"services", &plan.services},
+                                          {"routes", &plan.routes},     {"tenants", &plan.tenants},
+                                          {"active", &plan.active},     {"port", &plan.first_port}};
     for (auto& [name, field] : fields) *field = told[name].as<int>();
     plan.changes_per_s = told["changes"].as<double>();
     plan.restarts_per_s = told["restarts"].as<double>();
--- a/system/programs/load_test/run.cpp
+++ b/system/programs/load_test/run.cpp
@@ -17,8 +17,8 @@
 #include <sstream>
 
 #include "messages/item.h"
-#include "transport/links.h"
 #include "net/message_reader.h"
+#include "transport/links.h"
 
 extern char** environ;
 
@@ -34,13 +34,17 @@
  public:
   explicit Cores(const Plan& plan) : plan_(plan) {
     std::string seeds;
-    for (int i = 0; i < plan.cores; ++i) seeds += (i ? ",\"" : "\"") + CoreIp(i) + ":" + std::to_string(plan.first_port + 2) + "\"";
+    for (int i = 0; i < plan.cores; ++i)
+      seeds += (i ? ",\"" : "\"") + CoreIp(i) + ":" + std::to_string(plan.first_port + 2) + "\"";
     for (int i = 0; i < plan.cores; ++i) {
       std::string base = plan.folder + "/core" + std::to_string(i);
       std::filesystem::create_directories(base + "/data");
-      std::ofstream(base + "/boot.json") << "{\"node_name\":\"core" << i << "\",\"ip_address\":\"" << CoreIp(i) << "\",\"zone\":\"z" << i
-          << "\",\"listen_addresses\":{\"control_plane\":\"" << CoreIp(i) << ":" << plan.first_port + 2 << "\"},\"internal_port_range\":["
-          << plan.first_port << "," << plan.first_port + 1 << "],\"seed_nodes\":[" << seeds << "],\"limits\":{\"max_file_descriptors\":20000},\"initial_boot\":true,\"data_directory\":\""
+      std::ofstream(base + "/boot.json")
+          << "{\"node_name\":\"core" << i << "\",\"ip_address\":\"" << CoreIp(i) << "\",\"zone\":\"z" << i
+          << "\",\"listen_addresses\":{\"control_plane\":\"" << CoreIp(i) << ":" << plan.first_port + 2
+          << "\"},\"internal_port_range\":[" << plan.first_port << "," << plan.first_port + 1
+          << "],\"seed_nodes\":[" << seeds
+          << "],\"limits\":{\"max_file_descriptors\":20000},\"initial_boot\":true,\"data_directory\":\""
           << base << "/data\"}";
       for (const char* program : {"ivygw-registry", "ivygw-config-store"}) Start(program, base);
     }
@@ -53,7 +57,9 @@
   std::string Gone() const {
     for (const auto& [pid, name] : children_) {
       siginfo_t info{};
-      if (waitid(P_PID, static_cast<id_t>(pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == pid) return name;
+      if (waitid(P_PID, static_cast<id_t>(pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+          info.si_pid == pid)
+        return name;
     }
     return {};
   }
@@ -62,7 +68,8 @@
     std::vector<std::pair<double, double>> out;
     for (const auto& [pid, name] : children_) {
       if (name != program) continue;
-      std::ifstream stat("/proc/" + std::to_string(pid) + "/stat"), status("/proc/" + std::to_string(pid) + "/status");
+      std::ifstream stat("/proc/" + std::to_string(pid) + "/stat"),
+          status("/proc/" + std::to_string(pid) + "/status");
       std::string word, line;
       double user = 0, system = 0, mb = 0;
       for (int i = 1; i <= 15 && stat >> word; ++i) {
@@ -87,7 +94,8 @@
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     char* arguments[] = {path.data(), config.data(), nullptr};
     pid_t pid = 0;
-    if (posix_spawn(&pid, path.c_str(), &actions, nullptr, arguments, environ) == 0) children_.push_back({pid, program});
+    if (posix_spawn(&pid, path.c_str(), &actions, nullptr, arguments, environ) == 0)
+      children_.push_back({pid, program});
     posix_spawn_file_actions_destroy(&actions);
   }
   const Plan& plan_;
@@ -102,17 +110,20 @@
   void Call(const std::string& target, const std::string& body, Then then) {
     if (then_) return waiting_.push_back([=, this] { Call(target, body, then); });
     then_ = std::move(then);
-    out_ = "POST " + target + " HTTP/1.1\r\nHost: control\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    out_ = "POST " + target + " HTTP/1.1\r\nHost: control\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
     if (socket_.is_open()) return Write();
     if (Open(socket_, to_)) return Done(0);
-    socket_.async_connect(to_, [self = shared_from_this(), this](error_code error) { error ? Done(0) : Write(); });
+    socket_.async_connect(to_,
+                          [self = shared_from_this(), this](error_code error) { error ? Done(0) : Write(); });
   }
 
  private:
   void Write() {
     reader_.Next();
     body_.clear();
-    WriteAll(socket_, out_, [self = shared_from_this(), this](error_code error) { error ? Done(0) : Read(); });
+    WriteAll(socket_, out_,
+             [self = shared_from_this(), this](error_code error) { error ? Done(0) : Read(); });
   }
   void Read() {
     ReadSome(socket_, kMostRead, [self = shared_from_this(), this](error_code error, std::string_view bytes) {
@@ -160,7 +171,14 @@
 
 class World {
  public:
-  explicit World(const Plan& plan) : plan_(plan), io_(1), dice_(plan.seed), timer_(io_), tick_(io_), signals_(io_, SIGTERM, SIGINT), cores_(plan) {}
+  explicit World(const Plan& plan)
+      : plan_(plan),
+        io_(1),
+        dice_(plan.seed),
+        timer_(io_),
+        tick_(io_),
+        signals_(io_, SIGTERM, SIGINT),
+        cores_(plan) {}
 
   Result Play() {
     // Ended from outside it ends its cores, too.
@@ -190,7 +208,9 @@
   static double Own() {
     rusage use{};
     getrusage(RUSAGE_SELF, &use);
-    auto s = [](const timeval& t) { return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6; };
+    auto s = [](const timeval& t) {
+      return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+    };
     return s(use.ru_utime) + s(use.ru_stime);
   }
   double Now() const { return std::chrono::duration<double>(Clock::now().time_since_epoch()).count(); }
@@ -210,9 +230,12 @@
     });
   }
   std::string Route(int i, uint64_t version) const {
-    return "{\"name\":\"r" + std::to_string(i) + "\",\"host_name\":\"h" + std::to_string(i % 50) + ".example\",\"path_prefix\":\"/p" + std::to_string(i) +
-           "/\",\"route_type\":\"idempotent\",\"timeout_ms\":2500,\"target_latency_ms\":400,\"priority\":2,\"target_service\":\"s" +
-           std::to_string(i % plan_.services) + "\",\"max_attempts\":2,\"public_access\":false,\"config_version\":\"" + Hex(version) + "\"}";
+    return "{\"name\":\"r" + std::to_string(i) + "\",\"host_name\":\"h" + std::to_string(i % 50) +
+           ".example\",\"path_prefix\":\"/p" + std::to_string(i) +
+           "/\",\"route_type\":\"idempotent\",\"timeout_ms\":2500,\"target_latency_ms\":400,\"priority\":2,"
+           "\"target_service\":\"s" +
+           std::to_string(i % plan_.services) +
+           "\",\"max_attempts\":2,\"public_access\":false,\"config_version\":\"" + Hex(version) + "\"}";
   }
   // The configuration, in calls of some thousand items each.
   void Configure(int part) {
@@ -220,14 +243,20 @@
     std::string services, routes, tenants;
     auto add = [](std::string* list, const std::string& item) { *list += (list->empty() ? "" : ",") + item; };
     if (part == 0) {
-      for (int i = 0; i < plan_.services; ++i) add(&services, "{\"name\":\"s" + std::to_string(i) + "\",\"health_path\":\"/h\",\"max_connections\":130,\"config_version\":\"00000001\"}");
+      for (int i = 0; i < plan_.services; ++i)
+        add(&services,
+            "{\"name\":\"s" + std::to_string(i) +
+                "\",\"health_path\":\"/h\",\"max_connections\":130,\"config_version\":\"00000001\"}");
     }
     for (int i = part * kEach; i < std::min(plan_.routes, (part + 1) * kEach); ++i) add(&routes, Route(i, 1));
     for (int i = part * kEach; i < std::min(plan_.tenants, (part + 1) * kEach); ++i) {
-      add(&tenants, "{\"name\":\"t" + std::to_string(i) + "\",\"api_keys\":[\"key" + std::to_string(i) + "abcdefghij\"],\"priority\":0,\"rate_per_s\":20,\"burst_size\":20,\"config_version\":\"00000001\"}");
+      add(&tenants, "{\"name\":\"t" + std::to_string(i) + "\",\"api_keys\":[\"key" + std::to_string(i) +
+                        "abcdefghij\"],\"priority\":0,\"rate_per_s\":20,\"burst_size\":20,\"config_version\":"
+                        "\"00000001\"}");
     }
     if (services.empty() && routes.empty() && tenants.empty()) return Begin();
-    std::string body = "{\"upsert_items\":{\"service_table\":[" + services + "],\"route_table\":[" + routes + "],\"tenant_table\":[" + tenants + "]}}";
+    std::string body = "{\"upsert_items\":{\"service_table\":[" + services + "],\"route_table\":[" + routes +
+                       "],\"tenant_table\":[" + tenants + "]}}";
     auto caller = std::make_shared<Caller>(io_, Control(part % plan_.cores));
     caller->Call("/ivygw/rpc?call=configuration.modify", body, [this, part, caller](int status) {
       if (status == 200) return Configure(part + 1);
@@ -243,7 +272,9 @@
     auto timer = std::make_shared<asio::steady_timer>(io_, Seconds(s));
     timer->async_wait([timer, run](error_code) { run(); });
   }
-  tcp::endpoint Control(int core) const { return {asio::ip::make_address(CoreIp(core)), static_cast<uint16_t>(plan_.first_port + 2)}; }
+  tcp::endpoint Control(int core) const {
+    return {asio::ip::make_address(CoreIp(core)), static_cast<uint16_t>(plan_.first_port + 2)};
+  }
 
   void Begin() {
     gateways_.resize(static_cast<size_t>(plan_.gateways));
@@ -251,7 +282,8 @@
     for (int g = 0; g < plan_.gateways; ++g) StartGateway(g);
     // More backends than connections share them: cores see as many calls, on fewer connections.
     std::vector<std::shared_ptr<Caller>> callers;
-    for (int i = 0; i < std::min(plan_.backends, kMostCallers); ++i) callers.push_back(std::make_shared<Caller>(io_, Control(i % plan_.cores)));
+    for (int i = 0; i < std::min(plan_.backends, kMostCallers); ++i)
+      callers.push_back(std::make_shared<Caller>(io_, Control(i % plan_.cores)));
     for (int b = 0; b < plan_.backends; ++b) {
       auto caller = callers[static_cast<size_t>(b) % callers.size()];
       After(plan_.beat_s * b / std::max(1, plan_.backends), [this, b, caller] { Beat(b, 1, caller); });
@@ -281,7 +313,8 @@
       };
       events.down = [] {};
       events.message = [this, g, i](messages::Message message) { Told(g, i, message); };
-      tcp::endpoint to(asio::ip::make_address(CoreIp(i / 2)), static_cast<uint16_t>(plan_.first_port + i % 2));
+      tcp::endpoint to(asio::ip::make_address(CoreIp(i / 2)),
+                       static_cast<uint16_t>(plan_.first_port + i % 2));
       gateway.dialers.push_back(std::make_unique<transport::Dialer>(io_, to, std::move(events)));
     }
   }
@@ -302,7 +335,8 @@
     if (const auto* push = std::get_if<messages::Push>(&message)) {
       Send(g, i, messages::PushAck{push->number});
       for (const auto& item : push->items) {
-        if (!gateway.ready && push->full && !item.dropped) gateway.sums[i % 2][messages::RangeOf(item.key, messages::kListRanges)] ^= messages::DigestOf(item);
+        if (!gateway.ready && push->full && !item.dropped)
+          gateway.sums[i % 2][messages::RangeOf(item.key, messages::kListRanges)] ^= messages::DigestOf(item);
       }
       for (const auto& item : push->items) {
         auto it = spreading_.find(item.key);
@@ -318,7 +352,8 @@
       if (first && !state->complete) return After(0.1, [this, g, i] { Ask(g, i); });
       if (first) {  // the next core of the table
         for (int n = i % 2; n < 2 * plan_.cores; n += 2) {
-          if (gateway.listed[static_cast<size_t>(n)] || !gateway.dialers[static_cast<size_t>(n)]->up()) continue;
+          if (gateway.listed[static_cast<size_t>(n)] || !gateway.dialers[static_cast<size_t>(n)]->up())
+            continue;
           Ask(g, n);
           break;
         }
@@ -378,7 +413,8 @@
         report.number = ++gateway.reports;
         gateway.sent += 2;
         for (int n = 0; n < std::min(plan_.active, plan_.tenants); ++n) {
-          report.uses.push_back({"t" + std::to_string((g * 7 + n) % plan_.tenants), 20, 20, 1, 0.01f, 0.01f, 0.5f, gateway.sent});
+          report.uses.push_back({"t" + std::to_string((g * 7 + n) % plan_.tenants), 20, 20, 1, 0.01f, 0.01f,
+                                 0.5f, gateway.sent});
         }
         for (int i = 0; i < plan_.cores; ++i) Send(g, 2 * i, report);
       }
@@ -387,14 +423,18 @@
   }
   void Beat(int b, uint64_t sequence, std::shared_ptr<Caller> caller) {
     std::string id = "i-" + std::to_string(b);
-    std::string body = "{\"target_service\":\"s" + std::to_string(b % plan_.services) + "\",\"address\":\"10.8." + std::to_string(b / 250) + "." + std::to_string(b % 250) +
-                       ":8080\",\"zone\":\"z" + std::to_string(b % 15) + "\",\"config_version\":\"v1\",\"slot_count\":3,\"oper_state\":\"ready\",\"warmup_left_ms\":0,\"call_sequence\":" +
+    std::string body = "{\"target_service\":\"s" + std::to_string(b % plan_.services) +
+                       "\",\"address\":\"10.8." + std::to_string(b / 250) + "." + std::to_string(b % 250) +
+                       ":8080\",\"zone\":\"z" + std::to_string(b % 15) +
+                       "\",\"config_version\":\"v1\",\"slot_count\":3,\"oper_state\":\"ready\",\"warmup_left_"
+                       "ms\":0,\"call_sequence\":" +
                        std::to_string(sequence) + "}";
-    caller->Call("/ivygw/rpc?call=backends.heartbeat&of=" + id, body, [this, b, sequence, caller](int status) {
-      ++result_.beats;
-      result_.beats_failed += status != 200;
-      After(plan_.beat_s, [this, b, sequence, caller] { Beat(b, sequence + 1, caller); });
-    });
+    caller->Call("/ivygw/rpc?call=backends.heartbeat&of=" + id, body,
+                 [this, b, sequence, caller](int status) {
+                   ++result_.beats;
+                   result_.beats_failed += status != 200;
+                   After(plan_.beat_s, [this, b, sequence, caller] { Beat(b, sequence + 1, caller); });
+                 });
   }
   void Change() {
     if (plan_.changes_per_s <= 0) return;
@@ -403,7 +443,8 @@
     std::string key = "route_table/r" + std::to_string(i);
     spreading_[key] = {Now(), version, {}};
     auto caller = std::make_shared<Caller>(io_, Control(static_cast<int>(version) % plan_.cores));
-    caller->Call("/ivygw/rpc?call=configuration.modify", "{\"upsert_items\":{\"route_table\":[" + Route(i, version) + "]}}",
+    caller->Call("/ivygw/rpc?call=configuration.modify",
+                 "{\"upsert_items\":{\"route_table\":[" + Route(i, version) + "]}}",
                  [this, at = Now(), caller](int status) {
                    if (status == 200) ack_ms_.push_back((Now() - at) * 1000);
                  });
@@ -444,17 +485,23 @@
     if (value >= least && value <= most) return std::string();
     return std::string(field) + ": " + std::to_string(least) + " to " + std::to_string(most) + " is wanted";
   };
-  for (std::string fault : {within(plan.cores, 1, 7, "cores"), within(plan.gateways, 1, 1200, "gateways"), within(plan.backends, 0, 16000, "backends"),
-                            within(plan.services, 1, 1000, "services"), within(plan.routes, 1, 10000, "routes"), within(plan.tenants, 1, 50000, "tenants"),
-                            within(plan.active, 0, 2000, "active"), within(static_cast<int>(plan.seconds), 3, 300, "seconds"),
-                            within(plan.first_port, 1024, 65000, "port")}) {
+  for (std::string fault :
+       {within(plan.cores, 1, 7, "cores"), within(plan.gateways, 1, 1200, "gateways"),
+        within(plan.backends, 0, 16000, "backends"), within(plan.services, 1, 1000, "services"),
+        within(plan.routes, 1, 10000, "routes"), within(plan.tenants, 1, 50000, "tenants"),
+        within(plan.active, 0, 2000, "active"), within(static_cast<int>(plan.seconds), 3, 300, "seconds"),
+        within(plan.first_port, 1024, 65000, "port")}) {
     if (!fault.empty()) return fault;
   }
-  if (!std::filesystem::exists(plan.programs + "/ivygw-registry")) return "programs: there is no ivygw-registry in " + plan.programs;
+  if (!std::filesystem::exists(plan.programs + "/ivygw-registry"))
+    return "programs: there is no ivygw-registry in " + plan.programs;
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
-  size_t need = static_cast<size_t>(plan.gateways * plan.cores * 2 + std::min(plan.backends, kMostCallers) + 200);
-  if (files.rlim_cur < need) return "gateways, backends: " + std::to_string(need) + " descriptors are needed, " + std::to_string(files.rlim_cur) + " are allowed";
+  size_t need =
+      static_cast<size_t>(plan.gateways * plan.cores * 2 + std::min(plan.backends, kMostCallers) + 200);
+  if (files.rlim_cur < need)
+    return "gateways, backends: " + std::to_string(need) + " descriptors are needed, " +
+           std::to_string(files.rlim_cur) + " are allowed";
   return {};
 }
 
@@ -463,11 +510,16 @@
 std::string Line(const Plan& p, const Result& r) {
   std::ostringstream out;
   out.precision(5);
-  out << "{\"cores\":" << p.cores << ",\"gateways\":" << p.gateways << ",\"backends\":" << p.backends << ",\"routes\":" << p.routes << ",\"tenants\":" << p.tenants
-      << ",\"active\":" << p.active << ",\"failed\":\"" << r.failed << "\",\"registry_cpu\":" << r.registry.cores << ",\"registry_mb\":" << r.registry.memory_mb
-      << ",\"store_cpu\":" << r.store.cores << ",\"store_mb\":" << r.store.memory_mb << ",\"gateway_in\":" << r.gateway_in << ",\"gateway_out\":" << r.gateway_out
-      << ",\"list_kb\":" << r.list_kb << ",\"ready_s\":" << r.ready_s << ",\"ack_ms\":" << r.ack_ms << ",\"change_ms\":" << r.change_ms << ",\"change_most_ms\":" << r.change_most_ms
-      << ",\"changes\":" << r.changes << ",\"beats\":" << r.beats << ",\"beats_failed\":" << r.beats_failed << ",\"tool_cpu\":" << r.tool_cores << "}";
+  out << "{\"cores\":" << p.cores << ",\"gateways\":" << p.gateways << ",\"backends\":" << p.backends
+      << ",\"routes\":" << p.routes << ",\"tenants\":" << p.tenants << ",\"active\":" << p.active
+      << ",\"failed\":\"" << r.failed << "\",\"registry_cpu\":" << r.registry.cores
+      << ",\"registry_mb\":" << r.registry.memory_mb << ",\"store_cpu\":" << r.store.cores
+      << ",\"store_mb\":" << r.store.memory_mb << ",\"gateway_in\":" << r.gateway_in
+      << ",\"gateway_out\":" << r.gateway_out << ",\"list_kb\":" << r.list_kb << ",\"ready_s\":" << r.ready_s
+      << ",\"ack_ms\":" << r.ack_ms << ",\"change_ms\":" << r.change_ms
+      << ",\"change_most_ms\":" << r.change_most_ms << ",\"changes\":" << r.changes
+      << ",\"beats\":" << r.beats << ",\"beats_failed\":" << r.beats_failed
+      << ",\"tool_cpu\":" << r.tool_cores << "}";
   return out.str();
 }
 
--- a/system/programs/proxy/exchanges.cpp
+++ b/system/programs/proxy/exchanges.cpp
@@ -56,7 +56,8 @@
 }  // namespace
 
 Exchanges::Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routing::Routes* routes,
-                     rate_limit::Admission* admission, load_balancing::Pool* pool, load_balancing::Budget* budget)
+                     rate_limit::Admission* admission, load_balancing::Pool* pool,
+                     load_balancing::Budget* budget)
     : io_(io),
       routes_(routes),
       admission_(admission),
--- a/system/programs/proxy/exchanges.h
+++ b/system/programs/proxy/exchanges.h
@@ -11,13 +11,13 @@
 #include <string>
 #include <unordered_map>
 
-#include "rate_limit/admission.h"
+#include "load_balancing/budget.h"
+#include "load_balancing/pool.h"
 #include "net/backend_links.h"
 #include "net/client_server.h"
+#include "rate_limit/admission.h"
 #include "request_lifecycle/lifecycle.h"
 #include "routing/routes.h"
-#include "load_balancing/budget.h"
-#include "load_balancing/pool.h"
 
 namespace ivygw::proxy {
 
--- a/system/programs/proxy/gateway.cpp
+++ b/system/programs/proxy/gateway.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-constexpr double kTick = 0.05;       // s
+constexpr double kTick = 0.05;                             // s
 constexpr uint64_t kReportEvery = 5, kFiguresEvery = 100;  // ticks
-constexpr double kSeenLeaving = 2.5; // s, within which the platform has seen that it is not ready any more
-constexpr double kGraceMargin = 0.4; // s, before the platform's patience with a stopping process ends
+constexpr double kSeenLeaving = 2.5;  // s, within which the platform has seen that it is not ready any more
+constexpr double kGraceMargin = 0.4;  // s, before the platform's patience with a stopping process ends
 
 size_t MostClients(const process::Settings& settings) {
   return static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000));
@@ -62,17 +62,20 @@
                              });
                            },
                            [this](uint64_t client, bool held) { exchanges_.OnClientClosed(client, held); },
-                           [this](uint64_t client, std::string bytes, bool last) { exchanges_.OnClientBody(client, std::move(bytes), last); },
+                           [this](uint64_t client, std::string bytes, bool last) {
+                             exchanges_.OnClientBody(client, std::move(bytes), last);
+                           },
                            [this](uint64_t client) { exchanges_.OnClientDrained(client); }});
   exchanges_.Serve(front_.get());
-  readiness_ = std::make_unique<ClientServer>(io, 64, &memory_,
-                                              ClientServer::Events{[this](uint64_t client, ClientMessage message) {
-                                                                     Answer answer;
-                                                                     bool known = View(message.head.target()) == "/ivygw/readiness";
-                                                                     answer.status = !known ? 404 : ready() ? 200 : 503;
-                                                                     readiness_->Reply(client, std::move(answer));
-                                                                   },
-                                                                   [](uint64_t, bool) {}});
+  readiness_ = std::make_unique<ClientServer>(
+      io, 64, &memory_,
+      ClientServer::Events{[this](uint64_t client, ClientMessage message) {
+                             Answer answer;
+                             bool known = View(message.head.target()) == "/ivygw/readiness";
+                             answer.status = !known ? 404 : ready() ? 200 : 503;
+                             readiness_->Reply(client, std::move(answer));
+                           },
+                           [](uint64_t, bool) {}});
   control_client::Followers::Events events;
   events.push = [this](Table table, const std::string&, const messages::Push& push) {
     (table == Table::kBackends ? backends_ : configuration_).OnPush(Now(), push);
@@ -88,7 +91,9 @@
     }
     Told();
   };
-  events.have = [this](Table table) { return (table == Table::kBackends ? backends_ : configuration_).digests(); };
+  events.have = [this](Table table) {
+    return (table == Table::kBackends ? backends_ : configuration_).digests();
+  };
   events.loans = [this](const std::string& core, const messages::Loans& loans) {
     admission_.OnLoans(Now(), core, loans);
     exchanges_.OnLoans();
@@ -141,10 +146,24 @@
   if (ticks_ % kFiguresEvery == 0) {
     Figures f = exchanges_.figures();
     auto a = admission_.figures();
-    Log("figures").Add("requests", f.requests).Add("served", f.served).Add("refused", f.refused).Add("limited", f.limited)
-        .Add("by_bucket", a.by_bucket).Add("by_counter", a.by_counter).Add("failed", f.failed).Add("late", f.late)
-        .Add("tries", f.tries).Add("not_sent", f.not_sent).Add("full", f.full).Add("unknown", f.unknown).Add("broken", f.broken)
-        .Add("connections", f.connections).Add("denied", f.denied).Add("ended", f.ended).Add("held", exchanges_.held());
+    Log("figures")
+        .Add("requests", f.requests)
+        .Add("served", f.served)
+        .Add("refused", f.refused)
+        .Add("limited", f.limited)
+        .Add("by_bucket", a.by_bucket)
+        .Add("by_counter", a.by_counter)
+        .Add("failed", f.failed)
+        .Add("late", f.late)
+        .Add("tries", f.tries)
+        .Add("not_sent", f.not_sent)
+        .Add("full", f.full)
+        .Add("unknown", f.unknown)
+        .Add("broken", f.broken)
+        .Add("connections", f.connections)
+        .Add("denied", f.denied)
+        .Add("ended", f.ended)
+        .Add("held", exchanges_.held());
   }
   if (stopping_) {
     double since = Now() - stop_at_;
--- a/system/programs/proxy/gateway.h
+++ b/system/programs/proxy/gateway.h
@@ -1,16 +1,16 @@
-// The proxy. One gateway of the whole system. It serves clients by what the cores have told it, and goes on with
-// what it knows when they are silent. One thread, one event loop.
+// The proxy. One gateway of the whole system. It serves clients by what the cores have told it, and goes on
+// with what it knows when they are silent. One thread, one event loop.
 #ifndef IVYGW_SYSTEM_PROXY_GATEWAY_H_
 #define IVYGW_SYSTEM_PROXY_GATEWAY_H_
 
 #include <functional>
 #include <memory>
 
-#include "discovery/copy.h"
 #include "control_client/followers.h"
-#include "rate_limit/admission.h"
-#include "proxy/exchanges.h"
+#include "discovery/copy.h"
 #include "process/settings.h"
+#include "proxy/exchanges.h"
+#include "rate_limit/admission.h"
 
 namespace ivygw::proxy {
 
@@ -24,7 +24,7 @@
 
  private:
   double Now() const;
-  void Told();       // folds what came, and looks whether it is ready
+  void Told();  // folds what came, and looks whether it is ready
   void Tick();
   void ReportTo(const std::string& core, bool all, bool draw);
   void Draw();  // from the next lender's pool, for tenants whose buckets have run low
--- a/system/programs/registry/heard.h
+++ b/system/programs/registry/heard.h
@@ -1,8 +1,9 @@
-// Who has been heard. When each backend beat last, at any core, and which have been silent so long that they count as
-// gone. Pure: times are told (seconds of one steady clock). One thread.
+// Who has been heard. When each backend beat last, at any core, and which have been silent so long that they
+// count as gone. Pure: times are told (seconds of one steady clock). One thread.
 //
-// A silent core is no silence of backends: whoever beats at a core that this one doesn't hear of would seem to have gone. So
-// nothing is dropped unless every known core has told what it heard without a pause for the whole of that time.
+// A silent core is no silence of backends: whoever beats at a core that this one doesn't hear of would seem
+// to have gone. So nothing is dropped unless every known core has told what it heard without a pause for the
+// whole of that time.
 #ifndef IVYGW_SYSTEM_REGISTRY_HEARD_H_
 #define IVYGW_SYSTEM_REGISTRY_HEARD_H_
 
@@ -16,8 +17,8 @@
 
 class Heard {
  public:
-  static constexpr double kGone = 30;   // s of silence
-  static constexpr double kPause = 2;   // s; a core that tells nothing for so long has paused
+  static constexpr double kGone = 30;  // s of silence
+  static constexpr double kPause = 2;  // s; a core that tells nothing for so long has paused
 
   void OnBeat(double now, const std::string& id) {
     last_[id] = now;
@@ -37,7 +38,8 @@
     return out;
   }
   // Of these backends, those that have been silent too long. `others`: every known core but this one.
-  std::vector<std::string> Silent(double now, const std::vector<std::string>& ids, const std::set<std::string>& others) {
+  std::vector<std::string> Silent(double now, const std::vector<std::string>& ids,
+                                  const std::set<std::string>& others) {
     std::vector<std::string> out;
     bool all = std::all_of(others.begin(), others.end(), [&](const std::string& core) {
       auto it = cores_.find(core);
--- a/system/programs/registry/lending_right.h
+++ b/system/programs/registry/lending_right.h
@@ -13,8 +13,8 @@
 #include <string>
 #include <utility>
 
-#include "rate_limit/terms.h"
 #include "messages/replication.h"
+#include "rate_limit/terms.h"
 #include "replication/timing.h"
 
 namespace ivygw::registry {
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -6,8 +6,8 @@
 
 namespace ivygw::registry {
 
-using discovery::Backend;
 using config_model::ErrorBody;
+using discovery::Backend;
 using messages::Item;
 using messages::Record;
 using process::Log;
@@ -15,11 +15,12 @@
 
 namespace {
 
-constexpr double kLease = 3;       // s, for which a gateway counts as a member after its connection has ended
-constexpr double kKeepGone = 60;   // s, for which it is known that a backend has gone
-constexpr double kPassed = 1.5;    // s, for the store to answer
+constexpr double kLease = 3;      // s, for which a gateway counts as a member after its connection has ended
+constexpr double kKeepGone = 60;  // s, for which it is known that a backend has gone
+constexpr double kPassed = 1.5;   // s, for the store to answer
 constexpr size_t kMostPrunedAtOnce = 256;
-constexpr uint64_t kHeardEvery = 5, kSilentEvery = 20, kPruneEvery = 20, kReleaseEvery = 20;  // ticks, of some 0.1 s
+constexpr uint64_t kHeardEvery = 5, kSilentEvery = 20, kPruneEvery = 20,
+                   kReleaseEvery = 20;  // ticks, of some 0.1 s
 constexpr char kOutOfContact[] = "this core is out of contact with a majority of the core";
 
 // The parts of a target: its path's segments and its query.
@@ -53,31 +54,36 @@
 Registry::Registry(asio::io_context& io, const process::Settings& settings)
     : io_(io),
       self_(settings.ip),
-      node_(io, settings, {"registry", settings.first_port, kBackends}, &policy_, [this] {
-        replicated_table::CoreNode::Events events;
-        events.follower_up = [this](uint64_t, const replicated_table::Follower& follower) { members_[follower.node] = {follower.zone, 1e300}; };
-        events.follower_down = [this](uint64_t, const replicated_table::Follower& gone) {
-          for (const auto& [peer, follower] : node_.followers()) {
-            if (follower.node == gone.node) return;
-          }
-          members_[gone.node] = {gone.zone, node_.Now() + kLease};
-        };
-        events.message = [this](uint64_t peer, messages::Message message) {
-          const auto* report = std::get_if<messages::Report>(&message);
-          if (report) Lend(peer, *report);
-        };
-        events.core_message = [this](const std::string& core, messages::Message message) {
-          if (const auto* heard = std::get_if<messages::Heard>(&message)) heard_.OnTold(node_.Now(), core, heard->ids);
-        };
-        events.membership_changed = [this] {
-          right_.OnMembership(node_.Now(), node_.replica().membership(), NotedEpoch());
-        };
-        events.tick = [this] { Tick(); };
-        return events;
-      }()),
+      node_(io, settings, {"registry", settings.first_port, kBackends}, &policy_,
+            [this] {
+              replicated_table::CoreNode::Events events;
+              events.follower_up = [this](uint64_t, const replicated_table::Follower& follower) {
+                members_[follower.node] = {follower.zone, 1e300};
+              };
+              events.follower_down = [this](uint64_t, const replicated_table::Follower& gone) {
+                for (const auto& [peer, follower] : node_.followers()) {
+                  if (follower.node == gone.node) return;
+                }
+                members_[gone.node] = {gone.zone, node_.Now() + kLease};
+              };
+              events.message = [this](uint64_t peer, messages::Message message) {
+                const auto* report = std::get_if<messages::Report>(&message);
+                if (report) Lend(peer, *report);
+              };
+              events.core_message = [this](const std::string& core, messages::Message message) {
+                if (const auto* heard = std::get_if<messages::Heard>(&message))
+                  heard_.OnTold(node_.Now(), core, heard->ids);
+              };
+              events.membership_changed = [this] {
+                right_.OnMembership(node_.Now(), node_.replica().membership(), NotedEpoch());
+              };
+              events.tick = [this] { Tick(); };
+              return events;
+            }()),
       memory_(size_t{32} << 20),
       lender_(node_.Now(), settings.initial_boot),
-      right_(node_.Now(), settings.ip, node_.replica().store_id(), node_.replica().membership(), NotedEpoch()),
+      right_(node_.Now(), settings.ip, node_.replica().store_id(), node_.replica().membership(),
+             NotedEpoch()),
       server_(io, static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000)), &memory_,
               {[this](uint64_t connection, ClientMessage message) { OnCall(connection, std::move(message)); },
                [this](uint64_t connection, bool) {
@@ -102,16 +108,19 @@
   };
   events.down = [this] {
     // What was passed on may have been taken.
-    for (uint64_t connection : passed_.TakeAll()) Reply(connection, 503, ErrorBody("may have been taken: the store has gone"));
+    for (uint64_t connection : passed_.TakeAll())
+      Reply(connection, 503, ErrorBody("may have been taken: the store has gone"));
   };
   events.message = [this](messages::Message message) {
     const auto* done = std::get_if<messages::CallDone>(&message);
     if (!done) return;
-    if (auto connection = passed_.Complete(done->number)) Reply(*connection, static_cast<int>(done->status), done->body);
+    if (auto connection = passed_.Complete(done->number))
+      Reply(*connection, static_cast<int>(done->status), done->body);
   };
   tcp::endpoint store(asio::ip::make_address(settings.ip), static_cast<uint16_t>(settings.first_port + 1));
   store_ = std::make_unique<transport::Dialer>(io, store, std::move(events));
-  if (!settings.control_plane.empty()) server_.Listen(ParseAddress("listen_addresses.control_plane", settings.control_plane));
+  if (!settings.control_plane.empty())
+    server_.Listen(ParseAddress("listen_addresses.control_plane", settings.control_plane));
 }
 
 void Registry::Stop() {
@@ -136,15 +145,18 @@
 
 void Registry::Dispatch(uint64_t connection, const ClientMessage& message) {
   Target target = Split(View(message.head.target()));
-  if (target.segments != std::vector<std::string>{"ivygw", "rpc"}) return Reply(connection, 404, ErrorBody("path: is not known"));
-  if (message.head.method() != http::verb::post) return Reply(connection, 405, ErrorBody("method: POST is wanted"));
+  if (target.segments != std::vector<std::string>{"ivygw", "rpc"})
+    return Reply(connection, 404, ErrorBody("path: is not known"));
+  if (message.head.method() != http::verb::post)
+    return Reply(connection, 405, ErrorBody("method: POST is wanted"));
   const std::string& call = target.query["call"];
   const std::string& id = target.query["of"];
   bool of_backend = call == "backends.heartbeat" || call == "backends.deregister";
   if (of_backend && id.empty()) return Reply(connection, 400, ErrorBody("of: missing"));
   if (call == "backends.heartbeat") return Beat(connection, id, message.body);
   if (call == "backends.deregister") return Deregister(connection, id, message.body);
-  if (call == "configuration.modify" || call == "configuration.show") return Pass(connection, call, message.body);
+  if (call == "configuration.modify" || call == "configuration.show")
+    return Pass(connection, call, message.body);
   Reply(connection, 404, ErrorBody("call: is not known"));
 }
 
@@ -160,7 +172,12 @@
   const Item* known = Find(kBackends + id);
   Entry entry = OnBeat(told, known);
   if (entry.write) {
-    Log("backend").Add("id", id).Add("service", told.service).Add("address", told.address).Add("draining", told.draining).Add("warm_ms", told.warm_ms);
+    Log("backend")
+        .Add("id", id)
+        .Add("service", told.service)
+        .Add("address", told.address)
+        .Add("draining", told.draining)
+        .Add("warm_ms", told.warm_ms);
   }
   Settle(connection, entry);
 }
@@ -178,7 +195,8 @@
   return record ? &record->item : nullptr;
 }
 
-// Gateways are told at once, as it is the backend's own word; the backend is told 200 at once only where nobody relies on it.
+// Gateways are told at once, as it is the backend's own word; the backend is told 200 at once only where
+// nobody relies on it.
 void Registry::Settle(uint64_t connection, const Entry& entry) {
   if (!entry.write || !entry.wait) Reply(connection, 200, "{}");
   if (!entry.write) return;
@@ -197,7 +215,9 @@
 
 // --- Lending ---
 
-std::string Registry::HolderKey(const std::string& gateway) const { return "holder/" + self_ + "/" + gateway; }
+std::string Registry::HolderKey(const std::string& gateway) const {
+  return "holder/" + self_ + "/" + gateway;
+}
 std::string Registry::LenderKey() const { return "lender/" + self_; }
 
 uint64_t Registry::NotedEpoch() const {
@@ -207,8 +227,8 @@
 
 bool Registry::MayLend(double now) const { return right_.May(now) && node_.InContact(); }
 
-// Whoever is lent something is known as a holder on a majority's disks before, so that a later life of this core, with its
-// disk or without, knows whom to wait for.
+// Whoever is lent something is known as a holder on a majority's disks before, so that a later life of this
+// core, with its disk or without, knows whom to wait for.
 void Registry::Lend(uint64_t peer, const messages::Report& report) {
   auto follower = node_.followers().find(peer);
   if (follower == node_.followers().end() || !MayLend(node_.Now())) return;
@@ -229,17 +249,20 @@
   if (!noting_.insert(gateway).second) return;
   const Item* before = Find(HolderKey(gateway));
   auto least = least_note_.find(gateway);
-  uint64_t version = std::max(before ? before->version + 1 : 1, least == least_note_.end() ? 1 : least->second);
-  node_.Write({{HolderKey(gateway), version, false, ""}}, [this, gateway](const replication::Ended&) { noting_.erase(gateway); });
+  uint64_t version =
+      std::max(before ? before->version + 1 : 1, least == least_note_.end() ? 1 : least->second);
+  node_.Write({{HolderKey(gateway), version, false, ""}},
+              [this, gateway](const replication::Ended&) { noting_.erase(gateway); });
 }
 
-// A gateway that has not reported for longer than a term holds nothing: a later life of this core need not wait for it. It is
-// lent to again only once it is noted anew, whatever has become of this order.
+// A gateway that has not reported for longer than a term holds nothing: a later life of this core need not
+// wait for it. It is lent to again only once it is noted anew, whatever has become of this order.
 void Registry::ReleaseHolders(double now) {
   std::string prefix = HolderKey("");
   const auto& records = node_.replica().table().records();
   std::vector<Item> ends;
-  for (auto it = records.lower_bound(prefix); it != records.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+  for (auto it = records.lower_bound(prefix);
+       it != records.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
     std::string gateway = it->first.substr(prefix.size());
     double reported_at = reported_at_.try_emplace(gateway, now).first->second;
     bool over = now > reported_at + rate_limit::kTerm + 1;
@@ -288,7 +311,8 @@
 void Registry::NoteLending() {
   if (noting_lending_) return;
   noting_lending_ = true;
-  node_.Write({{LenderKey(), right_.epoch(), false, ""}}, [this](const replication::Ended&) { noting_lending_ = false; });
+  node_.Write({{LenderKey(), right_.epoch(), false, ""}},
+              [this](const replication::Ended&) { noting_lending_ = false; });
 }
 
 // --- Time ---
@@ -297,7 +321,8 @@
 void Registry::DropSilent(double now) {
   std::vector<std::string> ids;
   for (const auto& [key, record] : node_.replica().table().records()) {
-    if (key.rfind(kBackends, 0) == 0 && !record.item.dropped) ids.push_back(key.substr(sizeof(kBackends) - 1));
+    if (key.rfind(kBackends, 0) == 0 && !record.item.dropped)
+      ids.push_back(key.substr(sizeof(kBackends) - 1));
   }
   std::vector<std::string> silent = heard_.Silent(now, ids, node_.OtherCores());
   if (!node_.IsFirstMemberInTouch()) return;
--- a/system/programs/registry/registry.h
+++ b/system/programs/registry/registry.h
@@ -1,5 +1,5 @@
-// The registry. Which backends there are, from their beats, over a replicated table; and the one door of a core
-// machine for outside calls, of which those on the configuration go on to the store beside it.
+// The registry. Which backends there are, from their beats, over a replicated table; and the one door of a
+// core machine for outside calls, of which those on the configuration go on to the store beside it.
 #ifndef IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
 #define IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
 
@@ -10,13 +10,13 @@
 #include <string>
 
 #include "bodies/body_memory.h"
-#include "registry/heard.h"
-#include "registry/lending_right.h"
-#include "registry/roll.h"
 #include "call_routing/pending_calls.h"
 #include "discovery/backend.h"
-#include "rate_limit/lender.h"
 #include "net/client_server.h"
+#include "rate_limit/lender.h"
+#include "registry/heard.h"
+#include "registry/lending_right.h"
+#include "registry/roll.h"
 #include "replicated_table/core_node.h"
 
 namespace ivygw::registry {
@@ -69,7 +69,7 @@
     std::string zone;
     double until = 0;
   };
-  std::map<std::string, Lease> members_;       // gateways, until when they count as such
+  std::map<std::string, Lease> members_;  // gateways, until when they count as such
   Heard heard_;
   uint64_t ticks_ = 0;
   struct Tombstone {
@@ -79,7 +79,8 @@
   std::map<std::string, Tombstone> tombstones_;
   std::set<std::string> noting_;               // gateways whose note as holders is under way, or its end
   std::map<std::string, double> reported_at_;  // by gateway, when it reported here last
-  std::map<std::string, uint64_t> least_note_; // by gateway, the lowest version of its note that counts: older ones may end
+  std::map<std::string, uint64_t>
+      least_note_;  // by gateway, the lowest version of its note that counts: older ones may end
   bool noting_lending_ = false;
   bool holders_told_ = false, reading_holders_ = false, lending_ = false;
 };
--- a/system/programs/registry/roll.cpp
+++ b/system/programs/registry/roll.cpp
@@ -37,8 +37,9 @@
     discovery::ReadBackend(known->body, &before);
     // Late, or of one that has said that it goes: what it says stands already, or is out of date.
     bool late = known->dropped || known->version >= told.sequence || (before.draining && !told.draining);
-    bool same = before.service == told.service && before.address == told.address && before.slots == told.slots &&
-                before.draining == told.draining && (before.warm_ms > 0) == (told.warm_ms > 0);
+    bool same = before.service == told.service && before.address == told.address &&
+                before.slots == told.slots && before.draining == told.draining &&
+                (before.warm_ms > 0) == (told.warm_ms > 0);
     if (late || same) {
       out.item = *known;
       return out;
--- a/system/programs/registry/roll.h
+++ b/system/programs/registry/roll.h
@@ -1,5 +1,5 @@
-// The roll. What a call of a backend changes in the registry's table, when it may be acknowledged, and which orders
-// the table takes. Pure.
+// The roll. What a call of a backend changes in the registry's table, when it may be acknowledged, and which
+// orders the table takes. Pure.
 #ifndef IVYGW_SYSTEM_REGISTRY_ROLL_H_
 #define IVYGW_SYSTEM_REGISTRY_ROLL_H_
 
@@ -15,9 +15,9 @@
 inline constexpr char kBackends[] = "backend/";
 
 struct Entry {
-  messages::Item item;    // what is to stand
-  bool write = false;     // it doesn't yet
-  bool wait = false;      // others rely on it: acknowledged once it is decided
+  messages::Item item;  // what is to stand
+  bool write = false;   // it doesn't yet
+  bool wait = false;    // others rely on it: acknowledged once it is decided
 };
 
 // `known`: what is decided to stand under the backend's key; none: null.
@@ -27,8 +27,8 @@
 // `sequence`: of the call, 0 where it tells none.
 Entry OnDeregister(const std::string& id, uint64_t sequence, const messages::Item* known);
 
-// The higher version stands, of backends and of all else that the registry notes; who drains or has gone stays so, whatever
-// order that raced with it says.
+// The higher version stands, of backends and of all else that the registry notes; who drains or has gone
+// stays so, whatever order that raced with it says.
 class RollPolicy : public replication::OrderPolicy {
  public:
   void OnRecord(const replication::Record&) override {}
--- a/tests/admin/call_test.cpp
+++ b/tests/admin/call_test.cpp
@@ -56,7 +56,8 @@
 // Any bytes: a call whose id holds nothing but text, or a reason that is one line.
 TEST(Call, AnyBytes) {
   std::mt19937 dice(7);
-  const std::string words[] = {"check", "vars", "set-down", "set-up", "drain-on", "drain-off", " ", "\t", "\r", "s-1"};
+  const std::string words[] = {"check",     "vars", "set-down", "set-up", "drain-on",
+                               "drain-off", " ",    "\t",       "\r",     "s-1"};
   int sound = 0;
   for (int i = 0; i < 20000; ++i) {
     std::string line;
--- a/tests/bodies/body_memory_test.cpp
+++ b/tests/bodies/body_memory_test.cpp
@@ -42,8 +42,8 @@
   EXPECT_EQ(memory.used(), 0u);
 }
 
-// Holders who grow a body to the limit, step by step, each asking anew, in any order: long ones together stay within the
-// budget, since none is begun while it is crowded and the limit shrinks.
+// Holders who grow a body to the limit, step by step, each asking anew, in any order: long ones together stay
+// within the budget, since none is begun while it is crowded and the limit shrinks.
 TEST(BodyMemory, ManyTogetherStayWithinIt) {
   for (unsigned seed = 1; seed <= 50; ++seed) {
     std::mt19937 dice(seed);
@@ -55,7 +55,8 @@
     };
     std::vector<std::unique_ptr<Holder>> holders;
     for (int step = 0; step < 3000; ++step) {
-      if (holders.empty() || (!memory.Crowded() && dice() % 8 == 0)) holders.push_back(std::make_unique<Holder>(&memory));
+      if (holders.empty() || (!memory.Crowded() && dice() % 8 == 0))
+        holders.push_back(std::make_unique<Holder>(&memory));
       Holder& h = *holders[dice() % holders.size()];
       if (h.held < memory.HoldLimit()) {
         h.held += std::min<size_t>(64 * 1024, memory.HoldLimit() - h.held);
@@ -64,7 +65,8 @@
       }
       h.share.Hold(h.held);
       if (dice() % 40 == 0) holders.erase(holders.begin() + dice() % holders.size());
-      ASSERT_LE(memory.used(), memory.budget()) << "seed " << seed << ", step " << step << ", " << holders.size();
+      ASSERT_LE(memory.used(), memory.budget())
+          << "seed " << seed << ", step " << step << ", " << holders.size();
     }
   }
 }
--- a/tests/checker/checker_test.cpp
+++ b/tests/checker/checker_test.cpp
@@ -1,5 +1,5 @@
-// The checker against records that it must accept, and against the same records with exactly one break each: that
-// one is caught, and nothing else is.
+// The checker against records that it must accept, and against the same records with exactly one break each:
+// that one is caught, and nothing else is.
 #include "checker/checker.h"
 
 #include <gtest/gtest.h>
@@ -112,8 +112,9 @@
        Ask(0, 1, kQuote), Arrive(0.01, 1, 11, 0), ReplyTo(0.02, 1, 11, 0, "error"), Arrive(0.03, 1, 12, 1),
        EffectOf(0.1, 1, 12, 1), ReplyTo(0.1, 1, 12, 1, "served"), Answer(0.11, 1, 200, 12),
        // 2: unsafe, turned away by the first node, done by the second.
-       Ask(1, 2, kLead), Arrive(1.01, 2, 21, 0), ReplyTo(1.02, 2, 21, 0, "not_started"), Arrive(1.03, 2, 22, 1),
-       EffectOf(1.2, 2, 22, 1), ReplyTo(1.2, 2, 22, 1, "served"), Answer(1.21, 2, 200, 22),
+       Ask(1, 2, kLead), Arrive(1.01, 2, 21, 0), ReplyTo(1.02, 2, 21, 0, "not_started"),
+       Arrive(1.03, 2, 22, 1), EffectOf(1.2, 2, 22, 1), ReplyTo(1.2, 2, 22, 1, "served"),
+       Answer(1.21, 2, 200, 22),
        // 3: unsafe, failed once it may have run.
        Ask(2, 3, kLead), Arrive(2.01, 3, 31, 0), ReplyTo(2.02, 3, 31, 0, "reset"), Answer(2.03, 3, 502),
        // 4: keyed, sent again within the window; the first ended before the second began, or nearly so.
@@ -126,9 +127,10 @@
        Told(6, 0, "leaving"), Ask(6.3, 7, kQuote), Arrive(6.5, 7, 71, 0), EffectOf(6.6, 7, 71, 0),
        ReplyTo(6.6, 7, 71, 0, "served"), Answer(6.61, 7, 200, 71),
        // 8 and 9: a cold node gets 0.9 of work, of the 2 x 0.76 that it can stand 7 s after its start.
-       Ask(6.7, 8, kQuote), Arrive(6.71, 8, 81, 2, 0.5), EffectOf(7.1, 8, 81, 2), ReplyTo(7.1, 8, 81, 2, "served"),
-       Answer(7.11, 8, 200, 81), Ask(7.2, 9, kQuote), Arrive(7.21, 9, 91, 2, 0.4), EffectOf(7.6, 9, 91, 2),
-       ReplyTo(7.6, 9, 91, 2, "served"), Answer(7.61, 9, 200, 91)};
+       Ask(6.7, 8, kQuote), Arrive(6.71, 8, 81, 2, 0.5), EffectOf(7.1, 8, 81, 2),
+       ReplyTo(7.1, 8, 81, 2, "served"), Answer(7.11, 8, 200, 81), Ask(7.2, 9, kQuote),
+       Arrive(7.21, 9, 91, 2, 0.4), EffectOf(7.6, 9, 91, 2), ReplyTo(7.6, 9, 91, 2, "served"),
+       Answer(7.61, 9, 200, 91)};
   return r;
 }
 
@@ -165,16 +167,20 @@
 TEST_P(OneBreak, IsCaughtAndNothingElseIs) {
   Record r = Good();
   GetParam().apply(&r);
-  std::stable_sort(r.events.begin(), r.events.end(), [](const Event& a, const Event& b) { return a.t < b.t; });
+  std::stable_sort(r.events.begin(), r.events.end(),
+                   [](const Event& a, const Event& b) { return a.t < b.t; });
   Verdict v = Judge(r);
   for (size_t i = 0; i < kRules; ++i) {
-    EXPECT_EQ(v.counts[i], i == static_cast<size_t>(GetParam().rule) ? 1u : 0u) << RuleName(static_cast<Rule>(i));
+    EXPECT_EQ(v.counts[i], i == static_cast<size_t>(GetParam().rule) ? 1u : 0u)
+        << RuleName(static_cast<Rule>(i));
   }
   for (const Break& b : v.breaks) EXPECT_EQ(b.rule, GetParam().rule) << b.what;
 }
 
 auto Erase(EventKind kind, uint64_t request, uint64_t attempt = 0) {
-  return [=](Record* r) { r->events.erase(r->events.begin() + static_cast<long>(IndexOf(*r, kind, request, attempt))); };
+  return [=](Record* r) {
+    r->events.erase(r->events.begin() + static_cast<long>(IndexOf(*r, kind, request, attempt)));
+  };
 }
 auto Change(EventKind kind, uint64_t request, std::function<void(Event*)> change) {
   return [=](Record* r) { change(&r->events[IndexOf(*r, kind, request)]); };
@@ -185,59 +191,65 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Each, OneBreak,
-    testing::Values(
-        Mutation{"no_answer", Rule::kOneAnswer, Erase(EventKind::kAnswer, 5)},
-        Mutation{"connection_ended", Rule::kOneAnswer,
-                 Change(EventKind::kAnswer, 3, [](Event* e) { e->kind = EventKind::kEnded; })},
-        Mutation{"two_answers", Rule::kOneAnswer, Add({Answer(5, 5, 429)})},
-        Mutation{"late_answer", Rule::kOneAnswer, Change(EventKind::kAnswer, 5, [](Event* e) { e->t = 5.06; })},
-        Mutation{"answer_of_another", Rule::kOneAnswer, Change(EventKind::kAnswer, 2, [](Event* e) { e->token = 12; })},
-        Mutation{"answer_made_up", Rule::kOneAnswer, Change(EventKind::kAnswer, 5, [](Event* e) { e->status = 200; })},
-        Mutation{"sent_after_the_answer", Rule::kOneAnswer,
-                 Add({Arrive(0.3, 1, 13, 1), Cancelled(0.31, 1, 13, 1)})},
-        Mutation{"gateway_crashed", Rule::kOneAnswer,
-                 [](Record* r) {
-                   Event e = Make(15, EventKind::kGatewayDown);
-                   e.gateway = 0;
-                   e.text = "crashed";
-                   r->events.push_back(e);
-                 }},
-        Mutation{"unsafe_sent_again", Rule::kNoEffectTwice,
-                 Change(EventKind::kReply, 2, [](Event* e) { e->text = "reset"; })},
-        Mutation{"unsafe_done_twice", Rule::kNoEffectTwice, Add({EffectOf(1.25, 2, 22, 1)})},
-        Mutation{"unsafe_refused_after_it_ran", Rule::kNoEffectTwice,
-                 Change(EventKind::kAnswer, 3, [](Event* e) { e->status = 503; })},
-        Mutation{"keyed_after_the_window", Rule::kNoEffectTwice,
-                 [](Record* r) {
-                   r->facts.classes[kSave].window_s = 0.3;
-                 }},
-        Mutation{"keyed_done_twice", Rule::kNoEffectTwice, Add({EffectOf(3.41, 4, 41, 0)})},
-        Mutation{"two_at_once", Rule::kNoEffectTwice,
-                 [](Record* r) { r->events[IndexOf(*r, EventKind::kCancelled, 4)].t = 3.46; }},
-        Mutation{"sent_after_the_grace", Rule::kDrainsKept,
-                 [](Record* r) { r->events[IndexOf(*r, EventKind::kTold, 0)].t = -0.9;
-                   for (Event& e : r->events) {
-                     if (e.kind == EventKind::kTold && e.text == "leaving") e.t = 5.9;
-                   } }},
-        Mutation{"sent_to_one_never_named", Rule::kDrainsKept,
-                 [](Record* r) {
-                   std::erase_if(r->events, [](const Event& e) { return e.kind == EventKind::kTold && e.node == 1; });
-                   // Of the four sent there one is left.
-                   for (uint64_t id : {1, 2, 4}) {
-                     std::erase_if(r->events, [&](const Event& e) { return e.request == id; });
-                   }
-                 }},
-        Mutation{"cold_node_pushed", Rule::kColdNotPushed,
-                 [](Record* r) { r->events[IndexOf(*r, EventKind::kArrive, 9)].work = 3;
-                   r->events[IndexOf(*r, EventKind::kArrive, 8)].work = 3; }},
-        Mutation{"cold_node_fell", Rule::kColdNotPushed,
-                 [](Record* r) {
-                   Event e = Make(7.7, EventKind::kFell);
-                   e.node = 2;
-                   r->events.push_back(e);
-                 }},
-        Mutation{"over_the_ceiling", Rule::kCeilingsKept,
-                 [](Record* r) { r->events[IndexOf(*r, EventKind::kAsk, 7)].units = 9.6; }}),
+    testing::Values(Mutation{"no_answer", Rule::kOneAnswer, Erase(EventKind::kAnswer, 5)},
+                    Mutation{"connection_ended", Rule::kOneAnswer,
+                             Change(EventKind::kAnswer, 3, [](Event* e) { e->kind = EventKind::kEnded; })},
+                    Mutation{"two_answers", Rule::kOneAnswer, Add({Answer(5, 5, 429)})},
+                    Mutation{"late_answer", Rule::kOneAnswer,
+                             Change(EventKind::kAnswer, 5, [](Event* e) { e->t = 5.06; })},
+                    Mutation{"answer_of_another", Rule::kOneAnswer,
+                             Change(EventKind::kAnswer, 2, [](Event* e) { e->token = 12; })},
+                    Mutation{"answer_made_up", Rule::kOneAnswer,
+                             Change(EventKind::kAnswer, 5, [](Event* e) { e->status = 200; })},
+                    Mutation{"sent_after_the_answer", Rule::kOneAnswer,
+                             Add({Arrive(0.3, 1, 13, 1), Cancelled(0.31, 1, 13, 1)})},
+                    Mutation{"gateway_crashed", Rule::kOneAnswer,
+                             [](Record* r) {
+                               Event e = Make(15, EventKind::kGatewayDown);
+                               e.gateway = 0;
+                               e.text = "crashed";
+                               r->events.push_back(e);
+                             }},
+                    Mutation{"unsafe_sent_again", Rule::kNoEffectTwice,
+                             Change(EventKind::kReply, 2, [](Event* e) { e->text = "reset"; })},
+                    Mutation{"unsafe_done_twice", Rule::kNoEffectTwice, Add({EffectOf(1.25, 2, 22, 1)})},
+                    Mutation{"unsafe_refused_after_it_ran", Rule::kNoEffectTwice,
+                             Change(EventKind::kAnswer, 3, [](Event* e) { e->status = 503; })},
+                    Mutation{"keyed_after_the_window", Rule::kNoEffectTwice,
+                             [](Record* r) { r->facts.classes[kSave].window_s = 0.3; }},
+                    Mutation{"keyed_done_twice", Rule::kNoEffectTwice, Add({EffectOf(3.41, 4, 41, 0)})},
+                    Mutation{"two_at_once", Rule::kNoEffectTwice,
+                             [](Record* r) { r->events[IndexOf(*r, EventKind::kCancelled, 4)].t = 3.46; }},
+                    Mutation{"sent_after_the_grace", Rule::kDrainsKept,
+                             [](Record* r) {
+                               r->events[IndexOf(*r, EventKind::kTold, 0)].t = -0.9;
+                               for (Event& e : r->events) {
+                                 if (e.kind == EventKind::kTold && e.text == "leaving") e.t = 5.9;
+                               }
+                             }},
+                    Mutation{"sent_to_one_never_named", Rule::kDrainsKept,
+                             [](Record* r) {
+                               std::erase_if(r->events, [](const Event& e) {
+                                 return e.kind == EventKind::kTold && e.node == 1;
+                               });
+                               // Of the four sent there one is left.
+                               for (uint64_t id : {1, 2, 4}) {
+                                 std::erase_if(r->events, [&](const Event& e) { return e.request == id; });
+                               }
+                             }},
+                    Mutation{"cold_node_pushed", Rule::kColdNotPushed,
+                             [](Record* r) {
+                               r->events[IndexOf(*r, EventKind::kArrive, 9)].work = 3;
+                               r->events[IndexOf(*r, EventKind::kArrive, 8)].work = 3;
+                             }},
+                    Mutation{"cold_node_fell", Rule::kColdNotPushed,
+                             [](Record* r) {
+                               Event e = Make(7.7, EventKind::kFell);
+                               e.node = 2;
+                               r->events.push_back(e);
+                             }},
+                    Mutation{"over_the_ceiling", Rule::kCeilingsKept,
+                             [](Record* r) { r->events[IndexOf(*r, EventKind::kAsk, 7)].units = 9.6; }}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
 TEST(Checker, ExcusesWhatAKilledGatewayHeld) {
@@ -247,7 +259,8 @@
   e.gateway = 0;
   e.text = "killed";
   r.events.push_back(e);
-  std::stable_sort(r.events.begin(), r.events.end(), [](const Event& a, const Event& b) { return a.t < b.t; });
+  std::stable_sort(r.events.begin(), r.events.end(),
+                   [](const Event& a, const Event& b) { return a.t < b.t; });
   EXPECT_TRUE(Judge(r).Kept());
   r.events[IndexOf(r, EventKind::kGatewayDown, 0)].gateway = 1;
   EXPECT_FALSE(Judge(r).Kept()) << "another one's end is no excuse";
@@ -287,7 +300,8 @@
   Record r = Good();
   r.facts.plans[0].rate = 1;
   r.facts.plans[0].burst = 2;
-  // Eight first attempts of 2 units from 0.01 to 7.21 s, less the store of 2 and the 7.2 that it gains meanwhile.
+  // Eight first attempts of 2 units from 0.01 to 7.21 s, less the store of 2 and the 7.2 that it gains
+  // meanwhile.
   EXPECT_NEAR(Judge(r).plans[0].most_over_units, 16 - 2 - 7.2, 1e-9);
   r.facts.plans[0].burst = 100;
   EXPECT_EQ(Judge(r).plans[0].most_over_units, 0);
--- a/tests/core/ban_book_test.cpp
+++ b/tests/core/ban_book_test.cpp
@@ -13,7 +13,8 @@
 
 using micadock::BackendState;
 
-Listed Entry(uint32_t id, BackendState state = BackendState::kReady, double started_s = 0, uint64_t address = 1) {
+Listed Entry(uint32_t id, BackendState state = BackendState::kReady, double started_s = 0,
+             uint64_t address = 1) {
   Listed listed;
   listed.backend.id = id;
   listed.backend.state = state;
@@ -29,13 +30,15 @@
   ASSERT_TRUE(told);
   EXPECT_EQ(told->backend.state, BackendState::kDraining);
   EXPECT_FALSE(book.Ban(1, 11)) << "calls out may be repeated";
-  for (const auto& list : {std::vector{Entry(1, BackendState::kReady, 0, 7)}, {Entry(1, BackendState::kReady, 12)}}) {
+  for (const auto& list :
+       {std::vector{Entry(1, BackendState::kReady, 0, 7)}, {Entry(1, BackendState::kReady, 12)}}) {
     EXPECT_EQ(book.Told(false, list)[0].backend.state, BackendState::kDraining);
   }
   EXPECT_EQ(book.Told(false, {Entry(1, BackendState::kGone)})[0].backend.state, BackendState::kGone);
   EXPECT_EQ(book.listed(), 1u);
   EXPECT_EQ(book.listed_and_banned(), 0u);
-  EXPECT_EQ(book.Told(true, {Entry(2), Entry(1)})[1].backend.state, BackendState::kDraining) << "listed again";
+  EXPECT_EQ(book.Told(true, {Entry(2), Entry(1)})[1].backend.state, BackendState::kDraining)
+      << "listed again";
   EXPECT_EQ(book.listed_and_banned(), 1u);
   ASSERT_TRUE(book.Lift(1, 20)) << "one call back";
   EXPECT_FALSE(book.Lift(1, 20));
@@ -62,7 +65,8 @@
   EXPECT_EQ(book.Told(false, {Entry(9)})[0].backend.state, BackendState::kDraining);
 }
 
-// What was told last of each backend is what a plain model of bans and lists says, after any calls in any order.
+// What was told last of each backend is what a plain model of bans and lists says, after any calls in any
+// order.
 TEST(BanBook, AnyOrder) {
   for (uint32_t seed = 1; seed <= 300; ++seed) {
     std::mt19937 dice(seed);
@@ -100,7 +104,8 @@
         bool ready = in_list != list.end() && in_list->second == BackendState::kReady;
         auto in_module = told.find(i);
         bool in_use = in_module != told.end() && in_module->second == BackendState::kReady;
-        ASSERT_EQ(in_use, ready && banned.count(i) == 0) << "seed " << seed << ", step " << step << ", backend " << i;
+        ASSERT_EQ(in_use, ready && banned.count(i) == 0)
+            << "seed " << seed << ", step " << step << ", backend " << i;
         listed += in_list != list.end() && in_list->second != BackendState::kGone;
         out += ready && banned.count(i) != 0;
       }
--- a/tests/core/core_watch.h
+++ b/tests/core/core_watch.h
@@ -1,5 +1,5 @@
-// The core driven by any events in any order, late, doubled or contradictory, with what must hold looked at after each
-// effect. The same bytes give the same run, so that a fuzzer can drive it too.
+// The core driven by any events in any order, late, doubled or contradictory, with what must hold looked at
+// after each effect. The same bytes give the same run, so that a fuzzer can drive it too.
 #ifndef IVYGW_TESTS_CORE_CORE_WATCH_H_
 #define IVYGW_TESTS_CORE_CORE_WATCH_H_
 
@@ -74,16 +74,19 @@
     for (const auto& [id, r] : requests_) {
       if (!r.answered && !r.gone) Broken("request " + std::to_string(id) + " never got an answer");
     }
-    if (core_->requests().held() != 0 || core_->requests().ids() != 0 || core_->requests().unanswered() != 0) {
+    if (core_->requests().held() != 0 || core_->requests().ids() != 0 ||
+        core_->requests().unanswered() != 0) {
       Broken("requests left in the book");
     }
     if (core_->requests().streaming() != 0) Broken("begun answers left in the book");
-    if (core_->backends().out() != 0 || core_->backends().connections() != 0) Broken("exchanges left in the book");
+    if (core_->backends().out() != 0 || core_->backends().connections() != 0)
+      Broken("exchanges left in the book");
     if (core_->counts().out() != 0) Broken("counter calls left in the book");
     if (!connections_.empty()) Broken("connections left open");
   }
 
-  // All that what comes next can depend on, round a module that remembers nothing: two runs of one digest go on alike.
+  // All that what comes next can depend on, round a module that remembers nothing: two runs of one digest go
+  // on alike.
   std::string Digest() const {
     std::ostringstream out;
     auto ago = [&](double at) { return std::lround((now_ - at) * 1e4); };
@@ -92,20 +95,22 @@
       if (r.forgotten) continue;
       out << r.cls << (r.may_have_run ? 'r' : '-') << ago(r.deadline) << r.whole << r.body_gone << r.stream;
       if (const Held* held = core_->requests().Find(id)) {
-        for (const Attempt& a : held->attempts) out << ',' << a.backend << (a.out ? 'o' : '-') << ago(a.began);
+        for (const Attempt& a : held->attempts)
+          out << ',' << a.backend << (a.out ? 'o' : '-') << ago(a.began);
         out << (held->may_have_run ? 'R' : '-');
       }
     }
     for (const auto& [id, c] : connections_) {
-      out << ';' << id << '@' << c.address << (c.up ? 'u' : '-') << (c.busy ? 'b' : '-') << (c.written ? 'w' : '-')
-          << c.request << ':' << core_->backends().RequestOf(id) << ago(c.since);
+      out << ';' << id << '@' << c.address << (c.up ? 'u' : '-') << (c.busy ? 'b' : '-')
+          << (c.written ? 'w' : '-') << c.request << ':' << core_->backends().RequestOf(id) << ago(c.since);
     }
     for (const auto& [call, added] : counts_) out << '#' << call << added << ago(called_.at(call));
     for (const auto& [address, place] : places_) {
       out << '|' << address << place.gone << (place.no_send_after == kNever ? 0 : ago(place.no_send_after));
     }
     for (uint32_t id : banned_) out << 'B' << id;
-    for (const auto& [id, listed] : listed_) out << '/' << id << static_cast<int>(listed.backend.state) << listed.address;
+    for (const auto& [id, listed] : listed_)
+      out << '/' << id << static_cast<int>(listed.backend.state) << listed.address;
     out << '!' << last_client_ << ' ' << last_connection_ << ' ' << last_call_;
     return out.str();
   }
@@ -140,7 +145,9 @@
   };
 
   uint8_t Next() { return at_ < end_ ? *at_++ : 0; }
-  uint64_t Near(uint64_t last) { return last - std::min<uint64_t>(last, Next() % 6); }  // a late one, at times
+  uint64_t Near(uint64_t last) {
+    return last - std::min<uint64_t>(last, Next() % 6);
+  }  // a late one, at times
 
   void Broken(const std::string& what) {
     if (!broken_.empty()) return;
@@ -170,7 +177,8 @@
   void TellList(bool whole, uint32_t only = 0) {
     std::vector<Listed> entries;
     for (const auto& [id, listed] : listed_) {
-      if (whole ? listed.backend.state != micadock::BackendState::kGone : id == only) entries.push_back(listed);
+      if (whole ? listed.backend.state != micadock::BackendState::kGone : id == only)
+        entries.push_back(listed);
     }
     core_->OnList(now_, whole ? micadock::ListKind::kFull : micadock::ListKind::kDelta, entries, &effects_);
     Look();
@@ -184,7 +192,9 @@
   void Step() {
     using micadock::Result;
     switch (Next() % 23) {
-      case 0: case 1: case 2: {
+      case 0:
+      case 1:
+      case 2: {
         Arrival a;
         a.client = ++last_client_;
         a.id = "id" + std::to_string(Next() % 64);
@@ -198,7 +208,8 @@
         double deadline = now_ + a.body_s + a.timeout_s;
         uint32_t id = core_->OnRequest(now_, a, &effects_);
         if (requests_.count(id) != 0 && !requests_[id].forgotten) Broken("a number in use is given again");
-        requests_[id] = {a.client, a.cls, deadline, false, false, false, false, a.timeout_s, a.body_s <= 0, false, 0};
+        requests_[id] = {a.client, a.cls,       deadline,      false, false, false,
+                         false,    a.timeout_s, a.body_s <= 0, false, 0};
         by_client_[a.client] = id;
         last_request_ = id;
         return Look();
@@ -211,21 +222,26 @@
         core_->OnClientGone(now_, client, &effects_);
         return Look();
       }
-      case 4: case 5: case 6: {
+      case 4:
+      case 5:
+      case 6: {
         uint64_t c = Near(last_connection_);
         auto it = connections_.find(c);
         if (it != connections_.end()) it->second.up = true;
         core_->OnConnected(now_, c, &effects_);
         return Look();
       }
-      case 7: case 8: case 9: {
+      case 7:
+      case 8:
+      case 9: {
         uint64_t c = Near(last_connection_);
         auto it = connections_.find(c);
         if (it != connections_.end() && it->second.busy) it->second.written = true;
         core_->OnWritten(now_, c, &effects_);
         return Look();
       }
-      case 10: case 11: {
+      case 10:
+      case 11: {
         uint64_t c = Near(last_connection_);
         const Result kinds[] = {Result::kOk, Result::kOk, Result::kFull, Result::kError};
         Result result = kinds[Next() % 4];
@@ -252,8 +268,10 @@
       case 14: {
         uint32_t id = 1 + Next() % kBackends;
         uint8_t kind = Next() % 6;
-        SetBackend(id, kind < 3 ? micadock::BackendState::kReady
-                                : kind == 5 ? micadock::BackendState::kGone : micadock::BackendState::kDraining,
+        SetBackend(id,
+                   kind < 3    ? micadock::BackendState::kReady
+                   : kind == 5 ? micadock::BackendState::kGone
+                               : micadock::BackendState::kDraining,
                    kind == 2);
         return TellList(Next() % 4 == 0, id);
       }
@@ -341,7 +359,8 @@
       std::visit([this](const auto& e) { Check(e); }, effect);
     }
     effects_.clear();
-    if (core_->backends().connections() > settings_.connections.most) Broken("more connections than there may be");
+    if (core_->backends().connections() > settings_.connections.most)
+      Broken("more connections than there may be");
   }
   Request* Known(uint32_t id) {
     Request& r = requests_[id];
@@ -353,7 +372,8 @@
     if (r->answered) Broken("a second final answer");
     if (r->gone) Broken("an answer to a client that has gone");
     if (r->client != e.client) Broken("an answer to another client");
-    if (e.status == 200 && (e.connection == 0 || e.connection != passing_)) Broken("a good answer out of nothing");
+    if (e.status == 200 && (e.connection == 0 || e.connection != passing_))
+      Broken("a good answer out of nothing");
     r->answered = true;
     ++answers_;
     served_ += e.status == 200;
@@ -400,9 +420,11 @@
     if (r->answered || r->gone) Broken("sent after the answer");
     if (r->body_gone) Broken("sent without its whole body");
     if (!MaySend(c.address)) Broken("sent to what has gone or has drained");
-    if (e.patience_s <= 0 || now_ + e.patience_s > r->deadline + 1e-9) Broken("to be waited for past the deadline");
+    if (e.patience_s <= 0 || now_ + e.patience_s > r->deadline + 1e-9)
+      Broken("to be waited for past the deadline");
     for (const auto& [id, other] : connections_) {
-      if (other.busy && other.request == e.request && !settings_.module.parallel_tries) Broken("two attempts at once");
+      if (other.busy && other.request == e.request && !settings_.module.parallel_tries)
+        Broken("two attempts at once");
     }
     auto effect = settings_.module.classes[static_cast<size_t>(r->cls)].effect;
     if (sane_module_ && effect == micadock::Effect::kSingleShot && r->may_have_run) {
--- a/tests/core/gateway_core_test.cpp
+++ b/tests/core/gateway_core_test.cpp
@@ -1,4 +1,5 @@
-// The core's books round a module that does what the test says: the hard cases one by one, then anything in any order.
+// The core's books round a module that does what the test says: the hard cases one by one, then anything in
+// any order.
 #include "core/gateway_core.h"
 
 #include <gtest/gtest.h>
@@ -24,7 +25,9 @@
  protected:
   Core() {
     hooks = {};
-    hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::Send(r.id, 1)); };
+    hooks.on_request = [](const micadock::Request& r, Actions* out) {
+      out->push_back(micadock::Send(r.id, 1));
+    };
     hooks.on_outcome = [this](const Outcome& o, Actions*) { outcomes.push_back(o); };
     hooks.on_abandoned = [this](uint32_t id, Actions*) { abandoned.push_back(id); };
     settings = WatchedSite();
@@ -127,7 +130,8 @@
   EXPECT_EQ(core->backends().idle(), 1u);
 }
 
-// An answer and the time-out in one turn of the loop: whichever is told first is the end, and the other changes nothing.
+// An answer and the time-out in one turn of the loop: whichever is told first is the end, and the other
+// changes nothing.
 TEST_F(Core, AnswerAndTimeoutInOneTurn) {
   Ask(1);
   uint64_t c = Sent();
@@ -166,7 +170,9 @@
 
 // An attempt that timed out was all written: it may have run, also when nothing of it is out any more.
 TEST_F(Core, ATimeoutMayHaveRun) {
-  hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::Send(r.id, 1, 0.2)); };
+  hooks.on_request = [](const micadock::Request& r, Actions* out) {
+    out->push_back(micadock::Send(r.id, 1, 0.2));
+  };
   Ask(1, 2);
   Sent();
   At(0.3);
@@ -230,7 +236,9 @@
   uint32_t id = Ask(1);
   uint64_t c = Take<Connect>()->connection;
   hooks.on_timer = [&](uint64_t, Actions* out) { out->push_back(micadock::Of(ActionKind::kFail, id)); };
-  hooks.on_request = [&](const micadock::Request&, Actions* out) { out->push_back(micadock::Of(ActionKind::kTimer, 0)); };
+  hooks.on_request = [&](const micadock::Request&, Actions* out) {
+    out->push_back(micadock::Of(ActionKind::kTimer, 0));
+  };
   Ask(2);
   core->OnTime(now, &effects);
   EXPECT_EQ(Take<Answer>()->status, 502);
@@ -266,7 +274,8 @@
   EXPECT_FALSE(Take<Connect>());
 }
 
-// A list that renames a backend's address with an attempt out: it ends as it ends, and its connection is not kept.
+// A list that renames a backend's address with an attempt out: it ends as it ends, and its connection is not
+// kept.
 TEST_F(Core, ABackendMovesWithAnAttemptOut) {
   uint64_t idle = Kept();
   Ask(1);
@@ -285,12 +294,15 @@
   EXPECT_EQ(Take<Connect>()->address, 7u);
 }
 
-// Another backend at the address of one that drains: the connections of the first are not used for the second.
+// Another backend at the address of one that drains: the connections of the first are not used for the
+// second.
 TEST_F(Core, ABackendComesAtTheAddressOfOneThatDrains) {
   uint64_t kept = Kept();
   List({{1, BackendState::kDraining, 1}, {2, BackendState::kReady, 1}}, micadock::ListKind::kDelta);
   EXPECT_EQ(Take<Close>()->connection, kept);
-  hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::Send(r.id, 2)); };
+  hooks.on_request = [](const micadock::Request& r, Actions* out) {
+    out->push_back(micadock::Send(r.id, 2));
+  };
   Ask(1);
   auto connect = Take<Connect>();
   ASSERT_TRUE(connect);
@@ -337,7 +349,9 @@
   core->OnAnswer(now, used[2], Result::kOk, 0, true, &effects);
   core->OnAnswer(now, used[4], Result::kOk, 0, true, &effects);
   effects.clear();
-  hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::Send(r.id, 2)); };
+  hooks.on_request = [](const micadock::Request& r, Actions* out) {
+    out->push_back(micadock::Send(r.id, 2));
+  };
   Ask(51);
   EXPECT_EQ(Take<Close>()->connection, used[2]);
   EXPECT_EQ(Take<Connect>()->address, 2u);
@@ -368,7 +382,9 @@
 // Counter calls: in time, late, lost before and after they may have been added.
 TEST_F(Core, ACounterCallEndsOnce) {
   std::vector<micadock::CountAnswer> told;
-  hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::CountUnits(r.id, 2)); };
+  hooks.on_request = [](const micadock::Request& r, Actions* out) {
+    out->push_back(micadock::CountUnits(r.id, 2));
+  };
   hooks.on_count = [&](const micadock::CountAnswer& a, Actions*) { told.push_back(a); };
   Ask(1);
   auto count = Take<Count>();
@@ -395,8 +411,8 @@
   EXPECT_EQ(core->counts().out(), 0u);
 }
 
-// SIGTERM while a request is held and a counter call is out: what comes is served for a while, then idle clients are
-// closed, and the end waits for the last answer, but not for the counter.
+// SIGTERM while a request is held and a counter call is out: what comes is served for a while, then idle
+// clients are closed, and the end waits for the last answer, but not for the counter.
 TEST_F(Core, ShutdownFinishesWhatIsHeld) {
   hooks.on_request = [](const micadock::Request& r, Actions* out) {
     out->push_back(micadock::CountUnits(r.id, 2));
@@ -438,15 +454,17 @@
   settings.has_counter = false;
   core.emplace(settings, now, &effects);
   std::vector<micadock::CountAnswer> told;
-  hooks.on_request = [](const micadock::Request& r, Actions* out) { out->push_back(micadock::CountUnits(r.id, 2)); };
+  hooks.on_request = [](const micadock::Request& r, Actions* out) {
+    out->push_back(micadock::CountUnits(r.id, 2));
+  };
   hooks.on_count = [&](const micadock::CountAnswer& a, Actions*) { told.push_back(a); };
   Ask(1);
   ASSERT_EQ(told.size(), 1u);
   EXPECT_EQ(told[0].result, Result::kConnectFailed);
 }
 
-// A module that does anything at any time, and events in any order: the core alone keeps to one answer, to the settings
-// on attempts, to the grace, and leaves nothing behind.
+// A module that does anything at any time, and events in any order: the core alone keeps to one answer, to
+// the settings on attempts, to the grace, and leaves nothing behind.
 TEST(AnyOrder, RoundAModuleThatDoesAnything) {
   uint64_t answers = 0, writes = 0, served = 0;
   for (uint64_t seed = 1; seed <= 3000; ++seed) {
@@ -458,13 +476,22 @@
         uint32_t backend = 1 + static_cast<uint32_t>(random() % 4);  // one is unknown
         int attempt = static_cast<int>(random() % 4);
         switch (random() % 9) {
-          case 0: case 1: case 2:
-            out->push_back(micadock::Send(id, backend, random() % 3 == 0 ? 0 : 0.001 * static_cast<double>(random() % 500)));
+          case 0:
+          case 1:
+          case 2:
+            out->push_back(micadock::Send(
+                id, backend, random() % 3 == 0 ? 0 : 0.001 * static_cast<double>(random() % 500)));
+            break;
+          case 3:
+          case 4: out->push_back(micadock::Of(ActionKind::kCancel, id, attempt)); break;
+          case 5:
+            out->push_back(micadock::Of(ActionKind::kRefuse, id, 0, 0.1 * static_cast<double>(random() % 3)));
             break;
-          case 3: case 4: out->push_back(micadock::Of(ActionKind::kCancel, id, attempt)); break;
-          case 5: out->push_back(micadock::Of(ActionKind::kRefuse, id, 0, 0.1 * static_cast<double>(random() % 3))); break;
           case 6: out->push_back(micadock::Of(ActionKind::kFail, id)); break;
-          case 7: out->push_back(micadock::Of(ActionKind::kTimer, 0, 0, 0.001 * static_cast<double>(random() % 300))); break;
+          case 7:
+            out->push_back(
+                micadock::Of(ActionKind::kTimer, 0, 0, 0.001 * static_cast<double>(random() % 300)));
+            break;
           default: out->push_back(micadock::CountUnits(random(), 1));
         }
       }
--- a/tests/core/real_module_test.cpp
+++ b/tests/core/real_module_test.cpp
@@ -1,5 +1,5 @@
-// The core round the real module, with events in any order: the same rules, and nothing without a second effect is sent
-// again once it may have run.
+// The core round the real module, with events in any order: the same rules, and nothing without a second
+// effect is sent again once it may have run.
 #include <gtest/gtest.h>
 
 #include <random>
--- a/tests/core/search.h
+++ b/tests/core/search.h
@@ -1,5 +1,5 @@
-// Every order of a few events: two requests, two backends, three attempts each, a drain and its end, a connection that
-// dies, a counter call, time. States that were met before are not gone on from.
+// Every order of a few events: two requests, two backends, three attempts each, a drain and its end, a
+// connection that dies, a counter call, time. States that were met before are not gone on from.
 #ifndef IVYGW_TESTS_CORE_SEARCH_H_
 #define IVYGW_TESTS_CORE_SEARCH_H_
 
@@ -31,15 +31,25 @@
   return {
       bytes({0, 1, 2, 0, 0, 99}),  // a request without a second effect, waited for 0.5 s
       bytes({0, 2, 0, 1, 0, 59}),  // a free one, 0.3 s
-      bytes({3, 0}), bytes({3, 1}),                          // its client leaves; the one before
-      bytes({4, 0}), bytes({4, 1}),                          // connected
-      bytes({7, 0}), bytes({7, 1}),                          // written
-      bytes({10, 0, 0, 1}), bytes({10, 0, 2, 1}), bytes({10, 1, 0, 0}),  // answered: served, not begun, served and closed
-      bytes({12, 0}), bytes({12, 1}),                        // the connection dies
-      bytes({13, 0}),                                        // found to have ended
-      bytes({14, 0, 3, 1}), bytes({14, 0, 0, 1}), bytes({14, 0, 5, 1}),  // backend 1 drains, is back, has gone
-      bytes({15, 0, 1}), bytes({15, 0, 2, 0}), bytes({15, 0, 0}),  // counter: written, answered, lost
-      bytes({16, 250}),                                      // 0.125 s pass
+      bytes({3, 0}),
+      bytes({3, 1}),  // its client leaves; the one before
+      bytes({4, 0}),
+      bytes({4, 1}),  // connected
+      bytes({7, 0}),
+      bytes({7, 1}),  // written
+      bytes({10, 0, 0, 1}),
+      bytes({10, 0, 2, 1}),
+      bytes({10, 1, 0, 0}),  // answered: served, not begun, served and closed
+      bytes({12, 0}),
+      bytes({12, 1}),  // the connection dies
+      bytes({13, 0}),  // found to have ended
+      bytes({14, 0, 3, 1}),
+      bytes({14, 0, 0, 1}),
+      bytes({14, 0, 5, 1}),  // backend 1 drains, is back, has gone
+      bytes({15, 0, 1}),
+      bytes({15, 0, 2, 0}),
+      bytes({15, 0, 0}),  // counter: written, answered, lost
+      bytes({16, 250}),   // 0.125 s pass
   };
 }
 
@@ -66,7 +76,8 @@
   };
   micadock::hooks.on_outcome = again;
   micadock::hooks.on_abandoned = [](uint32_t id, Actions* out) {
-    for (int attempt = 0; attempt < 3; ++attempt) out->push_back(micadock::Of(ActionKind::kCancel, id, attempt));
+    for (int attempt = 0; attempt < 3; ++attempt)
+      out->push_back(micadock::Of(ActionKind::kCancel, id, attempt));
   };
   auto end = std::chrono::steady_clock::now() + limit;
   SearchResult result;
--- a/tests/core/search_test.cpp
+++ b/tests/core/search_test.cpp
@@ -1,11 +1,12 @@
-// The exhaustive search, to a depth that takes seconds; IVYGW_SEARCH_S and IVYGW_SEARCH_DEPTH ask for more of it.
+// The exhaustive search, to a depth that takes seconds; IVYGW_SEARCH_S and IVYGW_SEARCH_DEPTH ask for more of
+// it.
+#include "core/search.h"
+
 #include <gtest/gtest.h>
 
 #include <cstdio>
 #include <cstdlib>
 
-#include "core/search.h"
-
 namespace ivygw::core {
 namespace {
 
--- a/tests/emulator/models_test.cpp
+++ b/tests/emulator/models_test.cpp
@@ -85,7 +85,8 @@
   for (int i = 0; i < 1000; ++i) counter.Call(0.01 * i, 0, "n" + std::to_string(i), 1, 60);
   counter.Lose(10, 0.4);
   int kept = 0;
-  for (int i = 0; i < 1000; ++i) kept += counter.Call(20 + 0.01 * i, 0, "n" + std::to_string(i), 0, 60).total > 0;
+  for (int i = 0; i < 1000; ++i)
+    kept += counter.Call(20 + 0.01 * i, 0, "n" + std::to_string(i), 0, 60).total > 0;
   EXPECT_NEAR(kept, 600, 60);
 }
 
@@ -239,7 +240,8 @@
     port.on_ask = [&](const ClientCall& call) {
       clients.OnWritten(call.id);
       if (status != 0) {
-        scheduler.After(0.01, [&, id = call.id] { clients.OnAnswer(id, status, status == 429 ? 1.5 : 0, 0); });
+        scheduler.After(0.01,
+                        [&, id = call.id] { clients.OnAnswer(id, status, status == 429 ? 1.5 : 0, 0); });
       }
     };
     clients.Start(&port);
--- a/tests/emulator/node_model_test.cpp
+++ b/tests/emulator/node_model_test.cpp
@@ -161,7 +161,8 @@
   spec.cold_from = 0.2;
   spec.warm_s = 10;
   Rig calm(spec, true), pushed(spec, true), warm(spec, false);
-  for (uint64_t i = 1; i <= 5; ++i) calm.Begin(0.01 * static_cast<double>(i), i, 0.08);  // 0.4 + the largest: borne
+  for (uint64_t i = 1; i <= 5; ++i)
+    calm.Begin(0.01 * static_cast<double>(i), i, 0.08);  // 0.4 + the largest: borne
   EXPECT_FALSE(calm.node.fallen());
   for (uint64_t i = 1; i <= 7; ++i) pushed.Begin(0.01 * static_cast<double>(i), i, 0.08);
   EXPECT_TRUE(pushed.node.fallen());
--- a/tests/fleet/lending_test.cpp
+++ b/tests/fleet/lending_test.cpp
@@ -1,5 +1,6 @@
-// Parts of one customer's ceiling lent among several processes of the program, with no counter to ask: killed, stopped past their
-// leases, cut off from the engine, joining and leaving, while clients ask for far more than the ceiling through all of them.
+// Parts of one customer's ceiling lent among several processes of the program, with no counter to ask:
+// killed, stopped past their leases, cut off from the engine, joining and leaving, while clients ask for far
+// more than the ceiling through all of them.
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -16,15 +17,17 @@
 // The ceiling's store by what the backend was sent, in the order and at the times at which it came there.
 class Metered {
  public:
-  Metered() : backend([this](const Message&, Wire&) {
-    std::lock_guard lock(mutex_);
-    double now = std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-    holds_ = std::min(kStore, holds_ + (at_ > 0 ? kRate * (now - at_) : 0)) - 1;
-    at_ = now;
-    least_ = std::min(least_, holds_);
-    ++sent_;
-    return Ok("done");
-  }) {}
+  Metered()
+      : backend([this](const Message&, Wire&) {
+          std::lock_guard lock(mutex_);
+          double now =
+              std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+          holds_ = std::min(kStore, holds_ + (at_ > 0 ? kRate * (now - at_) : 0)) - 1;
+          at_ = now;
+          least_ = std::min(least_, holds_);
+          ++sent_;
+          return Ok("done");
+        }) {}
   double least() {
     std::lock_guard lock(mutex_);
     return least_;
@@ -54,7 +57,8 @@
     options.change = [](json* config) {
       (*config)["fleet"]["lending"] = {{"turn_s", 1}};
       (*config)["settings"]["specifics"]["may-count"] = false;
-      (*config)["settings"]["specifics"]["units-top"] = 1;  // a small share holds the largest request: no turns
+      (*config)["settings"]["specifics"]["units-top"] =
+          1;  // a small share holds the largest request: no turns
       json& plan = (*config)["settings"]["tiers-of-service"][0];
       plan["units-per-s"] = kRate;
       plan["store-size"] = 1e6;  // the quota refuses nothing: it is the ceiling that is looked at
@@ -65,7 +69,8 @@
     return options;
   }
   static std::string Name(int i) { return "g" + std::to_string(i); }
-  // A client that asks through this gateway, again and again, until all is over. Connections that end are opened anew.
+  // A client that asks through this gateway, again and again, until all is over. Connections that end are
+  // opened anew.
   void Flood(const std::string& name) {
     int port = fleet.of(name).port;
     clients_.emplace_back([this, port, name] {
@@ -84,9 +89,13 @@
     over_ = true;
     for (auto& client : std::exchange(clients_, {})) client.join();
   }
-  long Thousandths(const std::string& name) { return FiguresOf(fleet.of(name).admin)["fleet_loans_shares_thousandths"]; }
+  long Thousandths(const std::string& name) {
+    return FiguresOf(fleet.of(name).admin)["fleet_loans_shares_thousandths"];
+  }
   bool AllHold(const std::vector<std::string>& names, long least) {
-    return InTheEnd([&] { return std::all_of(names.begin(), names.end(), [&](auto& n) { return Thousandths(n) >= least; }); });
+    return InTheEnd([&] {
+      return std::all_of(names.begin(), names.end(), [&](auto& n) { return Thousandths(n) >= least; });
+    });
   }
   // More is served, which the shares that are held now must allow.
   bool ServesOn(int more) {
@@ -164,7 +173,8 @@
   EXPECT_GE(metered.least(), -kSlack);
 }
 
-// The engine comes back as an old copy of itself in which nothing is lent, while all that was lent is still in use.
+// The engine comes back as an old copy of itself in which nothing is lent, while all that was lent is still
+// in use.
 TEST_P(Lending, AnEngineThatForgetsItsLoansLendsNothingTwice) {
   if (GetParam() != std::string("redis")) GTEST_SKIP() << "a file has no replica";
   for (int i = 0; i < 3; ++i) fleet.Start(Name(i));
@@ -181,6 +191,7 @@
   EXPECT_GE(metered.least(), -kSlack);
 }
 
-INSTANTIATE_TEST_SUITE_P(Of, Lending, testing::Values("sqlite", "redis"), [](const auto& param) { return std::string(param.param); });
+INSTANTIATE_TEST_SUITE_P(Of, Lending, testing::Values("sqlite", "redis"),
+                         [](const auto& param) { return std::string(param.param); });
 
 }  // namespace
--- a/tests/fleet/members_test.cpp
+++ b/tests/fleet/members_test.cpp
@@ -1,4 +1,5 @@
-// Who is there, with several processes of the program: killed, stopped past their leases, begun anew, under one name.
+// Who is there, with several processes of the program: killed, stopped past their leases, begun anew, under
+// one name.
 #include <algorithm>
 #include <functional>
 #include <tuple>
@@ -105,7 +106,8 @@
   EXPECT_EQ(FiguresOf(fleet.of("g1").admin)["fleet_sure"], 1) << "the first is the one";
   EXPECT_TRUE(AllSee(All()));
   fleet.Kill("g1");
-  EXPECT_TRUE(InTheEnd([&] { return FiguresOf(second.admin)["fleet_sure"] == 1; })) << "once the first has gone it takes the place";
+  EXPECT_TRUE(InTheEnd([&] { return FiguresOf(second.admin)["fleet_sure"] == 1; }))
+      << "once the first has gone it takes the place";
 }
 
 // The engine's file is gone, and begun anew by who comes: all join again, and fences do not fall.
@@ -129,8 +131,8 @@
   Apart(All());
 }
 
-// Links to the engine, of half of the gateways: cut off, deaf, dumb, slow. Who can't renew knows before the others do, and
-// all are one fleet again afterwards.
+// Links to the engine, of half of the gateways: cut off, deaf, dumb, slow. Who can't renew knows before the
+// others do, and all are one fleet again afterwards.
 TEST_P(Members, HalfAreCutFromTheEngine) {
   if (!redis()) GTEST_SKIP() << "a file has no link";
   using ivygw::standin::Relay;
@@ -149,9 +151,11 @@
     std::set<std::string> left = All(cut);
     for (int i : cut) {
       EXPECT_TRUE(InTheEnd([&] { return FiguresOf(fleet.of(Name(i)).admin)["fleet_sure"] == 0; })) << Name(i);
-      EXPECT_TRUE(InTheEnd([&] { return FiguresOf(fleet.of(Name(i)).admin)["fleet_counts"] == 0; })) << Name(i);
+      EXPECT_TRUE(InTheEnd([&] { return FiguresOf(fleet.of(Name(i)).admin)["fleet_counts"] == 0; }))
+          << Name(i);
     }
-    for (const std::string& name : left) EXPECT_TRUE(InTheEnd([&] { return fleet.Seen(name) == left; })) << name;
+    for (const std::string& name : left)
+      EXPECT_TRUE(InTheEnd([&] { return fleet.Seen(name) == left; })) << name;
     fleet.redis().MendAll();
     EXPECT_TRUE(AllSee(All()));
     Apart(All());
@@ -175,8 +179,10 @@
   Apart(All());
 }
 
-INSTANTIATE_TEST_SUITE_P(Of, Members, testing::Combine(testing::Values(3, 8), testing::Values("sqlite", "redis")), [](const auto& of) {
-  return std::to_string(std::get<0>(of.param)) + "_" + std::get<1>(of.param);
-});
+INSTANTIATE_TEST_SUITE_P(Of, Members,
+                         testing::Combine(testing::Values(3, 8), testing::Values("sqlite", "redis")),
+                         [](const auto& of) {
+                           return std::to_string(std::get<0>(of.param)) + "_" + std::get<1>(of.param);
+                         });
 
 }  // namespace
--- a/tests/fleet/takeover_test.cpp
+++ b/tests/fleet/takeover_test.cpp
@@ -1,6 +1,6 @@
-// Works in hand that survive the loss of their gateway, with several processes of the program on one shared SQLite
-// file, or the stand-in of Redis: the owner is killed, or stopped past its lease, at every step of a work's
-// life.
+// Works in hand that survive the loss of their gateway, with several processes of the program on one shared
+// SQLite file, or the stand-in of Redis: the owner is killed, or stopped past its lease, at every step of a
+// work's life.
 #include <sqlite3.h>
 
 #include "rig/fleet_rig.h"
@@ -19,8 +19,11 @@
   bool kill;  // else it is stopped until another has answered, and goes on then
   const char* engine;
 };
-constexpr int kSteps = 9;  // of a work's life: taken, read, its intent written, sent, answered, its outcome written
-void PrintTo(const Case& c, std::ostream* out) { *out << c.cls << (c.kill ? " killed " : " stopped ") << c.engine; }
+constexpr int kSteps =
+    9;  // of a work's life: taken, read, its intent written, sent, answered, its outcome written
+void PrintTo(const Case& c, std::ostream* out) {
+  *out << c.cls << (c.kill ? " killed " : " stopped ") << c.engine;
+}
 class AtEveryStep : public testing::TestWithParam<Case> {};
 
 TEST_P(AtEveryStep, AnotherTakesTheWorkOverOnce) {
@@ -85,7 +88,8 @@
       EXPECT_EQ(effects.runs(key), 1);
     }
   }
-  std::printf("%s, %s: %d steps, served %d, uncertain %d\n", c.cls, c.kill ? "killed" : "stopped", kSteps, served, uncertain);
+  std::printf("%s, %s: %d steps, served %d, uncertain %d\n", c.cls, c.kill ? "killed" : "stopped", kSteps,
+              served, uncertain);
   EXPECT_EQ(served + uncertain, kSteps);
   // From when the attempt is durable until the outcome is.
   EXPECT_LE(uncertain, unsafe ? 5 : 0);
@@ -222,7 +226,8 @@
   other.replace(other.find("00000000b4d65521"), 16, "00000000b4d65522");
   EXPECT_EQ(Ask(*fleet.of("g1").Connect(), other).status(), 200);
   EXPECT_EQ(effects.attempts("k"), 2);
-  EXPECT_EQ(Ask(*fleet.of("g1").Connect(), Request("send-lead", 1, 3000, "", "b")).Header("Work"), "") << "without a key all is as it was";
+  EXPECT_EQ(Ask(*fleet.of("g1").Connect(), Request("send-lead", 1, 3000, "", "b")).Header("Work"), "")
+      << "without a key all is as it was";
 }
 
 TEST(TakeOver, AnAnswerTooLongToBeKeptIsNotGotAgain) {
@@ -269,7 +274,8 @@
   sqlite3* file = nullptr;
   ASSERT_EQ(sqlite3_open(fleet.file().c_str(), &file), SQLITE_OK);
   sqlite3_busy_timeout(file, 10000);
-  ASSERT_EQ(sqlite3_exec(file, "BEGIN EXCLUSIVE", nullptr, nullptr, nullptr), SQLITE_OK) << sqlite3_errmsg(file);
+  ASSERT_EQ(sqlite3_exec(file, "BEGIN EXCLUSIVE", nullptr, nullptr, nullptr), SQLITE_OK)
+      << sqlite3_errmsg(file);
   for (const char* cls : {"save-scenario", "send-lead"}) {
     Message answer = Ask(*fleet.of("g0").Connect(), Own(cls, "k"));
     EXPECT_EQ(answer.status(), 503) << cls;
@@ -283,7 +289,8 @@
   EXPECT_EQ(FiguresOf(fleet.of("g0").admin)["fleet_works_refused"], 2);
   ASSERT_EQ(sqlite3_exec(file, "COMMIT", nullptr, nullptr, nullptr), SQLITE_OK);
   sqlite3_close(file);
-  EXPECT_TRUE(InTheEnd([&] { return Ask(*fleet.of("g0").Connect(), Own("send-lead", "k2")).status() == 200; }));
+  EXPECT_TRUE(
+      InTheEnd([&] { return Ask(*fleet.of("g0").Connect(), Own("send-lead", "k2")).status() == 200; }));
 }
 
 }  // namespace
--- a/tests/gateway/command_line_test.cpp
+++ b/tests/gateway/command_line_test.cpp
@@ -27,8 +27,8 @@
   TemporaryFile file(bad.dump());
   Ran ran = RunProgram(IVYGW, {"--config", file.path(), "--check"});
   EXPECT_EQ(ran.status, 1);
-  for (const char* field : {"listen=nowhere", "seed=not hex", "limits.sockets", "known: ", "invariants.cold-from",
-                            "request-classes.1.effect=odd", "limits.try-limit=1.5"}) {
+  for (const char* field : {"listen=nowhere", "seed=not hex", "limits.sockets", "known: ",
+                            "invariants.cold-from", "request-classes.1.effect=odd", "limits.try-limit=1.5"}) {
     EXPECT_NE(ran.out.find(field), std::string::npos) << field << " in\n" << ran.out;
   }
   EXPECT_EQ(std::count(ran.out.begin(), ran.out.end(), '\n'), 7) << ran.out;
@@ -41,7 +41,10 @@
     TemporaryFile file(config.dump());
     return RunProgram(IVYGW, {"--config", file.path(), "--check"});
   };
-  EXPECT_EQ(check({{"kind", "redis"}, {"username", "gw"}, {"password", "x"}, {"database", 2}, {"prefix", "gw:"}}).status, 0);
+  EXPECT_EQ(
+      check({{"kind", "redis"}, {"username", "gw"}, {"password", "x"}, {"database", 2}, {"prefix", "gw:"}})
+          .status,
+      0);
   EXPECT_EQ(check({{"kind", "tally"}}).status, 0);
   for (const auto& [access, word] : std::vector<std::pair<json, std::string>>{
            {{{"kind", "etcd"}}, "counter_access.kind=etcd"},
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,10 +1,10 @@
 // The gateway over loopback sockets: each trap that its code guards against, seen from outside.
 #include <memory>
 
-#include "rig/counter_calls.h"
-#include "rig/site_rig.h"
 #include "net/counter_client.h"
 #include "net/discovery_client.h"
+#include "rig/counter_calls.h"
+#include "rig/site_rig.h"
 
 namespace {
 
@@ -88,15 +88,27 @@
   std::string length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n", chunked = "chunked\r\n";
   std::string coding = "Transfer-Encoding: ";
   post.resize(post.size() - 2);
-  for (const std::string& lines :
-       {length + coding + chunked, coding + chunked + length, coding + "identity\r\n" + length,
-        length + coding + "identity\r\n", coding + "gzip, " + chunked, coding + "chunked, gzip\r\n",
-        coding + "identity\r\n", coding + "gzip\r\n" + coding + chunked, coding + "\r\n", length + length,
-        length + "Content-Length: 3\r\n", std::string("Content-Length: -1\r\n"),
-        std::string("Content-Length: 3, 3\r\n"), std::string("Content-Length: +3\r\n"),
-        std::string("Content-Length: 18446744073709551617\r\n"), std::string("X-Odd: a\r\n folded\r\n"),
-        std::string("X-Odd: a\r\n\tfolded\r\n"), std::string("X-Odd : a\r\n"), std::string("X-Odd\r\n"),
-        std::string("X-Odd: a\nb: c\r\n"), "Content-Length : 3\r\n" + length}) {
+  for (const std::string& lines : {length + coding + chunked,
+                                   coding + chunked + length,
+                                   coding + "identity\r\n" + length,
+                                   length + coding + "identity\r\n",
+                                   coding + "gzip, " + chunked,
+                                   coding + "chunked, gzip\r\n",
+                                   coding + "identity\r\n",
+                                   coding + "gzip\r\n" + coding + chunked,
+                                   coding + "\r\n",
+                                   length + length,
+                                   length + "Content-Length: 3\r\n",
+                                   std::string("Content-Length: -1\r\n"),
+                                   std::string("Content-Length: 3, 3\r\n"),
+                                   std::string("Content-Length: +3\r\n"),
+                                   std::string("Content-Length: 18446744073709551617\r\n"),
+                                   std::string("X-Odd: a\r\n folded\r\n"),
+                                   std::string("X-Odd: a\r\n\tfolded\r\n"),
+                                   std::string("X-Odd : a\r\n"),
+                                   std::string("X-Odd\r\n"),
+                                   std::string("X-Odd: a\nb: c\r\n"),
+                                   "Content-Length : 3\r\n" + length}) {
     auto client = site.gateway->Connect();
     EXPECT_EQ(Ask(*client, post + lines + "\r\n" + hidden).status(), 400) << lines;
     EXPECT_TRUE(client->Ended()) << lines;
@@ -145,7 +157,8 @@
   auto begin = std::chrono::steady_clock::now();
   for (auto& wire : bad) EXPECT_TRUE(wire->Ended());
   EXPECT_TRUE(kept->Ended());
-  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(kLimitS / 2)) << "by its own doing";
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(kLimitS / 2))
+      << "by its own doing";
 }
 
 // Half requests fill the table no more than idle connections do.
--- a/tests/gateway/long_bodies_test.cpp
+++ b/tests/gateway/long_bodies_test.cpp
@@ -1,5 +1,5 @@
-// Long bodies through a running gateway, over loopback sockets: both ways, in every framing, slow, broken off, many at
-// once.
+// Long bodies through a running gateway, over loopback sockets: both ways, in every framing, slow, broken
+// off, many at once.
 #include <random>
 
 #include "rig/site_rig.h"
@@ -67,7 +67,8 @@
   return m;
 }
 
-// A backend that reads messages in any framing and answers each by `answer`; an empty answer ends the connection.
+// A backend that reads messages in any framing and answers each by `answer`; an empty answer ends the
+// connection.
 class AnyBackend {
  public:
   using Answer = std::function<std::string(const Message&, Wire&)>;
@@ -109,7 +110,9 @@
     switch (framing.load()) {
       case 0: return Ok(body, "X-Note: kept\r\n");
       case 1: return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + InChunks(body, 100001);
-      case 2: return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + InChunks(body, 77);
+      case 2:
+        return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               InChunks(body, 77);
       default: wire.Write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body); return "";
     }
   });
@@ -209,7 +212,9 @@
   std::string body = Long(2 << 20);
   for (bool chunked : {false, true}) {
     AnyBackend backend([&](const Message&, Wire& wire) {
-      std::string text = chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + InChunks(body, 50000) : Ok(body);
+      std::string text = chunked
+                             ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + InChunks(body, 50000)
+                             : Ok(body);
       wire.Write(text.substr(0, text.size() / 2));
       return std::string();
     });
@@ -250,11 +255,12 @@
   EXPECT_EQ(Ask(*site.gateway->Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
 }
 
-// Clients who take in nothing, of answers that together are far more than the memory: what has begun waits in the
-// backends, and all of it comes in the end.
+// Clients who take in nothing, of answers that together are far more than the memory: what has begun waits in
+// the backends, and all of it comes in the end.
 TEST(LongBodies, ManyAtOnceStayWithinTheMemory) {
   std::string body = Long(8 << 20);
-  AnyBackend backend([&](const Message& m, Wire&) { return Ok(m.head.substr(0, 3) == "GET" ? body : "got"); });
+  AnyBackend backend(
+      [&](const Message& m, Wire&) { return Ok(m.head.substr(0, 3) == "GET" ? body : "got"); });
   json config = Config(0, 0);
   config["limits"]["memory_mb"] = 32;
   config["settings"]["tiers-of-service"][0]["units-per-s"] = 1000.0;
@@ -282,7 +288,8 @@
 TEST(LongBodies, AnyBodiesInAnyPieces) {
   AnyBackend backend([&](const Message& m, Wire&) -> std::string {
     return m.body.size() % 2 == 0 ? Ok(m.body)
-                                  : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + InChunks(m.body, 1 + m.body.size() / 3);
+                                  : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                        InChunks(m.body, 1 + m.body.size() / 3);
   });
   json config = Config(0, 0);
   config["settings"]["tiers-of-service"][0]["units-per-s"] = 1000.0;
@@ -291,11 +298,13 @@
   auto client = site.gateway->Connect();
   std::mt19937 dice(11);
   for (int i = 0; i < 60; ++i) {
-    size_t size = std::array<size_t, 5>{dice() % 10, dice() % 5000, 65530 + dice() % 12, dice() % 300000, dice() % 3000000}[dice() % 5];
+    size_t size = std::array<size_t, 5>{dice() % 10, dice() % 5000, 65530 + dice() % 12, dice() % 300000,
+                                        dice() % 3000000}[dice() % 5];
     std::string body = Long(size, dice()), head = Request("send-lead");
     head.resize(head.size() - 2);
-    std::string text = dice() % 2 == 0 ? head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + body
-                                       : head + "Transfer-Encoding: chunked\r\n\r\n" + InChunks(body, 1 + dice() % 60000);
+    std::string text = dice() % 2 == 0
+                           ? head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + body
+                           : head + "Transfer-Encoding: chunked\r\n\r\n" + InChunks(body, 1 + dice() % 60000);
     size_t first = dice() % text.size();
     client->Write(text.substr(0, first));
     Writing writing(client.get(), text.substr(first));
--- a/tests/gateway/operators_test.cpp
+++ b/tests/gateway/operators_test.cpp
@@ -120,7 +120,10 @@
     switch (mode.load()) {
       case 1: return "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
       case 2: return "";  // a reset
-      case 3: held.Add(); go.Wait(); return Ok("x");
+      case 3:
+        held.Add();
+        go.Wait();
+        return Ok("x");
       case 4: held.Add(); return wire.Ended(), "";
       default: return Ok("x");
     }
@@ -128,8 +131,9 @@
   Site site(json::array({Entry("s1", backend.port())}), WithAdmin());
   int admin = site.gateway->admin;
   std::map<std::string, long> none = Vars(admin);
-  for (const char* figure : {"success.quote", "busy.quote", "failure.quote", "success.save-scenario", "busy.send-lead",
-                             "failure.send-lead", "backend_calls", "inflight", "hosts_down"}) {
+  for (const char* figure :
+       {"success.quote", "busy.quote", "failure.quote", "success.save-scenario", "busy.send-lead",
+        "failure.send-lead", "backend_calls", "inflight", "hosts_down"}) {
     ASSERT_EQ(none.count(figure), 1u) << figure;
     EXPECT_EQ(none[figure], 0) << figure;
   }
@@ -146,7 +150,8 @@
   mode = 2;
   ask("send-lead", Request("send-lead"));
   mode = 0;
-  ask("quote", "POST /quote HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");  // bad input, its class is known
+  ask("quote",
+      "POST /quote HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");  // bad input, its class is known
   mode = 3;
   auto waiting = site.gateway->Connect();
   waiting->Write(Request("quote"));
@@ -197,7 +202,8 @@
   EXPECT_EQ(Told(admin, "set-up s2"), "+OK\n");
   EXPECT_EQ(Told(admin, "set-up s1"), "+OK\n") << "a single call back";
   EXPECT_EQ(Vars(admin)["hosts_down"], 0);
-  EXPECT_TRUE(Comes([&] { return Ask(*client, Request("quote")).status() == 200 && one.requests.count() > 0; }));
+  EXPECT_TRUE(
+      Comes([&] { return Ask(*client, Request("quote")).status() == 200 && one.requests.count() > 0; }));
 }
 
 TEST(Operators, DrainEmptiesTheGatewayAndBack) {
@@ -247,7 +253,12 @@
   Directory shared;
   const std::map<std::string, std::string> environment = {{"LB_LISTEN_FD", "3"}, {"TMPDIR", shared.path}};
   Backend one{Says(Ok("one"))}, two{Says(Ok("two"))};
-  Site site{json::array({Entry("s1", one.port()), Entry("s2", two.port())}), Listening(), IVYGW, 0, environment, socket.fd};
+  Site site{json::array({Entry("s1", one.port()), Entry("s2", two.port())}),
+            Listening(),
+            IVYGW,
+            0,
+            environment,
+            socket.fd};
 };
 
 // Two processes on one socket under requests; the old one gets SIGTERM when the new one says yes.
@@ -315,7 +326,9 @@
   serves();
   EXPECT_EQ(one.requests.count(), 0);
   EXPECT_EQ(Told(site.gateway->admin, "set-up s1"), "+OK\n");
-  EXPECT_TRUE(Comes([&] { return Ask(*Wire::To(socket.port), Request("quote")).status() == 200 && one.requests.count() > 0; }));
+  EXPECT_TRUE(Comes([&] {
+    return Ask(*Wire::To(socket.port), Request("quote")).status() == 200 && one.requests.count() > 0;
+  }));
 }
 
 // A file of the directory that is torn or of another form: one line in the log, and the gateway serves.
@@ -369,7 +382,8 @@
     EXPECT_EQ(process.Exit(), 1);
     return process.line;
   };
-  EXPECT_EQ(line(socket.fd, "3"), "ivygw: LB_LISTEN_FD=3 does not listen on the address in the configuration");
+  EXPECT_EQ(line(socket.fd, "3"),
+            "ivygw: LB_LISTEN_FD=3 does not listen on the address in the configuration");
   EXPECT_EQ(line(-1, "3"), "ivygw: LB_LISTEN_FD=3 is no listening socket");
   EXPECT_EQ(line(1, "3"), "ivygw: LB_LISTEN_FD=3 is no listening socket");
   EXPECT_EQ(line(socket.fd, "three"), "ivygw: LB_LISTEN_FD is no descriptor: three");
--- a/tests/gateway/quota_bound_test.cpp
+++ b/tests/gateway/quota_bound_test.cpp
@@ -22,8 +22,9 @@
 }
 
 TEST(QuotaBound, IsWorkedFromTheSettings) {
-  EXPECT_DOUBLE_EQ(Bound(3).Whatever(10), 2 * (8 + 40) + 3 * 8);  // two further stores, one each at a window's end
-  EXPECT_NEAR(Bound(3).Silent(60), 80 + 1.44 + 120, 1e-9);        // stores and old shares, notice, half of the rate
+  EXPECT_DOUBLE_EQ(Bound(3).Whatever(10),
+                   2 * (8 + 40) + 3 * 8);                   // two further stores, one each at a window's end
+  EXPECT_NEAR(Bound(3).Silent(60), 80 + 1.44 + 120, 1e-9);  // stores and old shares, notice, half of the rate
   EXPECT_NEAR(Bound(3).Frozen(60) - Bound(3).Silent(60), 24, 1e-9);
   EXPECT_DOUBLE_EQ(Bound(3).Whatever(10, 2) - Bound(3).Whatever(10), 2 * 2 * kBurst);
   EXPECT_DOUBLE_EQ(Bound(3).Silent(10, 2) - Bound(3).Silent(10), 2 * kBurst);
@@ -33,14 +34,16 @@
   s.plans[0].ceiling_burst = 16;
   s.plans[0].ceiling_slack = 4;
   EXPECT_DOUBLE_EQ(BoundOf(s, s.plans[0], 3).Silent(10), 16 + 0.95 * 4 - 8 + 4 * 10);
-  EXPECT_DOUBLE_EQ(BoundOf(s, s.plans[0], 3).ceiling_whatever.Over(10), 2 * 19.8 - 8 + (16 - 4) * 10) << "half is reserved";
+  EXPECT_DOUBLE_EQ(BoundOf(s, s.plans[0], 3).ceiling_whatever.Over(10), 2 * 19.8 - 8 + (16 - 4) * 10)
+      << "half is reserved";
   EXPECT_DOUBLE_EQ(BoundOf(s, s.plans[0], 3).ceiling_loss, 19.8 / 4);
   s.may_count = false;
-  EXPECT_DOUBLE_EQ(BoundOf(s, s.plans[0], 3).Whatever(10), 16 + 0.95 * 4 - 8 + 4 * 10) << "nothing is: no counter can harm it";
+  EXPECT_DOUBLE_EQ(BoundOf(s, s.plans[0], 3).Whatever(10), 16 + 0.95 * 4 - 8 + 4 * 10)
+      << "nothing is: no counter can harm it";
 }
 
-// Over so many that an even part holds no request all of the ceiling is reserved at the counter: by hand, with a store of
-// 19.8, 100 gateways and requests of 8 at most.
+// Over so many that an even part holds no request all of the ceiling is reserved at the counter: by hand,
+// with a store of 19.8, 100 gateways and requests of 8 at most.
 TEST(QuotaBound, OfACeilingThatIsReserved) {
   Settings s = QuotaSite(100);
   s.plans[0].ceiling_rate = 8;
@@ -83,8 +86,9 @@
   }
 }
 
-// Gateways that are asked for far more than the quota, one after the other, just before a window's end and after it.
-// `before(step)` may tamper with the counts. Returns what was sent on beyond the quota in the stretch.
+// Gateways that are asked for far more than the quota, one after the other, just before a window's end and
+// after it. `before(step)` may tamper with the counts. Returns what was sent on beyond the quota in the
+// stretch.
 struct Rush {
   int gateways = 3, steps = 200;  // of each gateway
   bool in_turn = false;           // each step is another gateway's, and not 200 of one and then the next
@@ -117,8 +121,8 @@
   }
 };
 
-// Emptied twice in the middle of a flood at a window's end, which comes through one gateway after the other: more than
-// half of the bound is used, none is passed.
+// Emptied twice in the middle of a flood at a window's end, which comes through one gateway after the other:
+// more than half of the bound is used, none is passed.
 TEST(Emptied, UsesHalfOfTheStatedBoundAndNoMore) {
   Rush rush;
   rush.before = [&](int step, Counter* counter) {
@@ -158,8 +162,8 @@
   EXPECT_GE(most, 0.5 * bound);
 }
 
-// The part that holds the window's name is silent, the one that holds the next window's is not. The partner is met in
-// silence, by gateways that know the plan's customers for modest ones.
+// The part that holds the window's name is silent, the one that holds the next window's is not. The partner
+// is met in silence, by gateways that know the plan's customers for modest ones.
 TEST(OnePartSilent, UsesHalfOfTheStatedBoundAndNoMore) {
   Rush rush;
   rush.in_turn = true;
@@ -167,7 +171,9 @@
   rush.steps = 2000;
   rush.start = 200 + 0.97 * kWindow;
   rush.stretch = 0.3 * kWindow;
-  rush.fate = [](int, double now) { return Fate{now < 200 + kWindow ? Result::kTimeout : Result::kOk, true}; };
+  rush.fate = [](int, double now) {
+    return Fate{now < 200 + kWindow ? Result::kTimeout : Result::kOk, true};
+  };
   rush.prepare = MeetOthers;
   double excess = rush.Excess(), bound = Bound(3).Whatever(rush.stretch);
   EXPECT_LE(excess, bound);
--- a/tests/ledger/book_test.cpp
+++ b/tests/ledger/book_test.cpp
@@ -170,7 +170,8 @@
     EXPECT_EQ(r.last_prior.backend, "s1");
     EXPECT_EQ(r.last_prior.zone, 1);
     EXPECT_EQ(r.last_prior.cell, 2);
-    EXPECT_GE(r.last_prior.ran_age_s, WorksRig::kLease + 0.1 + 0.249) << "by the engine's clock, and the most of a pause";
+    EXPECT_GE(r.last_prior.ran_age_s, WorksRig::kLease + 0.1 + 0.249)
+        << "by the engine's clock, and the most of a pause";
     EXPECT_EQ(r.sent, effect == Effect::kUnsafe ? 1 : 2);
     if (effect == Effect::kUnsafe) {
       EXPECT_EQ(r.At(1).answers.at(0).status, 502);
@@ -198,7 +199,7 @@
 TEST(Book, WhoWakesAfterItsWorkWasClaimedSendsNothing) {
   WorksRig r(2, Effect::kUnsafe);
   r.AskAt(0, 1);
-  r.Execute(0), r.Deliver(0);          // read up, and the intent is on its way
+  r.Execute(0), r.Deliver(0);  // read up, and the intent is on its way
   double paused_at = r.now;
   r.now += WorksRig::kLease + 0.1;
   r.Place(1);
@@ -207,7 +208,8 @@
   EXPECT_EQ(r.sent, 1);
   r.Outcome(1, 0, true);
   r.Settle(1);
-  r.Settle(0);  // the intent comes to the engine now: the place is no longer its own, and the record has changed
+  r.Settle(
+      0);  // the intent comes to the engine now: the place is no longer its own, and the record has changed
   EXPECT_EQ(r.sent, 1);
   ASSERT_EQ(r.At(0).answers.size(), 1u);
   EXPECT_EQ(r.At(0).answers[0].body, "effect 1") << "its client hears the one outcome";
@@ -309,7 +311,8 @@
   int closes = 0;
   for (int i : {1, 2}) {
     Decisions out;
-    r.At(i).book->OnGone(r.now, boot, [i](const std::string&) { return i == 2; }, &out);
+    r.At(i).book->OnGone(
+        r.now, boot, [i](const std::string&) { return i == 2; }, &out);
     r.Do(i, std::move(out));
     r.Settle(i);
   }
@@ -326,15 +329,16 @@
   EXPECT_EQ(r.store.Take(shared::Range("open/"), r.now).entries.size(), 0u);
 }
 
-// Each call of a work's life, and of a second client's at another gateway, fails in each way at each place: one final
-// answer each, and what may have been done is settled by reading.
+// Each call of a work's life, and of a second client's at another gateway, fails in each way at each place:
+// one final answer each, and what may have been done is settled by reading.
 TEST(Book, TheNthCallFailsInEachWay) {
   enum Way { kNotDone, kMaybeNot, kMaybeDone, kNothing, kNothingDone, kWays };
   int settled = 0;
   for (Effect effect : {Effect::kSafe, Effect::kKeyed, Effect::kUnsafe}) {
     for (int way = 0; way < kWays; ++way) {
       for (int n = 1; n <= 12; ++n) {
-        SCOPED_TRACE(testing::Message() << "class " << static_cast<int>(effect) << " way " << way << " call " << n);
+        SCOPED_TRACE(testing::Message()
+                     << "class " << static_cast<int>(effect) << " way " << way << " call " << n);
         WorksRig r(2, effect, 5);
         int calls = 0;
         auto run = [&](int i, size_t answers) {
@@ -346,8 +350,9 @@
                 g.calls.pop_front();
                 bool writes = under.ask.call.kind == shared::CallKind::kCommit;
                 if (way == kMaybeDone || way == kNothingDone) r.store.Take(under.ask.call, r.now);
-                shared::Reply reply = way == kNotDone || !writes ? shared::NotDone(shared::Fault::kUnreachable, "test")
-                                                                 : shared::MaybeDone(shared::Fault::kUnreachable, "test");
+                shared::Reply reply = way == kNotDone || !writes
+                                          ? shared::NotDone(shared::Fault::kUnreachable, "test")
+                                          : shared::MaybeDone(shared::Fault::kUnreachable, "test");
                 if (way == kNotDone || way == kMaybeNot || way == kMaybeDone) {
                   Decisions out;
                   g.book->OnReply(r.now, under.ask.number, reply, &out);
--- a/tests/ledger/search_test.cpp
+++ b/tests/ledger/search_test.cpp
@@ -1,11 +1,12 @@
-// Every order of steps of one work: an owner that may pause anywhere, two gateways to which its client comes back, calls
-// whose answers are lost, a lease that ends, and, in a search of its own, an engine that loses a write it had acknowledged.
+// Every order of steps of one work: an owner that may pause anywhere, two gateways to which its client comes
+// back, calls whose answers are lost, a lease that ends, and, in a search of its own, an engine that loses a
+// write it had acknowledged.
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <set>
 #include <functional>
+#include <set>
 #include <unordered_set>
 
 #include "ledger/works_rig.h"
@@ -22,17 +23,20 @@
   std::optional<shared::MemoryStore> before;  // the engine's entries before its last write
 
   std::string Text() {
-    std::string text = std::to_string(asked[1]) + std::to_string(asked[2]) + std::to_string(losses) + std::to_string(not_run) +
-                       std::to_string(fail_overs) + std::to_string(lease_over) + std::to_string(came_back) + "/" +
-                       std::to_string(sent) + "," + std::to_string(may_have_run) + "," + std::to_string(effects) + ";";
+    std::string text = std::to_string(asked[1]) + std::to_string(asked[2]) + std::to_string(losses) +
+                       std::to_string(not_run) + std::to_string(fail_overs) + std::to_string(lease_over) +
+                       std::to_string(came_back) + "/" + std::to_string(sent) + "," +
+                       std::to_string(may_have_run) + "," + std::to_string(effects) + ";";
     for (auto& g : gateways) {
       text += g->book->Fingerprint() + "@" + std::to_string(g->slot) + (now < g->sure_until ? "s" : "-");
       for (auto& u : g->calls) {
         text += "c" + std::to_string(static_cast<int>(u.ask.call.kind)) + u.ask.call.key;
         for (auto& c : u.ask.call.batch.conditions) text += c.key + "@" + std::to_string(c.version) + ",";
-        for (auto& c : u.ask.call.batch.changes) text += c.key + "=" + (c.value ? Told({c.key, *c.value, 0, {}}) : "-") + ",";
+        for (auto& c : u.ask.call.batch.changes)
+          text += c.key + "=" + (c.value ? Told({c.key, *c.value, 0, {}}) : "-") + ",";
         if (u.reply) {
-          text += "r" + std::to_string(static_cast<int>(u.reply->outcome)) + "@" + std::to_string(u.reply->revision);
+          text += "r" + std::to_string(static_cast<int>(u.reply->outcome)) + "@" +
+                  std::to_string(u.reply->revision);
           for (auto& e : u.reply->entries) text += Told(e);
         }
       }
@@ -54,7 +58,8 @@
       size_t end = i;
       while (end < text.size() && std::isdigit(static_cast<unsigned char>(text[end]))) ++end;
       std::string version = text.substr(i, end - i);
-      out += version == "0" ? "0" : std::to_string(names.try_emplace(version, names.size() + 1).first->second);
+      out +=
+          version == "0" ? "0" : std::to_string(names.try_emplace(version, names.size() + 1).first->second);
       i = end;
     }
     return out;
@@ -110,8 +115,8 @@
         return true;
       });
     }
-    // The owner pauses anywhere: its call at the engine, its answer's way back and its bytes are steps of their own. Of the
-    // others a call and its answer are one step, or the answer is lost.
+    // The owner pauses anywhere: its call at the engine, its answer's way back and its bytes are steps of
+    // their own. Of the others a call and its answer are one step, or the answer is lost.
     for (int i = 0; i < 3; ++i) {
       auto execute = [i](State& n) {
         shared::MemoryStore before = n.store;
@@ -171,7 +176,8 @@
 TEST(Search, UnsafeWorkIsSentOnceInEveryOrder) {
   Search search(Effect::kUnsafe, 0);
   const Found& f = search.found;
-  std::printf("unsafe: %zu states, %zu with all answered, more than one that may have run in %zu\n", f.states, f.ends, f.second_sends);
+  std::printf("unsafe: %zu states, %zu with all answered, more than one that may have run in %zu\n", f.states,
+              f.ends, f.second_sends);
   EXPECT_GT(f.states, 5000u);
   EXPECT_LT(f.states, Search::kMost) << "all of them";
   EXPECT_GT(f.ends, 100u);
@@ -183,7 +189,8 @@
 TEST(Search, KeyedWorkGivesEachClientOneAnswer) {
   Search search(Effect::kKeyed, 0);
   const Found& f = search.found;
-  std::printf("keyed: %zu states, %zu with all answered; sent again within its group in %zu\n", f.states, f.ends, f.second_sends);
+  std::printf("keyed: %zu states, %zu with all answered; sent again within its group in %zu\n", f.states,
+              f.ends, f.second_sends);
   EXPECT_GT(f.states, 5000u);
   EXPECT_LT(f.states, Search::kMost) << "all of them";
   EXPECT_EQ(f.two_answers, 0u);
@@ -194,7 +201,8 @@
 TEST(Search, AnEngineThatLosesAnAcknowledgedWriteIsToldOfInTheDocuments) {
   Search search(Effect::kUnsafe, 1, 30000);
   const Found& f = search.found;
-  std::printf("unsafe, one acknowledged write lost: %zu states, more than one that may have run in %zu\n", f.states, f.second_sends);
+  std::printf("unsafe, one acknowledged write lost: %zu states, more than one that may have run in %zu\n",
+              f.states, f.second_sends);
   EXPECT_GT(f.second_sends, 0u) << "the promise would be wider than it is written";
   EXPECT_EQ(f.two_answers, 0u);
 }
--- a/tests/ledger/works_rig.h
+++ b/tests/ledger/works_rig.h
@@ -1,5 +1,6 @@
-// Gateways' ledgers round one engine in memory, each with a place of its own and a core that sends, once it may, and hears
-// what came of it. Every step is the test's: the engine does a call, a reply comes or is lost, bytes go out, a lease ends.
+// Gateways' ledgers round one engine in memory, each with a place of its own and a core that sends, once it
+// may, and hears what came of it. Every step is the test's: the engine does a call, a reply comes or is lost,
+// bytes go out, a lease ends.
 #ifndef IVYGW_TESTS_WORKS_RIG_H_
 #define IVYGW_TESTS_WORKS_RIG_H_
 
@@ -20,7 +21,7 @@
   struct Gateway {
     std::string name, boot;
     std::unique_ptr<Book> book;
-    uint64_t slot = 0;          // version of its place
+    uint64_t slot = 0;  // version of its place
     double sure_until = 0;
     struct Under {
       Ask ask;
@@ -32,14 +33,14 @@
       int attempt = 0;
       bool out = false;  // its bytes have gone
     };
-    std::vector<Send> sends;   // that may go, and those under way
+    std::vector<Send> sends;                // that may go, and those under way
     std::map<uint64_t, uint32_t> requests;  // by client
     struct Told {
       uint64_t client = 0;
       int status = 0;
       std::string body, why;
     };
-    std::vector<Told> answers;  // final ones
+    std::vector<Told> answers;         // final ones
     std::map<uint64_t, Told> waiting;  // held by the ledger
     uint32_t last_request = 0;
   };
@@ -49,8 +50,18 @@
     for (int i = 0; i < n; ++i) Join(i);
   }
   WorksRig(const WorksRig& other)
-      : patience_s(other.patience_s), life_s(other.life_s), lease_s(other.lease_s), now(other.now), store(other.store), sent(other.sent), effects(other.effects),
-        may_have_run(other.may_have_run), last_prior(other.last_prior), effect_(other.effect_), timeout_s_(other.timeout_s_), boots_(other.boots_) {
+      : patience_s(other.patience_s),
+        life_s(other.life_s),
+        lease_s(other.lease_s),
+        now(other.now),
+        store(other.store),
+        sent(other.sent),
+        effects(other.effects),
+        may_have_run(other.may_have_run),
+        last_prior(other.last_prior),
+        effect_(other.effect_),
+        timeout_s_(other.timeout_s_),
+        boots_(other.boots_) {
     for (const auto& from : other.gateways) {
       auto g = std::make_unique<Gateway>();
       g->name = from->name;
@@ -158,8 +169,10 @@
     if (s >= g.sends.size() || !g.sends[s].out) return false;
     auto send = g.sends[s];
     g.sends.erase(g.sends.begin() + static_cast<long>(s));
-    if (good) ++effects;
-    else --may_have_run;
+    if (good)
+      ++effects;
+    else
+      --may_have_run;
     g.book->OnAttemptEnded(now, send.request, send.attempt, good);
     for (auto& [client, request] : g.requests) {
       if (request != send.request) continue;
@@ -175,8 +188,10 @@
     g.requests.erase(client);
     Decisions out;
     bool goes = g.book->OnAnswer(now, client, status, "t", body, &out);
-    if (goes) g.answers.push_back({client, status, body, ""});
-    else g.waiting[client] = {client, status, body, ""};
+    if (goes)
+      g.answers.push_back({client, status, body, ""});
+    else
+      g.waiting[client] = {client, status, body, ""};
     Do(i, std::move(out));
   }
 
@@ -204,8 +219,10 @@
           if (request == told->request) client = c;
         }
         if (client == 0) continue;  // withdrawn
-        if (told->ok) g.sends.push_back({told->request, told->attempt, false});
-        else Finish(i, client, 503, "");
+        if (told->ok)
+          g.sends.push_back({told->request, told->attempt, false});
+        else
+          Finish(i, client, 503, "");
       } else if (auto* tell = std::get_if<Tell>(&d)) {
         g.waiting.erase(tell->client);
         g.answers.push_back({tell->client, tell->status, tell->body, tell->why});
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -1,5 +1,5 @@
-// Memberships of a fleet round one engine in virtual time: the program's own code under loss, pauses, kills, cuts,
-// fail-overs and clocks that jump. FleetModel watches the promises of membership.h at every step.
+// Memberships of a fleet round one engine in virtual time: the program's own code under loss, pauses, kills,
+// cuts, fail-overs and clocks that jump. FleetModel watches the promises of membership.h at every step.
 #include "membership/membership.h"
 
 #include <gtest/gtest.h>
@@ -18,7 +18,8 @@
 constexpr double kLease = 3, kHold = 6;
 
 struct Fleet {
-  explicit Fleet(int n, uint64_t seed = 1) : engine(&scheduler, seed), fleet(&scheduler, &engine, OptionsOf(), seed) {
+  explicit Fleet(int n, uint64_t seed = 1)
+      : engine(&scheduler, seed), fleet(&scheduler, &engine, OptionsOf(), seed) {
     for (int g = 0; g < n; ++g) fleet.Start(g);
   }
   static Options OptionsOf() {
@@ -45,8 +46,10 @@
   bool AllSee(size_t n) {
     for (size_t p = 0; p < fleet.processes(); ++p) {
       int process = static_cast<int>(p);
-      if (!fleet.alive(process) || fleet.paused(process) || fleet.of(process).phase() == Phase::kLeft) continue;
-      if (!fleet.of(process).Sure(fleet.ClockOf(process)) || fleet.of(process).Live().size() != n) return false;
+      if (!fleet.alive(process) || fleet.paused(process) || fleet.of(process).phase() == Phase::kLeft)
+        continue;
+      if (!fleet.of(process).Sure(fleet.ClockOf(process)) || fleet.of(process).Live().size() != n)
+        return false;
     }
     return true;
   }
@@ -115,8 +118,8 @@
   f.Sound();
 }
 
-// Who can't renew stops before its lease ends at the engine; the others go on counting it for a while, so that its part
-// and theirs never overlap.
+// Who can't renew stops before its lease ends at the engine; the others go on counting it for a while, so
+// that its part and theirs never overlap.
 TEST(Membership, TheCutOffStopInTimeAndComeBack) {
   for (bool one_way : {false, true}) {
     Fleet f(8);
@@ -191,7 +194,8 @@
   EXPECT_EQ(f.fleet.of(second).phase(), Phase::kTaken);
   EXPECT_TRUE(f.fleet.of(1).Sure(f.fleet.ClockOf(1)));
   f.fleet.Kill(1);
-  EXPECT_GE(f.Until(4, [&] { return f.fleet.of(second).phase() == Phase::kMember; }), 0) << "once the first one's lease has ended";
+  EXPECT_GE(f.Until(4, [&] { return f.fleet.of(second).phase() == Phase::kMember; }), 0)
+      << "once the first one's lease has ended";
   f.Sound();
 }
 
@@ -296,7 +300,8 @@
       };
       f.Run(30);
       f.engine.link(1) = {};
-      EXPECT_TRUE(f.fleet.of(1).Sure(f.fleet.ClockOf(1))) << "call " << nth << " way " << static_cast<int>(way);
+      EXPECT_TRUE(f.fleet.of(1).Sure(f.fleet.ClockOf(1)))
+          << "call " << nth << " way " << static_cast<int>(way);
       f.fleet.Leave(1);
       f.Run(2 * kLease);
       EXPECT_TRUE(f.AllSee(2)) << "call " << nth << " way " << static_cast<int>(way);
@@ -318,9 +323,14 @@
       size_t g = random.Below(6);
       int p = at[g];
       switch (random.Below(12)) {
-        case 0: f.fleet.Kill(p); at[g] = f.fleet.Start(static_cast<int>(g)); break;
+        case 0:
+          f.fleet.Kill(p);
+          at[g] = f.fleet.Start(static_cast<int>(g));
+          break;
         case 1: f.fleet.Kill(p); break;
-        case 2: if (!f.fleet.alive(p)) at[g] = f.fleet.Start(static_cast<int>(g)); break;
+        case 2:
+          if (!f.fleet.alive(p)) at[g] = f.fleet.Start(static_cast<int>(g));
+          break;
         case 3: f.fleet.Pause(p); break;
         case 4: f.fleet.Resume(p); break;
         case 5: f.engine.link(p).calls = false; break;
@@ -361,7 +371,8 @@
   Member back = Read("n7", Write(m));
   EXPECT_EQ(Write(back), Write(m));
   EXPECT_TRUE(back.known);
-  for (const char* text : {"", "{", "[]", "{\"form\":1}", "{\"form\":1,\"boot\":7}", "{\"form\":2,\"boot\":\"x\"}"}) {
+  for (const char* text :
+       {"", "{", "[]", "{\"form\":1}", "{\"form\":1,\"boot\":7}", "{\"form\":2,\"boot\":\"x\"}"}) {
     Member odd = Read("n1", text);
     EXPECT_FALSE(odd.known) << text;
     EXPECT_EQ(odd.name, "n1");
--- a/tests/membership/search_test.cpp
+++ b/tests/membership/search_test.cpp
@@ -1,6 +1,6 @@
-// Orders of steps of three memberships round one engine: two processes of one name, a third that prefers the same slot; each
-// pauses anywhere, an answer is lost, leases end, and the engine loses its newest write once. Time goes on in thirds of a
-// lease, for so many; within it every order is gone through.
+// Orders of steps of three memberships round one engine: two processes of one name, a third that prefers the
+// same slot; each pauses anywhere, an answer is lost, leases end, and the engine loses its newest write once.
+// Time goes on in thirds of a lease, for so many; within it every order is gone through.
 #include <gtest/gtest.h>
 
 #include <cmath>
@@ -74,17 +74,21 @@
     return true;
   }
   std::string Text() {
-    std::string text = std::to_string(losses) + std::to_string(fail_overs) + "," + std::to_string(ticks) + ";";
+    std::string text =
+        std::to_string(losses) + std::to_string(fail_overs) + "," + std::to_string(ticks) + ";";
     for (size_t i = 0; i < 3; ++i) {
       text += members[i].Fingerprint(now) + "#";
       for (Under& u : calls[i]) {
         text += "c" + std::to_string(static_cast<int>(u.ask.call.kind));
         for (auto& c : u.ask.call.batch.conditions) text += c.key + std::to_string(c.version) + ",";
-        if (u.reply) text += "r" + std::to_string(static_cast<int>(u.reply->outcome)) + "@" + std::to_string(u.reply->revision) + "/" + std::to_string(u.reply->entries.size());
+        if (u.reply)
+          text += "r" + std::to_string(static_cast<int>(u.reply->outcome)) + "@" +
+                  std::to_string(u.reply->revision) + "/" + std::to_string(u.reply->entries.size());
       }
     }
     for (auto& e : store.Take(shared::Range(""), now).entries) {
-      text += e.key + std::to_string(e.version) + "l" + std::to_string(std::lround(e.lease_left_s.value_or(0) * 10)) + ";";
+      text += e.key + std::to_string(e.version) + "l" +
+              std::to_string(std::lround(e.lease_left_s.value_or(0) * 10)) + ";";
     }
     return text;
   }
@@ -155,7 +159,8 @@
 }
 
 void Print(const char* what, const Found& f, size_t most) {
-  std::printf("%s: %zu states%s, a sure member in %zu\n", what, f.states, f.states >= most ? " (cut there)" : ", all of them", f.sure);
+  std::printf("%s: %zu states%s, a sure member in %zu\n", what, f.states,
+              f.states >= most ? " (cut there)" : ", all of them", f.sure);
 }
 
 TEST(Search, NoTwoThatAreSureShareANameASlotOrAFence) {
@@ -168,7 +173,8 @@
   EXPECT_EQ(f.two_fences, 0u);
 }
 
-// A lost write gives a place to two for a time: each is sure by a lease that the engine granted. Their fences differ.
+// A lost write gives a place to two for a time: each is sure by a lease that the engine granted. Their fences
+// differ.
 TEST(Search, AnEngineThatLosesAWriteGivesNoFenceTwice) {
   Search search(1, 4, Most());
   const Found& f = search.found;
--- a/tests/net/counter_protocol_test.cpp
+++ b/tests/net/counter_protocol_test.cpp
@@ -44,7 +44,8 @@
   EXPECT_EQ(Reading(*tally, "$4\r\n12.5\r\n").total, 12.5);
   EXPECT_EQ(Reading(*tally, "-BUSY\r\n").what, What::kNotAdded);
   EXPECT_EQ(Reading(*tally, "-ERR no\r\n").what, What::kNotAdded);
-  for (const char* odd : {"+OK\r\n", "$3\r\nabc\r\n", "$3\r\nnan\r\n", "$-1\r\n", ":5\r\n", "*1\r\n$1\r\n5\r\n"}) {
+  for (const char* odd :
+       {"+OK\r\n", "$3\r\nabc\r\n", "$3\r\nnan\r\n", "$-1\r\n", ":5\r\n", "*1\r\n$1\r\n5\r\n"}) {
     EXPECT_EQ(Reading(*tally, odd).what, What::kSpoilt) << odd;
   }
 }
@@ -61,7 +62,8 @@
             "*3\r\n$11\r\nINCRBYFLOAT\r\n$9\r\nivygw:abc\r\n$8\r\n2.500000\r\n"
             "*4\r\n$7\r\nPEXPIRE\r\n$9\r\nivygw:abc\r\n$4\r\n4000\r\n$2\r\nNX\r\n"
             "*1\r\n$4\r\nEXEC\r\n");
-  EXPECT_EQ(redis->Greeting(), "*3\r\n$4\r\nAUTH\r\n$2\r\ngw\r\n$6\r\nsecret\r\n*2\r\n$6\r\nSELECT\r\n$1\r\n3\r\n");
+  EXPECT_EQ(redis->Greeting(),
+            "*3\r\n$4\r\nAUTH\r\n$2\r\ngw\r\n$6\r\nsecret\r\n*2\r\n$6\r\nSELECT\r\n$1\r\n3\r\n");
   EXPECT_EQ(redis->greeting_answers(), 2u);
 }
 
@@ -72,7 +74,8 @@
   CounterReading good = Reading(*redis, queued + "*2\r\n$4\r\n12.5\r\n:1\r\n");
   EXPECT_EQ(good.what, What::kTotal);
   EXPECT_EQ(good.total, 12.5);
-  EXPECT_EQ(Reading(*redis, queued + "*2\r\n$4\r\n12.5\r\n:0\r\n").what, What::kTotal) << "the name had a life";
+  EXPECT_EQ(Reading(*redis, queued + "*2\r\n$4\r\n12.5\r\n:0\r\n").what, What::kTotal)
+      << "the name had a life";
   for (const std::string& none :
        {queued + "-EXECABORT discarded\r\n", queued + "*-1\r\n", queued + "-READONLY replica\r\n",
         std::string("+OK\r\n-OOM full\r\n+QUEUED\r\n-EXECABORT discarded\r\n"),
@@ -85,9 +88,10 @@
   CounterReading alone = Reading(*redis, "-LOADING\r\n$1\r\n7\r\n:1\r\n-ERR EXEC without MULTI\r\n");
   EXPECT_EQ(alone.what, What::kTotal);
   EXPECT_EQ(alone.total, 7);
-  for (const std::string& odd : {std::string("+QUEUED\r\n"), std::string("+OK\r\n$1\r\n7\r\n"), std::string("$1\r\n7\r\n"),
-                                 queued + "*1\r\n$1\r\n7\r\n", queued + "*2\r\n$3\r\nabc\r\n:1\r\n",
-                                 queued + "+OK\r\n", queued + "*2\r\n:7\r\n:1\r\n"}) {
+  for (const std::string& odd :
+       {std::string("+QUEUED\r\n"), std::string("+OK\r\n$1\r\n7\r\n"), std::string("$1\r\n7\r\n"),
+        queued + "*1\r\n$1\r\n7\r\n", queued + "*2\r\n$3\r\nabc\r\n:1\r\n", queued + "+OK\r\n",
+        queued + "*2\r\n:7\r\n:1\r\n"}) {
     EXPECT_EQ(Reading(*redis, odd).what, What::kSpoilt) << odd;
   }
 }
--- a/tests/net/fuzz_message_reader.cpp
+++ b/tests/net/fuzz_message_reader.cpp
@@ -1,4 +1,5 @@
-// libFuzzer: any bytes as requests and as answers, in pieces; the same bytes read in two ways of cutting give the same.
+// libFuzzer: any bytes as requests and as answers, in pieces; the same bytes read in two ways of cutting give
+// the same.
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
--- a/tests/net/message_reader_test.cpp
+++ b/tests/net/message_reader_test.cpp
@@ -1,4 +1,5 @@
-// Messages in pieces of any size, in every framing: what arrives is compared byte for byte with what was sent.
+// Messages in pieces of any size, in every framing: what arrives is compared byte for byte with what was
+// sent.
 #include "net/message_reader.h"
 
 #include <gtest/gtest.h>
@@ -23,7 +24,8 @@
     size_t size = std::min<size_t>(1 + (*dice)() % 5000, body.size() - at);
     char text[32];
     std::snprintf(text, sizeof(text), (*dice)() % 2 == 0 ? "%zx" : "%zX", size);
-    out += std::string(text) + ((*dice)() % 4 == 0 ? ";name=\"v\";x" : "") + "\r\n" + body.substr(at, size) + "\r\n";
+    out += std::string(text) + ((*dice)() % 4 == 0 ? ";name=\"v\";x" : "") + "\r\n" + body.substr(at, size) +
+           "\r\n";
     at += size;
   }
   return out + "0\r\n" + ((*dice)() % 3 == 0 ? "X-Sum: 1\r\n" : "") + "\r\n";
@@ -93,7 +95,8 @@
   }
 }
 
-// Beast waits for the rest of a first line that is too short to be one, though its head has ended: found by fuzzing.
+// Beast waits for the rest of a first line that is too short to be one, though its head has ended: found by
+// fuzzing.
 TEST(MessageReader, AHeadThatIsWholeAndTooShortIsAnError) {
   for (std::string text : {"@\r\n\r\n", "HTTP/1.1\r\n\r\n", "\r\n\r\n"}) {
     MessageReader<false> reader(kLongestBody);
@@ -110,10 +113,12 @@
   };
   std::string post = "POST /a HTTP/1.1\r\n", chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
   for (const Case& c : std::initializer_list<Case>{
-           {post + "Content-Length: " + std::to_string(kLongestBody + 1) + "\r\n\r\n", http::error::body_limit},
+           {post + "Content-Length: " + std::to_string(kLongestBody + 1) + "\r\n\r\n",
+            http::error::body_limit},
            {post + "X: " + std::string(kMaxHeader, 'x'), http::error::header_limit},
            {chunked + "3;" + std::string(kMaxHeader + 9, 'x'), http::error::header_limit},
-           {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", http::error::bad_transfer_encoding},
+           {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            http::error::bad_transfer_encoding},
            {post + "X: a\r\n b\r\n\r\n", http::error::bad_obs_fold}}) {
     MessageReader<true> reader(kLongestBody);
     std::string body;
@@ -126,11 +131,13 @@
   EXPECT_EQ(small.Parse(&body, 1 << 20), http::error::body_limit) << "chunks are added up";
 }
 
-// Noise of any kind, also in the middle of what is sound: an error or a message, and no more held than was given.
+// Noise of any kind, also in the middle of what is sound: an error or a message, and no more held than was
+// given.
 TEST(MessageReader, NoiseHarmsNothing) {
   for (unsigned seed = 1; seed <= 3000; ++seed) {
     std::mt19937 dice(seed);
-    std::string text = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunked(&dice, Bytes(&dice, 500));
+    std::string text = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       Chunked(&dice, Bytes(&dice, 500));
     for (int i = 0; i < 3; ++i) text[dice() % text.size()] = static_cast<char>(dice());
     MessageReader<true> reader(kLongestBody);
     std::string body;
--- a/tests/parts/ceiling_test.cpp
+++ b/tests/parts/ceiling_test.cpp
@@ -1,5 +1,5 @@
-// A ceiling shared by several gateways, each with its own books, over a counter that loses, delays and doubles nothing
-// but its answers: what is sent never passes the whole.
+// A ceiling shared by several gateways, each with its own books, over a counter that loses, delays and
+// doubles nothing but its answers: what is sent never passes the whole.
 #include "parts/ceiling.h"
 
 #include <gtest/gtest.h>
@@ -33,7 +33,8 @@
   EXPECT_EQ((Allowance{20, 44.6, 2, 8, false}.EvenShare()), 1) << "no counter to reserve at";
   EXPECT_EQ((Allowance{20, 44.6, 300, 8, false}.EvenShare()), 1);
   EXPECT_EQ((Allowance{20, 44.6, 11, 8}.EvenShare()), 0.5);
-  EXPECT_EQ((Allowance{20, 44.6, 12, 8}.EvenShare()), 0) << "a part holds less than half of the largest request";
+  EXPECT_EQ((Allowance{20, 44.6, 12, 8}.EvenShare()), 0)
+      << "a part holds less than half of the largest request";
   EXPECT_EQ((Allowance{20, 44.6, 300, 8}.EvenShare()), 0);
   EXPECT_DOUBLE_EQ((Allowance{20, 44.6, 300, 8}.Limit()), 22.3);
   EXPECT_DOUBLE_EQ((Allowance{20, 44.6, 300, 8}.WindowS()), 1.115);
@@ -192,7 +193,9 @@
         t.out[g].reset();
         return Go(t, left - 1);
       };
-      if (!end(true, true, false) || !end(true, false, false) || !end(false, false, false) || !end(false, false, true)) return false;
+      if (!end(true, true, false) || !end(true, false, false) || !end(false, false, false) ||
+          !end(false, false, true))
+        return false;
     }
     State t = s;  // killed, and back from nothing; its call is still on the way
     if (t.out[g]) t.late.push_back({t.out[g]->window, t.out[g]->units});
@@ -216,7 +219,8 @@
     Search search(a, 8, false);
     EXPECT_TRUE(search.Run());
     EXPECT_GT(search.sends(), 1000u);
-    std::printf("largest request %.0f: %zu states, %zu sends, none past the ceiling\n", largest, search.states(), search.sends());
+    std::printf("largest request %.0f: %zu states, %zu sends, none past the ceiling\n", largest,
+                search.states(), search.sends());
   }
   EXPECT_FALSE(Search({4, 8, 3, 6}, 10, true).Run()) << "a lost answer taken for a grant passes it";
 }
--- a/tests/parts/lending_test.cpp
+++ b/tests/parts/lending_test.cpp
@@ -1,5 +1,5 @@
-// Parts of an allowance lent by lease: never more than the whole, whatever is lost, paused or killed; fair by need; back in
-// use after a death.
+// Parts of an allowance lent by lease: never more than the whole, whatever is lost, paused or killed; fair by
+// need; back in use after a death.
 #include "parts/lending.h"
 
 #include <gtest/gtest.h>
@@ -65,7 +65,8 @@
     for (size_t i = 0; i < s.size(); ++i) {
       ASSERT_TRUE(s[i] == 0 || s[i] >= least * (1 - 1e-6)) << s[i] << " " << least;
       ASSERT_TRUE(loans[i].need > 0 || s[i] == 0);
-      for (size_t j = 0; j < s.size(); ++j) {  // who lacks something has as much as any other, but for the least of that one
+      for (size_t j = 0; j < s.size();
+           ++j) {  // who lacks something has as much as any other, but for the least of that one
         bool lacks = s[i] > 0 && s[j] > 0 && s[i] < loans[i].need - 1e-9;
         ASSERT_TRUE(!lacks || s[i] >= s[j] - least - 1e-9) << s[i] << " " << s[j];
       }
@@ -124,8 +125,10 @@
     scheduler.After(kLease / 3, [this, g] { Beat(g); });
     if (g->paused) return;
     shared::Batch batch;
-    if (g->slot == 0 || scheduler.Now() >= g->sure_until) batch.changes.push_back(shared::Put("slot/" + g->boot, "", kLease));
-    else batch.changes.push_back(shared::Renew("slot/" + g->boot, kLease));
+    if (g->slot == 0 || scheduler.Now() >= g->sure_until)
+      batch.changes.push_back(shared::Put("slot/" + g->boot, "", kLease));
+    else
+      batch.changes.push_back(shared::Renew("slot/" + g->boot, kLease));
     bool put = !batch.changes[0].renew;
     double sent = scheduler.Now();
     if (engine.away) return;
@@ -144,7 +147,8 @@
   Gateway& At(int g) { return *gateways[static_cast<size_t>(g)]; }
   void Need(int g, double share) {
     At(g).need = share;
-    Run(gateways[static_cast<size_t>(g)], [share](Borrower& b, double now, Borrower::Asks* out) { b.Need(share, now, out); });
+    Run(gateways[static_cast<size_t>(g)],
+        [share](Borrower& b, double now, Borrower::Asks* out) { b.Need(share, now, out); });
   }
   // Needs are told again now and then, as requests come.
   void Go(double seconds) {
@@ -168,7 +172,8 @@
   void Check() {
     double sum = Sum();
     most = std::max(most, sum);
-    if (sum > 1 + 1e-9 && ++broken < 5) ADD_FAILURE() << "shares add up to " << sum << " at " << scheduler.Now() << " s";
+    if (sum > 1 + 1e-9 && ++broken < 5)
+      ADD_FAILURE() << "shares add up to " << sum << " at " << scheduler.Now() << " s";
   }
   VirtualScheduler scheduler{0};
   EngineModel engine;
@@ -303,10 +308,16 @@
       f.Go(0.2 + 2 * unit());
       int g = static_cast<int>(random() % static_cast<uint64_t>(n));
       switch (random() % 9) {
-        case 0: f.Kill(g); f.Start(g); f.Need(g, unit()); break;
+        case 0:
+          f.Kill(g);
+          f.Start(g);
+          f.Need(g, unit());
+          break;
         case 1: f.Kill(g); break;
         case 2: f.Pause(g); break;
-        case 3: if (f.At(g).paused) f.Resume(g); break;
+        case 3:
+          if (f.At(g).paused) f.Resume(g);
+          break;
         case 4: f.engine.link(g).lost = 0.5 * unit(); break;
         case 5: f.engine.link(g).answers = !f.engine.link(g).answers; break;
         case 6: f.engine.link(g) = {}; break;
@@ -317,11 +328,13 @@
     most = std::max(most, f.most);
     if (HasFailure()) FAIL() << "seed " << seed;
   }
-  std::printf("40 gateways, %llu seeds: the most that shares added up to: %.6f\n", static_cast<unsigned long long>(seeds), most);
+  std::printf("40 gateways, %llu seeds: the most that shares added up to: %.6f\n",
+              static_cast<unsigned long long>(seeds), most);
   EXPECT_GT(most, 0.9) << "they are used";
 }
 
-// Three gateways in every order of steps: calls, answers, lost answers, pauses (no step of its own), leases that end.
+// Three gateways in every order of steps: calls, answers, lost answers, pauses (no step of its own), leases
+// that end.
 struct Three {
   Three() {
     for (int i = 0; i < 3; ++i) {
@@ -337,7 +350,8 @@
   }
   Three(const Three& other)
       : now(other.now), losses(other.losses), ticks(other.ticks), store(other.store), calls(other.calls) {
-    for (int i = 0; i < 3; ++i) borrowers.push_back(std::make_unique<Borrower>(*other.borrowers[static_cast<size_t>(i)], Right(i)));
+    for (int i = 0; i < 3; ++i)
+      borrowers.push_back(std::make_unique<Borrower>(*other.borrowers[static_cast<size_t>(i)], Right(i)));
   }
   // Places that stand throughout: what is looked for is in the loans.
   static Borrower::RightOf Right(int) {
@@ -391,13 +405,15 @@
         for (auto& c : u.ask.call.batch.conditions) text += c.key + std::to_string(c.version) + ",";
         for (auto& c : u.ask.call.batch.changes) text += c.key + c.value.value_or("-") + ",";
         if (u.reply) {
-          text += "r" + std::to_string(static_cast<int>(u.reply->outcome)) + std::to_string(u.reply->revision);
+          text +=
+              "r" + std::to_string(static_cast<int>(u.reply->outcome)) + std::to_string(u.reply->revision);
           for (auto& e : u.reply->entries) text += e.key + e.value;
         }
       }
     }
     for (auto& e : store.Take(shared::Range(""), now).entries) {
-      text += e.key + e.value + "@" + std::to_string(e.version) + "l" + std::to_string(std::lround(e.lease_left_s.value_or(0) * 10)) + ";";
+      text += e.key + e.value + "@" + std::to_string(e.version) + "l" +
+              std::to_string(std::lround(e.lease_left_s.value_or(0) * 10)) + ";";
     }
     return text;
   }
--- a/tests/parts/loans_test.cpp
+++ b/tests/parts/loans_test.cpp
@@ -1,4 +1,5 @@
-// What a gateway borrows of many customers' ceilings: by the demand that it sees, within a bound, given back unused.
+// What a gateway borrows of many customers' ceilings: by the demand that it sees, within a bound, given back
+// unused.
 #include "parts/loans.h"
 
 #include <gtest/gtest.h>
--- a/tests/policy/balance_test.cpp
+++ b/tests/policy/balance_test.cpp
@@ -623,7 +623,8 @@
   EXPECT_TRUE(ended);
 }
 
-// Seen by each gateway backend by backend, a lost zone would take one failed attempt for each of its backends.
+// Seen by each gateway backend by backend, a lost zone would take one failed attempt for each of its
+// backends.
 TEST(Backends, SeveralSilentOnesOfAZoneAreOneEvent) {
   Bench t(Site(), 0);
   std::vector<Backend> list;
@@ -863,7 +864,8 @@
   }
 }
 
-// Of 400 tries of customers met for the first time, those that the counter is asked about. It answers after `wait`.
+// Of 400 tries of customers met for the first time, those that the counter is asked about. It answers after
+// `wait`.
 int Questions(const Settings& s, double wait) {
   Bench t(s);
   int asked = 0;
@@ -887,8 +889,8 @@
   EXPECT_LT(Questions(Many(), kCrowded), 200);
 }
 
-// At a cap an answer is worth more than the crowding that a question makes: without it each of many gateways lets in
-// one more by guess.
+// At a cap an answer is worth more than the crowding that a question makes: without it each of many gateways
+// lets in one more by guess.
 TEST(Held, ACrowdedCounterIsStillAskedAtACap) {
   Settings s = Many();
   s.plans[0].rate = s.plans[0].burst = 0;
@@ -949,7 +951,8 @@
     r.units = 1;
     out.clear();
     b.OnRequest(100.1, r, &out);
-    sent += std::count_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
+    sent +=
+        std::count_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
   }
   EXPECT_LT(sent, 10);
 }
@@ -995,8 +998,9 @@
   Settings s = Many();
   s.gateways = 3;
   Bench t(s);
-  for (double total : {-5.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
-    t.Tell(12345, total);  // a name nobody asked for
+  for (double total :
+       {-5.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+    t.Tell(12345, total);       // a name nobody asked for
     t.Ask(1, 0, 1.0, 9, 1000);  // more entries than gateways
     const Action* count = t.Got(ActionKind::kCount);
     ASSERT_NE(count, nullptr);
--- a/tests/policy/many_gateways_test.cpp
+++ b/tests/policy/many_gateways_test.cpp
@@ -15,8 +15,8 @@
 namespace micadock {
 namespace {
 
-// Gateways, backends that answer each attempt after `work_s`, and a counter that answers after `count_s`, or not while it is
-// `silent`. Virtual time; requests come as the test asks for them.
+// Gateways, backends that answer each attempt after `work_s`, and a counter that answers after `count_s`, or
+// not while it is `silent`. Virtual time; requests come as the test asks for them.
 class Many {
  public:
   Many(Settings s, double work_s, double count_s) : settings_(s), work_s_(work_s), count_s_(count_s) {
@@ -142,8 +142,9 @@
   return s;
 }
 
-// A modest customer through four of a hundred gateways floods while the counter is silent, and goes on after it has come back
-// with nothing in it: what the ceiling has lost in the silence nobody may owe it on the counter's return.
+// A modest customer through four of a hundred gateways floods while the counter is silent, and goes on after
+// it has come back with nothing in it: what the ceiling has lost in the silence nobody may owe it on the
+// counter's return.
 TEST(ManyGateways, ACeilingHoldsThroughACountersSilenceAndItsReturn) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     Many many(Ceiled(100), 0.05, 0.005);
@@ -162,8 +163,8 @@
   }
 }
 
-// All of a customer's traffic moves to one of its gateways, inside its quota: the reserved half is there for it, the even part
-// would not do.
+// All of a customer's traffic moves to one of its gateways, inside its quota: the reserved half is there for
+// it, the even part would not do.
 TEST(ManyGateways, TrafficThatMovesToOneGatewayFindsTheReservedHalf) {
   Settings s = Ceiled(100);
   s.plans[0].rate = 14;
@@ -184,8 +185,9 @@
   EXPECT_GE(sent, 0.85 * asked);
 }
 
-// A customer with a cap on attempts out, which it fills, asks for four times as much through all gateways when the counter has
-// fallen silent: what was told of others is of no use, and own attempts stand for theirs.
+// A customer with a cap on attempts out, which it fills, asks for four times as much through all gateways
+// when the counter has fallen silent: what was told of others is of no use, and own attempts stand for
+// theirs.
 TEST(ManyGateways, ACapIsNotPassedManyTimesInACountersSilence) {
   for (uint64_t seed = 1; seed <= 5; ++seed) {
     Settings s = Site();
@@ -198,7 +200,8 @@
     Dice dice(seed);
     double in_silence = 0;
     int samples = 0;
-    for (double t = 1000; t < 1025; t += many.silent ? 0.1 / 30 : 0.1 / 5) {  // so many at once, were all let in
+    for (double t = 1000; t < 1025;
+         t += many.silent ? 0.1 / 30 : 0.1 / 5) {  // so many at once, were all let in
       many.Until(t);
       many.silent = t > 1010;
       many.Ask(static_cast<int>(100 * dice.Unit()), 9, 1, 100);
@@ -217,8 +220,8 @@
   return s;
 }
 
-// The whole ceiling is lent now to one gateway, now to another, each as soon as the one before has it no more: a burst must not
-// pass once for each.
+// The whole ceiling is lent now to one gateway, now to another, each as soon as the one before has it no
+// more: a burst must not pass once for each.
 TEST(ManyGateways, ALentPartThatMovesBringsNoStoreWithIt) {
   Many many(Lent(), 0.05, 0.005);
   Store store{16, 66};
--- a/tests/policy/quotas_test.cpp
+++ b/tests/policy/quotas_test.cpp
@@ -1,5 +1,5 @@
-// Quotas asked alone, without servers, against a counter that is sound, loses answers, or answers anything: what must
-// hold of the books in any order of answers, losses and time-outs.
+// Quotas asked alone, without servers, against a counter that is sound, loses answers, or answers anything:
+// what must hold of the books in any order of answers, losses and time-outs.
 #include "policy/quotas.h"
 
 #include <gtest/gtest.h>
@@ -15,8 +15,8 @@
 namespace micadock {
 namespace {
 
-// Any order of answers, refusals, cut calls and silence: the least total that a sound counter can tell, as a gateway
-// has it, never exceeds what was truly added; and what was added never exceeds what was sent.
+// Any order of answers, refusals, cut calls and silence: the least total that a sound counter can tell, as a
+// gateway has it, never exceeds what was truly added; and what was added never exceeds what was sent.
 TEST(Floor, NeverExceedsWhatWasAddedAndNothingIsAddedTwice) {
   int answers = 0, lost = 0, added_late = 0;
   for (uint64_t seed = 1; seed <= 300; ++seed) {
@@ -24,7 +24,8 @@
     auto draw = [&] { return std::uniform_real_distribution<>(0, 1)(random); };
     double now = 100 * kWindow;  // one window, so that one name holds it all
     std::vector<std::unique_ptr<QuotaGateway>> gateways;
-    for (uint64_t g = 0; g < 3; ++g) gateways.push_back(std::make_unique<QuotaGateway>(QuotaSite(3), seed * 10 + g, now));
+    for (uint64_t g = 0; g < 3; ++g)
+      gateways.push_back(std::make_unique<QuotaGateway>(QuotaSite(3), seed * 10 + g, now));
     Counter counter;
     double sent = 0;
     uint64_t name = 0;
@@ -76,7 +77,8 @@
   EXPECT_GT(added_late, 500);
 }
 
-// Totals of no sense, silence, late answers: a gateway by itself never passes more than two stores and the rate.
+// Totals of no sense, silence, late answers: a gateway by itself never passes more than two stores and the
+// rate.
 TEST(Alone, KeepsToTwoStoresAndTheRateWhateverTheCounterAnswers) {
   double most = 0;
   for (uint64_t seed = 1; seed <= 200; ++seed) {
@@ -127,7 +129,8 @@
   for (Result result : {Result::kTimeout, Result::kConnectFailed, Result::kFull}) {
     for (int gateways : {2, 3, 10}) {
       double sent = SentInSilence(gateways, 100, result);
-      EXPECT_LE(sent, kBurst + kSpare * kRate * 100 / gateways + 1) << gateways;  // shares are even from the first
+      EXPECT_LE(sent, kBurst + kSpare * kRate * 100 / gateways + 1)
+          << gateways;  // shares are even from the first
       EXPECT_GE(sent, kBurst / 2 + 0.9 * kRate * 100 / gateways) << gateways;
     }
   }
@@ -173,8 +176,8 @@
   EXPECT_TRUE(g.log.empty()) << "a correction is no loss";
 }
 
-// Over ten gateways an even part of the store is less than a unit. It is met anew after an idle window: the first pass
-// of long ago is no reason to refuse it.
+// Over ten gateways an even part of the store is less than a unit. It is met anew after an idle window: the
+// first pass of long ago is no reason to refuse it.
 TEST(Idle, IsMetAnew) {
   double now = 200.1;
   QuotaGateway g(QuotaSite(10), 1, now);
@@ -188,7 +191,8 @@
   EXPECT_TRUE(g.Ask(now, 2));
 }
 
-// What one gateway knows to be lacking in the store at a window's start, all come to know, whoever tells first.
+// What one gateway knows to be lacking in the store at a window's start, all come to know, whoever tells
+// first.
 TEST(Window, AllComeToGoByTheMostThatOneCarries) {
   double now = 200;  // a window's start
   Settings s = QuotaSite(2);
--- a/tests/policy/upgrade_and_bodies_test.cpp
+++ b/tests/policy/upgrade_and_bodies_test.cpp
@@ -169,7 +169,8 @@
 TEST(Bodies, ABegunAnswerLeavesItsPlaceAtTheBackend) {
   Module m(Listing(1));
   int room = m.Room();
-  for (uint32_t request = 1; request <= static_cast<uint32_t>(room); ++request) m.b.OnStreamBegun(m.now, request, &m.out);
+  for (uint32_t request = 1; request <= static_cast<uint32_t>(room); ++request)
+    m.b.OnStreamBegun(m.now, request, &m.out);
   EXPECT_NE(m.Ask(), 0u);
   uint32_t late = m.last;
   m.now += 30;
--- a/tests/rehearsal/quota_faults_test.cpp
+++ b/tests/rehearsal/quota_faults_test.cpp
@@ -1,7 +1,6 @@
-// Three gateways in virtual time among counters that fail: ceilings and the stated bounds on quotas hold on each of 200
-// seeds, modest partners keep their service, and the bounds are no empty promises.
+// Three gateways in virtual time among counters that fail: ceilings and the stated bounds on quotas hold on
+// each of 200 seeds, modest partners keep their service, and the bounds are no empty promises.
 #include <gtest/gtest.h>
-
 #include <stdlib.h>
 
 #include <algorithm>
@@ -119,8 +118,8 @@
   RecordProperty("most_of_the_bound", std::to_string(used));
 }
 
-// The same days without the fault are the measure; many seeds together, since one day is a handful of refusals. All
-// but one lose under 1%; a counter that refuses costs 1.1%, which docs/ROADMAP.md owns up to.
+// The same days without the fault are the measure; many seeds together, since one day is a handful of
+// refusals. All but one lose under 1%; a counter that refuses costs 1.1%, which docs/ROADMAP.md owns up to.
 TEST(QuotaFaults, ModestPartnersKeepTheirService) {
   for (size_t f : {0u, 1u, 2u, 3u, 4u, 5u, 6u, 7u, 8u}) {
     double with = 0, without = 0;
@@ -181,15 +180,16 @@
   }
 }
 
-// Windows of gateways whose clocks disagree end one after the other, and each name is added to in both. With and
-// without a fault of the counter, ceilings and bounds hold as they do with one clock.
+// Windows of gateways whose clocks disagree end one after the other, and each name is added to in both. With
+// and without a fault of the counter, ceilings and bounds hold as they do with one clock.
 TEST(QuotaFaults, ClocksHalfASecondApartKeepCeilingsAndBounds) {
   double together = 0, apart = 0;
   for (uint64_t seed = 1; seed <= 24; ++seed) {
     std::string day = seed % 2 == 0 ? kDay : WithFaults(kDay, {seed % kFaultCount});
     together = std::max(together, Play(day, seed).plans[0].most_over_units);
     checker::Verdict v = Play(day + "\n[network]\nclocks_apart_s = 0.5\n", seed);
-    for (const auto& b : v.breaks) ADD_FAILURE() << "seed " << seed << ": " << checker::RuleName(b.rule) << ": " << b.what;
+    for (const auto& b : v.breaks)
+      ADD_FAILURE() << "seed " << seed << ": " << checker::RuleName(b.rule) << ": " << b.what;
     for (size_t plan = 0; plan < 2; ++plan) {
       EXPECT_LE(v.plans[plan].most_over_units, Bound(day, plan).Whatever(24)) << "seed " << seed;
     }
@@ -199,7 +199,8 @@
   EXPECT_NE(together, apart) << "the clocks made no difference: they are not apart";
 }
 
-// Three real gateways. The bound leaves room enough for a late machine; ceilings are judged where it kept time.
+// Three real gateways. The bound leaves room enough for a late machine; ceilings are judged where it kept
+// time.
 class OnSocketsWith : public testing::TestWithParam<size_t> {};
 TEST_P(OnSocketsWith, CeilingsAndBoundsHold) {
   std::string day = Replaced(WithFaults(kDay, {GetParam(), 7}), "duration_s = 24", "duration_s = 20");
--- a/tests/rehearsal/socket_run_test.cpp
+++ b/tests/rehearsal/socket_run_test.cpp
@@ -1,8 +1,8 @@
 // Scenarios on sockets, with real gateway processes, in a short form.
 #include "rehearsal/socket_run.h"
 
-#include <gtest/gtest.h>
 #include <fcntl.h>
+#include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -38,7 +38,8 @@
 };
 
 scenario::Scenario Short(const std::string& name, double share, double rate) {
-  scenario::Scenario s = scenario::LoadScenario(std::string(IVYGW_SCENARIOS) + "/" + name + ".toml").Shortened(share);
+  scenario::Scenario s =
+      scenario::LoadScenario(std::string(IVYGW_SCENARIOS) + "/" + name + ".toml").Shortened(share);
   s.load.rate = rate;  // little, so that a slow machine serves it too
   return s;
 }
@@ -52,7 +53,8 @@
   return PlaySockets(s, seed, options);
 }
 
-// What a machine that is late itself can't break: the gateway's rules but for its time limits are judged by order.
+// What a machine that is late itself can't break: the gateway's rules but for its time limits are judged by
+// order.
 void ExpectKept(const eventlog::Record& record, bool late_machine) {
   checker::Verdict v = checker::Judge(record);
   for (const auto& b : v.breaks) {
@@ -76,8 +78,9 @@
 }
 INSTANTIATE_TEST_SUITE_P(Each, OnSockets,
                          testing::Values(std::pair("calm", 0.25), std::pair("ocr-morning", 0.15),
-                                         std::pair("half-failing-node", 0.25), std::pair("gateway-killed", 0.3),
-                                         std::pair("counter-lost", 0.15), std::pair("discovery-silent", 0.2)),
+                                         std::pair("half-failing-node", 0.25),
+                                         std::pair("gateway-killed", 0.3), std::pair("counter-lost", 0.15),
+                                         std::pair("discovery-silent", 0.2)),
                          [](const auto& tested) {
                            std::string name = tested.param.first;
                            std::replace(name.begin(), name.end(), '-', '_');
@@ -88,7 +91,8 @@
 TEST(SocketRun, OutlivesEveryKindOfBadAnswer) {
   scenario::Scenario s = Short("calm", 0.3, 60);
   using K = scenario::FaultKind;
-  for (K kind : {K::kFastErrors, K::kTurnAway, K::kResetLate, K::kSpoilt, K::kCut, K::kEndless, K::kResetEarly}) {
+  for (K kind :
+       {K::kFastErrors, K::kTurnAway, K::kResetLate, K::kSpoilt, K::kCut, K::kEndless, K::kResetEarly}) {
     scenario::Fault f;
     f.kind = kind;
     f.at_s = 1;
@@ -103,7 +107,8 @@
   for (const Event& e : run.record.events) {
     if (e.kind == EventKind::kReply) seen.insert(e.text);
   }
-  for (const char* how : {"served", "error", "not_started", "reset", "spoilt", "cut", "endless", "reset_early"}) {
+  for (const char* how :
+       {"served", "error", "not_started", "reset", "spoilt", "cut", "endless", "reset_early"}) {
     EXPECT_EQ(seen.count(how), 1u) << how;
   }
 }
@@ -165,12 +170,14 @@
   }
 }
 
-// Out of descriptors: too few to begin with are named, and running out later voids the run and ends it as usual.
+// Out of descriptors: too few to begin with are named, and running out later voids the run and ends it as
+// usual.
 TEST(Rehearse, RunningOutOfDescriptorsIsItsOwnFault) {
   Folder folder;
   auto limited = [&](int limit, const std::string& more) {
-    return rig::RunProgram("/bin/sh", {"-c", "ulimit -n " + std::to_string(limit) + "; exec " REHEARSE
-                                             " calm --shorten 0.15 --out " + folder.path() + more});
+    return rig::RunProgram(
+        "/bin/sh", {"-c", "ulimit -n " + std::to_string(limit) +
+                              "; exec " REHEARSE " calm --shorten 0.15 --out " + folder.path() + more});
   };
   rig::Ran few = limited(100, "");
   EXPECT_EQ(few.status, 2) << few.out;
@@ -218,7 +225,8 @@
   one = rig::RunProgram(REHEARSE, arguments(first));
   other.join();
   for (const auto& [ran, folder] : {std::pair(&one, &first), std::pair(&two, &second)}) {
-    EXPECT_TRUE(ran->status == 0 || ran->status == 3) << ran->out;  // 3: the machine was too slow for its own load
+    EXPECT_TRUE(ran->status == 0 || ran->status == 3)
+        << ran->out;  // 3: the machine was too slow for its own load
     for (const char* file : {"record.jsonl", "report.json", "report.html", "n0.log", "n1.json"}) {
       EXPECT_TRUE(fs::exists(fs::path(folder->path()) / file)) << file;
     }
--- a/tests/rehearsal/virtual_run_test.cpp
+++ b/tests/rehearsal/virtual_run_test.cpp
@@ -1,5 +1,5 @@
-// Scenarios in virtual time, straight against the decision module: every one that is shipped, in a short form, and
-// what must hold of the record itself.
+// Scenarios in virtual time, straight against the decision module: every one that is shipped, in a short
+// form, and what must hold of the record itself.
 #include "rehearsal/virtual_run.h"
 
 #include <gtest/gtest.h>
@@ -27,12 +27,14 @@
 }
 void ExpectKept(const eventlog::Record& record) {
   checker::Verdict v = checker::Judge(record);
-  for (const auto& b : v.breaks) ADD_FAILURE() << b.t << " s: " << checker::RuleName(b.rule) << ": " << b.what;
+  for (const auto& b : v.breaks)
+    ADD_FAILURE() << b.t << " s: " << checker::RuleName(b.rule) << ": " << b.what;
 }
 
 TEST(VirtualRun, OneSeedGivesOneRecordToTheByte) {
   scenario::Scenario s = scenario::LoadScenario(Shipped("ocr-morning"));
-  std::string first = Bytes(PlayVirtual(s, 7)), second = Bytes(PlayVirtual(s, 7)), other = Bytes(PlayVirtual(s, 8));
+  std::string first = Bytes(PlayVirtual(s, 7)), second = Bytes(PlayVirtual(s, 7)),
+              other = Bytes(PlayVirtual(s, 8));
   EXPECT_GT(first.size(), 1000000u);
   EXPECT_TRUE(first == second);
   EXPECT_FALSE(first == other);
--- a/tests/rig/counter_calls.h
+++ b/tests/rig/counter_calls.h
@@ -16,7 +16,8 @@
 class CounterCalls : private CounterEvents {
  public:
   CounterCalls(int port, double timeout_s, const CounterAccess& access = {})
-      : client(io, {asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)}, timeout_s, 5, this, access),
+      : client(io, {asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)}, timeout_s, 5, this,
+               access),
         book_(timeout_s),
         timer_(io) {}
   void Call(uint64_t name, double amount, double keep_s) {
--- a/tests/rig/fleet_rig.h
+++ b/tests/rig/fleet_rig.h
@@ -1,5 +1,6 @@
-// Several gateways that know of each other, as processes of the program round one shared engine, and a backend that
-// counts what it did. Faults come from the test: a process is stopped at a step of its own, killed, or let go on.
+// Several gateways that know of each other, as processes of the program round one shared engine, and a
+// backend that counts what it did. Faults come from the test: a process is stopped at a step of its own,
+// killed, or let go on.
 #ifndef IVYGW_TESTS_FLEET_RIG_H_
 #define IVYGW_TESTS_FLEET_RIG_H_
 
@@ -48,7 +49,8 @@
   return false;
 }
 
-// A backend that does what it is asked for, once for each key as its group remembers, and tells how often it did it.
+// A backend that does what it is asked for, once for each key as its group remembers, and tells how often it
+// did it.
 class Effects {
  public:
   // Each of these waits until it may go on.
@@ -60,7 +62,8 @@
           met.Add();
           changed_.wait(lock, [&] { return !holding_; });
           if (again.empty() || done_.insert(again).second) ++runs_[key];
-          return Ok(key + " done " + std::to_string(runs_[key]) + " times" + padding, "Content-Type: text/x-done\r\n");
+          return Ok(key + " done " + std::to_string(runs_[key]) + " times" + padding,
+                    "Content-Type: text/x-done\r\n");
         }) {}
   ~Effects() { Hold(false); }
   void Hold(bool holds) {
@@ -99,7 +102,8 @@
 
 class Fleet {
  public:
-  explicit Fleet(const FleetOptions& options, const json& entries = json::array()) : options_(options), entries_(entries) {
+  explicit Fleet(const FleetOptions& options, const json& entries = json::array())
+      : options_(options), entries_(entries) {
     char name[] = "/tmp/ivygw-fleet-XXXXXX";
     folder_ = mkdtemp(name);
     discovery_.Set(entries);
@@ -121,8 +125,11 @@
     }
     config["settings"]["tiers-of-service"][0]["units-per-s"] = 1e5;
     config["settings"]["tiers-of-service"][0]["store-size"] = 1e6;
-    config["fleet"] = {{"engine", options_.engine}, {"path", file()},          {"durability", "process"},
-                       {"lease_s", options_.lease_s}, {"hold_s", options_.hold_s}};
+    config["fleet"] = {{"engine", options_.engine},
+                       {"path", file()},
+                       {"durability", "process"},
+                       {"lease_s", options_.lease_s},
+                       {"hold_s", options_.hold_s}};
     if (options_.engine == "redis") {
       config["fleet"].erase("path");
       config["fleet"].erase("durability");
@@ -140,7 +147,8 @@
     EXPECT_NE(p->port, 0) << p->line;
     Process& process = *(gateways_[name] = std::move(p));
     EXPECT_TRUE(InTheEnd([&] { return FiguresOf(process.admin)["fleet_sure"] == 1; })) << name;
-    EXPECT_TRUE(InTheEnd([&] { return Ask(*process.Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200; }));
+    EXPECT_TRUE(InTheEnd(
+        [&] { return Ask(*process.Connect(), "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200; }));
     return process;
   }
   void Kill(const std::string& name) {
@@ -165,7 +173,8 @@
       std::istringstream words(line);
       std::string who, state;
       words >> who >> state;
-      if (state == "serving" || state == "joining" || state == "leaving" || state == "unknown") seen.insert(who);
+      if (state == "serving" || state == "joining" || state == "leaving" || state == "unknown")
+        seen.insert(who);
     }
     return seen;
   }
@@ -181,7 +190,8 @@
 };
 
 // A request with a key of its own; sent again as it is by a client that comes back.
-inline std::string Keyed(const std::string& cls, const std::string& key, const std::string& body = "b", int timeout_ms = 30000) {
+inline std::string Keyed(const std::string& cls, const std::string& key, const std::string& body = "b",
+                         int timeout_ms = 30000) {
   std::string text = Request(cls, 1, timeout_ms, "Work-Key: " + key + "\r\n", body);
   return text;
 }
--- a/tests/rig/gateway_rig.h
+++ b/tests/rig/gateway_rig.h
@@ -21,8 +21,8 @@
 #include <fstream>
 #include <functional>
 #include <map>
-#include <mutex>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -388,7 +388,8 @@
     pid_ = fork();
     if (pid_ == 0) {
       dup2(ends[1], 2);
-      if (inherited >= 0) dup2(inherited, 3), fcntl(3, F_SETFD, 0);  // where it is 3 already, it would be closed
+      if (inherited >= 0)
+        dup2(inherited, 3), fcntl(3, F_SETFD, 0);  // where it is 3 already, it would be closed
       for (int fd = inherited >= 0 ? 4 : 3; fd < 1024; ++fd) close(fd);
       for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
       setenv("LB_CONFIG", path, 1);
@@ -409,7 +410,8 @@
     line = next();
     if (line.find(" listens on ") != std::string::npos) {
       port = port_of(line);
-      if (config.find("\"admin\"") != std::string::npos || environment.count("LB_ADMIN") != 0) admin = port_of(next());
+      if (config.find("\"admin\"") != std::string::npos || environment.count("LB_ADMIN") != 0)
+        admin = port_of(next());
     }
     draining_ = std::thread([this] {  // its log must not fill the pipe
       char part[4096];
--- a/tests/rig/redis_host.h
+++ b/tests/rig/redis_host.h
@@ -1,4 +1,5 @@
-// The stand-in of Redis on a thread of its own, with a relay before it for each gateway. What is done to it is done there.
+// The stand-in of Redis on a thread of its own, with a relay before it for each gateway. What is done to it
+// is done there.
 #ifndef IVYGW_TESTS_REDIS_HOST_H_
 #define IVYGW_TESTS_REDIS_HOST_H_
 
@@ -45,7 +46,8 @@
     Do([&] {
       auto& relay = relays_[name];
       if (!relay) {
-        relay = std::make_unique<ivygw::standin::Relay>(io_, ivygw::tcp::endpoint{ivygw::asio::ip::address_v4::loopback(), server_.port()});
+        relay = std::make_unique<ivygw::standin::Relay>(
+            io_, ivygw::tcp::endpoint{ivygw::asio::ip::address_v4::loopback(), server_.port()});
       }
       port = relay->port();
     });
--- a/tests/scenario/scenario_test.cpp
+++ b/tests/scenario/scenario_test.cpp
@@ -36,7 +36,8 @@
 }
 
 TEST(Scenario, ReadsWhatIsSaidAndKeepsDefaults) {
-  Scenario s = ParseScenario(std::string(kGood) + "[[fault]]\nkind=\"pause\"\nat_s=5\nfor_s=3\nnodes=0.2\n", "day.toml");
+  Scenario s = ParseScenario(std::string(kGood) + "[[fault]]\nkind=\"pause\"\nat_s=5\nfor_s=3\nnodes=0.2\n",
+                             "day.toml");
   EXPECT_EQ(s.gateways, 2);
   EXPECT_EQ(s.nodes[0].speed_from, 0.5);
   EXPECT_EQ(s.nodes[0].cores, 3);
@@ -73,39 +74,56 @@
         Fault1{"not_toml", With("gateways = 2", "gateways = = 2"), "day.toml:3: "},
         Fault1{"unit_in_text", With("duration_s = 20", "duration_s = \"20 s\""),
                "day.toml:2: duration_s is to be a number of seconds"},
-        Fault1{"wrong_unit", With("duration_s = 20", "duration_ms = 20000"), "day.toml:2: unknown key duration_ms"},
-        Fault1{"out_of_range", With("gateways = 2", "gateways = 0"), "day.toml:3: gateways is out of range: 1 to 1000"},
+        Fault1{"wrong_unit", With("duration_s = 20", "duration_ms = 20000"),
+               "day.toml:2: unknown key duration_ms"},
+        Fault1{"out_of_range", With("gateways = 2", "gateways = 0"),
+               "day.toml:3: gateways is out of range: 1 to 1000"},
         Fault1{"half_a_gateway", With("gateways = 2", "gateways = 2.5"), "gateways is to be a whole number"},
         Fault1{"not_finite", With("rate = 10", "rate = nan"), "day.toml:5: load.rate is out of range"},
         Fault1{"no_name", With("name = \"day\"\n", ""), "name is missing"},
         Fault1{"no_load", With("rate = 10", ""), "no load"},
         Fault1{"no_class", With("[[class]]\nname = \"quote\"\n", ""), "class is missing"},
-        Fault1{"class_twice", With("[[plan]]", "[[class]]\nname = \"quote\"\n[[plan]]"), "class quote is there twice"},
+        Fault1{"class_twice", With("[[plan]]", "[[class]]\nname = \"quote\"\n[[plan]]"),
+               "class quote is there twice"},
         Fault1{"odd_effect", With("name = \"quote\"", "name = \"quote\"\neffect = \"maybe\""),
                "day.toml:8: class.effect is to be safe, keyed or unsafe"},
         Fault1{"aim_beyond_deadline", With("name = \"quote\"", "name = \"quote\"\naim_s = 4\ndeadline_s = 3"),
                "class.aim_s is beyond deadline_s"},
-        Fault1{"rate_without_burst", With("name = \"team\"", "name = \"team\"\nrate = 3"), "plan.rate wants a burst"},
+        Fault1{"rate_without_burst", With("name = \"team\"", "name = \"team\"\nrate = 3"),
+               "plan.rate wants a burst"},
         Fault1{"ceiling_below_rate",
-               With("name = \"team\"", "name = \"team\"\nrate = 3\nburst = 3\nceiling_rate = 2\nceiling_burst = 9"),
+               With("name = \"team\"",
+                    "name = \"team\"\nrate = 3\nburst = 3\nceiling_rate = 2\nceiling_burst = 9"),
                "plan.ceiling_rate is below the rate"},
-        Fault1{"set_too_large", With("name = \"team\"", "name = \"team\"\nspread = 3"), "more than the gateways"},
+        Fault1{"set_too_large", With("name = \"team\"", "name = \"team\"\nspread = 3"),
+               "more than the gateways"},
         Fault1{"range_upside_down", With("[0.5, 1]", "[1, 0.5]"), "node.speed is to be [low, high]"},
-        Fault1{"class_no_table", "name = \"day\"\nclass = 3\n[load]\nrate = 1\n", "day.toml:2: class is to be tables [[class]]"},
-        Fault1{"unknown_fault", FaultOf("kind = \"gremlin\"\nat_s = 1\n"), "day.toml:14: unknown fault gremlin; known: jump"},
-        Fault1{"fault_without_length", FaultOf("kind = \"pause\"\nat_s = 1\nnodes = 0.1\n"), "fault.for_s is missing: pause needs it"},
-        Fault1{"fault_without_time", FaultOf("kind = \"pause\"\nfor_s = 1\nnodes = 0.1\n"), "fault.at_s is missing"},
-        Fault1{"fault_key_of_another", FaultOf("kind = \"counter_empty\"\nat_s = 1\nfor_s = 2\n"), "unknown key fault.for_s"},
-        Fault1{"fault_after_the_end", FaultOf("kind = \"counter_empty\"\nat_s = 21\n"), "day.toml:15: fault.at_s lies beyond duration_s"},
-        Fault1{"fault_beyond_the_end", FaultOf("kind = \"pause\"\nat_s = 19\nfor_s = 2\nnodes = 0.1\n"), "pause ends beyond duration_s"},
+        Fault1{"class_no_table", "name = \"day\"\nclass = 3\n[load]\nrate = 1\n",
+               "day.toml:2: class is to be tables [[class]]"},
+        Fault1{"unknown_fault", FaultOf("kind = \"gremlin\"\nat_s = 1\n"),
+               "day.toml:14: unknown fault gremlin; known: jump"},
+        Fault1{"fault_without_length", FaultOf("kind = \"pause\"\nat_s = 1\nnodes = 0.1\n"),
+               "fault.for_s is missing: pause needs it"},
+        Fault1{"fault_without_time", FaultOf("kind = \"pause\"\nfor_s = 1\nnodes = 0.1\n"),
+               "fault.at_s is missing"},
+        Fault1{"fault_key_of_another", FaultOf("kind = \"counter_empty\"\nat_s = 1\nfor_s = 2\n"),
+               "unknown key fault.for_s"},
+        Fault1{"fault_after_the_end", FaultOf("kind = \"counter_empty\"\nat_s = 21\n"),
+               "day.toml:15: fault.at_s lies beyond duration_s"},
+        Fault1{"fault_beyond_the_end", FaultOf("kind = \"pause\"\nat_s = 19\nfor_s = 2\nnodes = 0.1\n"),
+               "pause ends beyond duration_s"},
         Fault1{"fault_twice_at_once",
-               FaultOf("kind = \"pause\"\nat_s = 1\nfor_s = 5\nnodes = 0.1\n[[fault]]\nkind = \"pause\"\nat_s = 3\nfor_s = 5\nnodes = 0.1\n"),
+               FaultOf("kind = \"pause\"\nat_s = 1\nfor_s = 5\nnodes = 0.1\n[[fault]]\nkind = "
+                       "\"pause\"\nat_s = 3\nfor_s = 5\nnodes = 0.1\n"),
                "day.toml:19: pause begins before the one of line 14 has ended"},
-        Fault1{"no_such_gateway", FaultOf("kind = \"gateway_kill\"\nat_s = 1\nfor_s = 5\ngateway = 2\n"), "fault.gateway is out of range"},
+        Fault1{"no_such_gateway", FaultOf("kind = \"gateway_kill\"\nat_s = 1\nfor_s = 5\ngateway = 2\n"),
+               "fault.gateway is out of range"},
         Fault1{"counter_fault_without_one",
-               std::string(kGood) + "[counter]\npresent = false\n[[fault]]\nkind = \"counter_empty\"\nat_s = 1\n",
+               std::string(kGood) +
+                   "[counter]\npresent = false\n[[fault]]\nkind = \"counter_empty\"\nat_s = 1\n",
                "counter_empty in a scenario without a counter"},
-        Fault1{"odd_counter", std::string(kGood) + "[counter]\nkind = \"etcd\"\n", "counter.kind is to be tally or redis"},
+        Fault1{"odd_counter", std::string(kGood) + "[counter]\nkind = \"etcd\"\n",
+               "counter.kind is to be tally or redis"},
         Fault1{"stream_of_no_plan", std::string(kGood) + "[[stream]]\nplan = \"none\"\nclass = \"quote\"\n",
                "stream.plan names no plan: none"}),
     [](const auto& tested) { return std::string(tested.param.name); });
@@ -116,7 +134,9 @@
   fs::path folder = mkdtemp(pattern);
   auto write = [&](const char* name, const std::string& text) { std::ofstream(folder / name) << text; };
   write("base.toml", kGood);
-  write("over.toml", "extends = \"base.toml\"\nname = \"over\"\n[load]\nunits_mean = 3\n[[node]]\ntype = \"big\"\ncount = 5\n");
+  write("over.toml",
+        "extends = \"base.toml\"\nname = \"over\"\n[load]\nunits_mean = 3\n[[node]]\ntype = \"big\"\ncount = "
+        "5\n");
   write("bad.toml", With("rate = 10", "rats = 10"));
   write("over-bad.toml", "extends = \"bad.toml\"\nname = \"over\"\n");
   write("ring.toml", "extends = \"ring.toml\"\n");
@@ -134,7 +154,8 @@
     }
     return std::string("sound");
   };
-  EXPECT_NE(wrong("over-bad.toml").find("bad.toml:5: unknown key load.rats"), std::string::npos) << wrong("over-bad.toml");
+  EXPECT_NE(wrong("over-bad.toml").find("bad.toml:5: unknown key load.rats"), std::string::npos)
+      << wrong("over-bad.toml");
   EXPECT_NE(wrong("ring.toml").find("extends itself"), std::string::npos);
   EXPECT_NE(wrong("absent.toml").find("cannot be read"), std::string::npos);
   fs::remove_all(folder);
--- a/tests/shared/redis_test.cpp
+++ b/tests/shared/redis_test.cpp
@@ -1,5 +1,5 @@
-// The engine over Redis against the model in memory, and each way in which the server and the way there can fail. The
-// stand-in runs the engine's own script.
+// The engine over Redis against the model in memory, and each way in which the server and the way there can
+// fail. The stand-in runs the engine's own script.
 #include <functional>
 #include <optional>
 
@@ -17,7 +17,9 @@
 
 // A server and an engine on one loop.
 struct Pair {
-  explicit Pair(const std::string& password = "", const std::string& told = "", std::optional<uint16_t> port = {}) : server(io, password) {
+  explicit Pair(const std::string& password = "", const std::string& told = "",
+                std::optional<uint16_t> port = {})
+      : server(io, password) {
     options.address = {asio::ip::address_v4::loopback(), port.value_or(server.port())};
     options.password = told.empty() ? password : told;
     options.generation = "drawn";
@@ -138,7 +140,9 @@
     for (uint64_t n = 1; n <= 6; ++n) {
       for (bool writes : {true, false}) {
         Pair p;
-        p.server.fate = [&](uint64_t number, const std::string&) { return Fate{number == n ? what : Fate::kNormal, ""}; };
+        p.server.fate = [&](uint64_t number, const std::string&) {
+          return Fate{number == n ? what : Fate::kNormal, ""};
+        };
         for (uint64_t i = 1; i <= 6; ++i) {
           std::string key = "a/" + std::to_string(i);
           Reply r = writes ? p.InTheEnd(Commit(One(key, "x"))) : p.InTheEnd(Get(key));
@@ -194,7 +198,8 @@
   EXPECT_EQ(mark.See(p.Take(Get("a/1"))), Watermark::Seen::kLost);
 }
 
-// Another looks again only when the store has been made anew, by the same caller as before and above all its revisions.
+// Another looks again only when the store has been made anew, by the same caller as before and above all its
+// revisions.
 TEST(RedisEngine, AStoreMadeAnewIsNeverTakenForTheOneBefore) {
   Pair p;
   Watermark mark, other;
--- a/tests/shared/store_compare.h
+++ b/tests/shared/store_compare.h
@@ -14,8 +14,8 @@
 namespace ivygw::shared {
 
 inline std::string Text(const Reply& r) {
-  std::string text = std::to_string(static_cast<int>(r.outcome)) + " " + FaultName(r.fault) + " rev " + std::to_string(r.revision) +
-                     (r.whole ? "" : " not whole");
+  std::string text = std::to_string(static_cast<int>(r.outcome)) + " " + FaultName(r.fault) + " rev " +
+                     std::to_string(r.revision) + (r.whole ? "" : " not whole");
   for (const Entry& e : r.entries) {
     text += " [" + e.key + "=" + e.value + "@" + std::to_string(e.version);
     if (e.lease_left_s) text += " " + std::to_string(std::lround(*e.lease_left_s * 10));
--- a/tests/shared/store_test.cpp
+++ b/tests/shared/store_test.cpp
@@ -15,8 +15,8 @@
 #include <random>
 #include <string>
 
-#include "shared/store_compare.h"
 #include "shared/sqlite_store.h"
+#include "shared/store_compare.h"
 #include "shared/threaded_engine.h"
 
 namespace ivygw::shared {
@@ -111,7 +111,10 @@
   if (child == 0) {
     sqlite3* other = nullptr;
     sqlite3_open(folder.File().c_str(), &other);
-    sqlite3_exec(other, "BEGIN IMMEDIATE; INSERT INTO entry VALUES('a/2', 'y', 77, NULL, 'a'); UPDATE meta SET revision = 77", nullptr, nullptr, nullptr);
+    sqlite3_exec(
+        other,
+        "BEGIN IMMEDIATE; INSERT INTO entry VALUES('a/2', 'y', 77, NULL, 'a'); UPDATE meta SET revision = 77",
+        nullptr, nullptr, nullptr);
     kill(getpid(), SIGKILL);
   }
   int status = 0;
--- a/tests/standin/standin_test.cpp
+++ b/tests/standin/standin_test.cpp
@@ -15,7 +15,9 @@
 using Calls = std::vector<std::vector<std::string>>;
 
 TEST(ReadCalls, TakesWholeCallsHoweverTheyAreCut) {
-  std::string text = "*4\r\n$5\r\nTALLY\r\n$1\r\na\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n*1\r\n$4\r\nPING\r\n*2\r\n$1\r\nx\r\n$0\r\n\r\n";
+  std::string text =
+      "*4\r\n$5\r\nTALLY\r\n$1\r\na\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n*1\r\n$4\r\nPING\r\n*2\r\n$1\r\nx\r\n$"
+      "0\r\n\r\n";
   Calls want = {{"TALLY", "a", "-2.5", "4000"}, {"PING"}, {"x", ""}};
   for (size_t cut = 0; cut <= text.size(); ++cut) {
     std::string bytes = text.substr(0, cut);
@@ -29,8 +31,9 @@
 }
 
 TEST(ReadCalls, RefusesWhatIsNoCall) {
-  for (std::string bad : {"PING\r\n", "*99\r\n", "*-1\r\n", "*1\r\n+OK\r\n", "*1\r\n$-1\r\n", "*1\r\n$99999\r\n", "*x\r\n",
-                          "*1\r\n$1\r\nab\r\n", "*11111111111111111111111111111111111111"}) {
+  for (std::string bad :
+       {"PING\r\n", "*99\r\n", "*-1\r\n", "*1\r\n+OK\r\n", "*1\r\n$-1\r\n", "*1\r\n$99999\r\n", "*x\r\n",
+        "*1\r\n$1\r\nab\r\n", "*11111111111111111111111111111111111111"}) {
     Calls calls;
     EXPECT_FALSE(ReadCalls(&bad, &calls)) << bad;
   }
@@ -42,7 +45,8 @@
   std::string sound = "*4\r\n$5\r\nTALLY\r\n$1\r\na\r\n$4\r\n-2.5\r\n$4\r\n4000\r\n";
   for (int i = 0; i < 20000; ++i) {
     std::string bytes = sound + sound;
-    for (uint64_t n = random.Below(6); n > 0; --n) bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
+    for (uint64_t n = random.Below(6); n > 0; --n)
+      bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
     bytes.resize(random.Below(bytes.size() + 1));
     size_t before = bytes.size();
     Calls calls;
--- a/tests/state/learned_file_test.cpp
+++ b/tests/state/learned_file_test.cpp
@@ -20,7 +20,11 @@
 uint32_t IdOf(const std::string& name) { return static_cast<uint32_t>(std::stoul(name.substr(2))); }
 
 Learned Some() {
-  return {{{7, 1.25, 0.1, 12, 0.02, 0}, {8, 0.5, 0.3, 3, 0, 995.5}, {9, 1, 0, 3, 0, 0}}, {0.1, 0.05}, {2, 3}, 0.9, 1.75};
+  return {{{7, 1.25, 0.1, 12, 0.02, 0}, {8, 0.5, 0.3, 3, 0, 995.5}, {9, 1, 0, 3, 0, 0}},
+          {0.1, 0.05},
+          {2, 3},
+          0.9,
+          1.75};
 }
 
 TEST(LearnedFile, ThereAndBackByTheNamesOfBackends) {
@@ -45,8 +49,8 @@
 
 TEST(LearnedFile, EachFieldThatIsMissingOrSpoiltIsNamed) {
   std::string sound = FormatLearned(Some(), 1000, "n0", NameOf);
-  for (std::string field : {"version", "gateway", "at", "backends", "work", "units", "let_in", "warm_work", "name", "speed",
-                            "pace", "limit", "fails", "cold_since"}) {
+  for (std::string field : {"version", "gateway", "at", "backends", "work", "units", "let_in", "warm_work",
+                            "name", "speed", "pace", "limit", "fails", "cold_since"}) {
     std::string missing = sound, spoilt = sound;
     size_t at = sound.find("\"" + field + "\":");
     ASSERT_NE(at, std::string::npos) << field;
--- a/tests/state/operators_file_test.cpp
+++ b/tests/state/operators_file_test.cpp
@@ -62,7 +62,8 @@
     } catch (const StateError& error) {
       EXPECT_EQ(std::string(error.what()), file.path() + ": " + why);
     }
-    EXPECT_EQ(file.Change([](OperatorsWord* word) { word->bans.insert("s-2"); }).bans, std::set<std::string>{"s-2"});
+    EXPECT_EQ(file.Change([](OperatorsWord* word) { word->bans.insert("s-2"); }).bans,
+              std::set<std::string>{"s-2"});
     EXPECT_EQ(file.Read().bans, std::set<std::string>{"s-2"});
     EXPECT_TRUE(std::filesystem::exists(file.path() + ".bad")) << "for somebody to look at";
   }
@@ -85,7 +86,8 @@
     if (children[w] != 0) continue;
     OperatorsFile file(directory, "n0");
     for (int i = 0; i < 100; ++i) {
-      file.Change([&](OperatorsWord* word) { word->bans.insert(std::to_string(w) + "-" + std::to_string(i)); });
+      file.Change(
+          [&](OperatorsWord* word) { word->bans.insert(std::to_string(w) + "-" + std::to_string(i)); });
     }
     _exit(0);
   }
--- a/tests/system/backend_links_test.cpp
+++ b/tests/system/backend_links_test.cpp
@@ -272,7 +272,8 @@
   pair.Write(false);
   pair.PeerReads();
   std::string answer = kAnswer;
-  pair.PeerSends(answer.insert(answer.find("Attempt-Id"), "Keep-Alive: max=100, timeout=7\r\nX-Padding: 0\r\n"));
+  pair.PeerSends(
+      answer.insert(answer.find("Attempt-Id"), "Keep-Alive: max=100, timeout=7\r\nX-Padding: 0\r\n"));
   pair.Told("connected written answer,keep ");
   DOUBLES_EQUAL(7, pair.recorder.last.keep_alive_s, 0);
 }
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -13,10 +13,10 @@
 #include <string>
 #include <vector>
 
-#include "registry/registry.h"
-#include "discovery/copy.h"
-#include "control_client/followers.h"
 #include "config_store/store.h"
+#include "control_client/followers.h"
+#include "discovery/copy.h"
+#include "registry/registry.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -118,7 +118,8 @@
   }
   // Whether that machine goes by these members, in both tables.
   bool HasMembers(int machine, std::vector<int> members) {
-    for (const replicated_table::CoreNode* node : {&stores.at(machine)->node(), &registries.at(machine)->node()}) {
+    for (const replicated_table::CoreNode* node :
+         {&stores.at(machine)->node(), &registries.at(machine)->node()}) {
       const auto& held = node->replica().membership().members;
       if (held.size() != members.size()) return false;
       for (size_t i = 0; i < members.size(); ++i) {
