--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -1,23 +1,23 @@
-// Decisions of the system without I/O: configurations, routes, the budget of further tries, choice of backends, the roll
-// of backends, and the codec under bad input.
+// Decisions of the system without I/O: configurations, routes, the budget of further tries, choice of
+// backends, the roll of backends, and the codec under bad input.
 #include <algorithm>
 #include <map>
 #include <random>
 #include <set>
 #include <string>
 
-#include "registry/heard.h"
-#include "registry/lending_right.h"
-#include "registry/roll.h"
-#include "discovery/copy.h"
-#include "messages/codec.h"
 #include "config_model/model.h"
 #include "config_store/configuration_policy.h"
+#include "discovery/copy.h"
+#include "load_balancing/budget.h"
+#include "load_balancing/pool.h"
+#include "messages/codec.h"
 #include "process/settings.h"
+#include "registry/heard.h"
+#include "registry/lending_right.h"
+#include "registry/roll.h"
 #include "replicated_table/known_cores.h"
 #include "routing/routes.h"
-#include "load_balancing/budget.h"
-#include "load_balancing/pool.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -27,16 +27,21 @@
 
 namespace {
 
-std::string Route(const std::string& name, const std::string& extra = "", const std::string& service = "s1", const std::string& version = "00000007") {
-  return R"({"name":")" + name + R"(","host_name":"h.example","path_prefix":"/a/","route_type":"idempotent","timeout_ms":900,"target_service":")" +
+std::string Route(const std::string& name, const std::string& extra = "", const std::string& service = "s1",
+                  const std::string& version = "00000007") {
+  return R"({"name":")" + name +
+         R"(","host_name":"h.example","path_prefix":"/a/","route_type":"idempotent","timeout_ms":900,"target_service":")" +
          service + R"(","max_attempts":2,"config_version":")" + version + "\"" + extra + "}";
 }
-std::string Call(const std::string& routes, const std::string& tenants = "", const std::string& removed = "") {
+std::string Call(const std::string& routes, const std::string& tenants = "",
+                 const std::string& removed = "") {
   return R"({"upsert_items":{"route_table":[)" + routes + R"(],"tenant_table":[)" + tenants +
-         R"(],"service_table":[{"name":"s1","health_path":"/h","config_version":"00000007"}]},"remove_items":{"route_table":[)" + removed + "]}}";
+         R"(],"service_table":[{"name":"s1","health_path":"/h","config_version":"00000007"}]},"remove_items":{"route_table":[)" +
+         removed + "]}}";
 }
 std::string Tenant(const std::string& name, const std::string& key) {
-  return R"({"name":")" + name + R"(","api_keys":[")" + key + R"("],"rate_per_s":5,"burst_size":5,"config_version":"00000007"})";
+  return R"({"name":")" + name + R"(","api_keys":[")" + key +
+         R"("],"rate_per_s":5,"burst_size":5,"config_version":"00000007"})";
 }
 std::string FaultOf(const std::string& json) {
   Change change;
@@ -46,7 +51,8 @@
 void Has(const std::string& text, const std::string& part) {
   if (text.find(part) == std::string::npos) FAIL(("'" + text + "' does not tell of '" + part + "'").c_str());
 }
-messages::Item Backend(const std::string& id, const std::string& service, const std::string& zone, uint64_t version = 1, bool draining = false) {
+messages::Item Backend(const std::string& id, const std::string& service, const std::string& zone,
+                       uint64_t version = 1, bool draining = false) {
   discovery::Backend b;
   b.service = service;
   b.address = "10.0.0." + std::to_string(std::hash<std::string>()(id) % 200) + ":80";
@@ -58,13 +64,17 @@
 
 }  // namespace
 
-TEST_GROUP(Configuration) {};
+TEST_GROUP(Configuration){};
 
 TEST(Configuration, AGoodCallIsReadWhole) {
   Change change;
-  STRCMP_EQUAL("", config_model::ReadChange(Call(Route("r1"), Tenant("t1", "k1"), R"({"name":"old","config_version":"0000000a"})"), &change).c_str());
+  STRCMP_EQUAL(
+      "", config_model::ReadChange(
+              Call(Route("r1"), Tenant("t1", "k1"), R"({"name":"old","config_version":"0000000a"})"), &change)
+              .c_str());
   CHECK_EQUAL(4u, change.items.size());
-  CHECK(change.items.back().dropped || change.items.front().dropped || change.items[2].dropped || change.items[1].dropped);
+  CHECK(change.items.back().dropped || change.items.front().dropped || change.items[2].dropped ||
+        change.items[1].dropped);
   for (const auto& item : change.items) {
     if (item.dropped) CHECK_EQUAL(10u, item.version);
   }
@@ -72,19 +82,35 @@
 }
 
 TEST(Configuration, EachBadCallIsNamedByItsField) {
-  struct Case { std::string json, named; };
+  struct Case {
+    std::string json, named;
+  };
   std::string good = Call(Route("r1"));
-  for (const Case& c : {
-           Case{good.substr(0, good.size() / 2), "JSON"}, Case{"[]", "object"}, Case{"{}", "upsert_items"},
-           Case{Call(Route("r1", "", "nowhere")), "target_service"},
-           Case{Call(Route("r1", R"(,"traffic_split":[{"target_service":"s1","weight":-1}])")), "weight"},
-           Case{Call(R"({"name":"r","host_name":"","path_prefix":"/a/","route_type":"idempotent","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"), "host_name"},
-           Case{Call(R"({"name":"r","host_name":"h","path_prefix":"a/","route_type":"idempotent","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"), "path_prefix"},
-           Case{Call(R"({"name":"r","host_name":"h","path_prefix":"/a/","route_type":"idempotent","target_service":"s1","config_version":"00000007"})"), "timeout_ms"},
-           Case{Call(R"({"name":"r","host_name":"h","path_prefix":"/a/","route_type":"x","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"), "route_type"},
-           Case{Call(Route("r1", "", "s1", "7")), "config_version"}, Case{Call(Route("r1", "", "s1", "0000000g")), "config_version"},
-           Case{Call(Route("r1"), Tenant("t1", "k") + "," + Tenant("t2", "k")), "api_keys"},
-           Case{R"({"upsert_items":{"routes":[]}})", "routes"}}) {
+  for (
+      const Case& c :
+      {Case{good.substr(0, good.size() / 2), "JSON"}, Case{"[]", "object"}, Case{"{}", "upsert_items"},
+       Case{Call(Route("r1", "", "nowhere")), "target_service"},
+       Case{Call(Route("r1", R"(,"traffic_split":[{"target_service":"s1","weight":-1}])")), "weight"},
+       Case{
+           Call(
+               R"({"name":"r","host_name":"","path_prefix":"/a/","route_type":"idempotent","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"),
+           "host_name"},
+       Case{
+           Call(
+               R"({"name":"r","host_name":"h","path_prefix":"a/","route_type":"idempotent","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"),
+           "path_prefix"},
+       Case{
+           Call(
+               R"({"name":"r","host_name":"h","path_prefix":"/a/","route_type":"idempotent","target_service":"s1","config_version":"00000007"})"),
+           "timeout_ms"},
+       Case{
+           Call(
+               R"({"name":"r","host_name":"h","path_prefix":"/a/","route_type":"x","timeout_ms":9,"target_service":"s1","config_version":"00000007"})"),
+           "route_type"},
+       Case{Call(Route("r1", "", "s1", "7")), "config_version"},
+       Case{Call(Route("r1", "", "s1", "0000000g")), "config_version"},
+       Case{Call(Route("r1"), Tenant("t1", "k") + "," + Tenant("t2", "k")), "api_keys"},
+       Case{R"({"upsert_items":{"routes":[]}})", "routes"}}) {
     Has(FaultOf(c.json), c.named);
   }
 }
@@ -120,11 +146,12 @@
   }
 }
 
-TEST_GROUP(Routing) {};
+TEST_GROUP(Routing){};
 
 TEST(Routing, TheLongestPrefixOfTheHostWins) {
   routing::Routes routes;
-  auto put = [&](const std::string& name, const std::string& host, const std::string& prefix, uint64_t version, bool dropped = false) {
+  auto put = [&](const std::string& name, const std::string& host, const std::string& prefix,
+                 uint64_t version, bool dropped = false) {
     std::string body = R"({"name":")" + name + R"(","host_name":")" + host + R"(","path_prefix":")" + prefix +
                        R"(","route_type":"idempotent","timeout_ms":9,"target_service":"s"})";
     STRCMP_EQUAL("", routes.Fold({"route_table/" + name, version, dropped, body}).c_str());
@@ -149,7 +176,8 @@
 TEST(Routing, KeysFollowTheirTenant) {
   routing::Routes routes;
   auto put = [&](const std::string& name, const std::string& keys, uint64_t version, bool dropped = false) {
-    routes.Fold({"tenant_table/" + name, version, dropped, R"({"name":")" + name + R"(","api_keys":[)" + keys + "]}"});
+    routes.Fold({"tenant_table/" + name, version, dropped,
+                 R"({"name":")" + name + R"(","api_keys":[)" + keys + "]}"});
   };
   put("t1", R"("k1","k2")", 1);
   STRCMP_EQUAL("t1", routes.Owner("k2")->name.c_str());
@@ -175,7 +203,7 @@
   CHECK(b > 70 && b < 130);
 }
 
-TEST_GROUP(Budgets) {};
+TEST_GROUP(Budgets){};
 
 TEST(Budgets, TheBudgetOfAllGatewaysHolds) {
   // Eleven gateways, each for itself, of a service that fails all the time.
@@ -195,15 +223,17 @@
       }
     }
     auto in = [&](const std::deque<double>& list, double from, double to) {
-      return static_cast<double>(std::count_if(list.begin(), list.end(), [&](double at) { return at > from && at <= to; }));
+      return static_cast<double>(
+          std::count_if(list.begin(), list.end(), [&](double at) { return at > from && at <= to; }));
     };
     if (static_cast<int>(now * 100) % 50 != 0) continue;
-    double most = std::max({in(requests, now - 10, now), in(requests, now - 20, now - 10), in(requests, now - 15, now - 5)});
+    double most = std::max(
+        {in(requests, now - 10, now), in(requests, now - 20, now - 10), in(requests, now - 15, now - 5)});
     CHECK(in(again, now - 10, now) <= 0.2 * most + 62);
   }
 }
 
-TEST_GROUP(Choice) {};
+TEST_GROUP(Choice){};
 
 TEST(Choice, OwnSlotsOfTheZoneComeFirstAndAllGatewaysOwnAll) {
   std::vector<messages::Member> members = {{"g1", "z1"}, {"g2", "z1"}, {"g3", "z2"}};
@@ -238,7 +268,7 @@
   STRCMP_EQUAL("", pool.Choose(1, "unknown", {}).c_str());
 }
 
-TEST_GROUP(Roll) {};
+TEST_GROUP(Roll){};
 
 TEST(Roll, ADrainWaitsForAMajorityAndIsNeverTakenBack) {
   discovery::Backend b;
@@ -272,7 +302,8 @@
   registry::RollPolicy policy;
   replication::Table table;
   auto changes = [&](const messages::Item& item) {
-    return policy.Judge({item}, replication::TableOverlay(table)).kind == replication::Judgement::Kind::kChanges;
+    return policy.Judge({item}, replication::TableOverlay(table)).kind ==
+           replication::Judgement::Kind::kChanges;
   };
   table.Put({Backend("i", "s", "z", 5, true), 1, {}});
   CHECK(!changes(Backend("i", "s", "z", 4)));
@@ -326,12 +357,17 @@
 TEST(Roll, ABadBeatIsNamedByItsField) {
   discovery::Backend b;
   Has(discovery::ReadBeat("{", &b), "JSON");
-  Has(discovery::ReadBeat(R"({"target_service":"s","address":"nowhere","oper_state":"ready","call_sequence":1})", &b), "address");
-  Has(discovery::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"odd","call_sequence":1})", &b), "oper_state");
-  Has(discovery::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready"})", &b), "call_sequence");
+  Has(discovery::ReadBeat(
+          R"({"target_service":"s","address":"nowhere","oper_state":"ready","call_sequence":1})", &b),
+      "address");
+  Has(discovery::ReadBeat(
+          R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"odd","call_sequence":1})", &b),
+      "oper_state");
+  Has(discovery::ReadBeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready"})", &b),
+      "call_sequence");
 }
 
-TEST_GROUP(Orders) {};
+TEST_GROUP(Orders){};
 
 TEST(Orders, OneOrderOverAnyContents) {
   using messages::Newer;
@@ -394,17 +430,20 @@
   CHECK(kind() == replication::Judgement::Kind::kChanges);
 }
 
-TEST_GROUP(Members) {};
+TEST_GROUP(Members){};
 
 namespace {
 
-messages::Membership Epoch(uint64_t epoch, std::vector<messages::Member> members) { return {epoch, std::move(members)}; }
+messages::Membership Epoch(uint64_t epoch, std::vector<messages::Member> members) {
+  return {epoch, std::move(members)};
+}
 
 }  // namespace
 
 TEST(Members, WhoTakesAnothersPlaceLendsOnlyOnceThatOnesLoansAreOver) {
   using registry::LendingRight;
-  messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, c{"10.0.0.3", 1, ""}, d{"10.0.0.4", 7, ""}, c_anew{"10.0.0.3", 9, ""};
+  messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, c{"10.0.0.3", 1, ""}, d{"10.0.0.4", 7, ""},
+      c_anew{"10.0.0.3", 9, ""};
   LendingRight founder(0, a.address, a.store_id, Epoch(1, {a, b, c}), 0);
   CHECK(founder.May(0));
   LendingRight successor(0, d.address, d.store_id, Epoch(0, {}), 0);
@@ -415,7 +454,8 @@
   CHECK(founder.May(100));
   CHECK(!successor.May(100 + rate_limit::kTerm + replication::kContactBound));
   CHECK(successor.May(100 + LendingRight::kWait));
-  // One that was replaced does not lend; one that comes back waits for its successor's loans, also where it saw neither epoch.
+  // One that was replaced does not lend; one that comes back waits for its successor's loans, also where it
+  // saw neither epoch.
   LendingRight replaced(0, c.address, c.store_id, Epoch(1, {a, b, c}), 1);
   LendingRight absent(0, c.address, c.store_id, Epoch(1, {a, b, c}), 1);
   replaced.OnMembership(100, Epoch(2, {a, b, d}), 1);
@@ -453,7 +493,7 @@
   CHECK((known.Wanted(67) == std::set<std::string>{"10.0.0.2", "10.0.0.5"}));
 }
 
-TEST_GROUP(Plumbing) {};
+TEST_GROUP(Plumbing){};
 
 TEST(Plumbing, MessagesSurviveAndGarbageDoesNotHurt) {
   messages::Push push{7, true, 5, {{"k", 3, false, "body"}, {"q", 9, true, ""}}, {"e"}};
@@ -495,12 +535,14 @@
     state.epoch = epoch;
     state.complete = complete;
     state.list_revision = list_revision;
-    for (uint32_t range = 0; all_ranges && range < messages::kListRanges; ++range) state.listed_ranges.push_back(range);
+    for (uint32_t range = 0; all_ranges && range < messages::kListRanges; ++range)
+      state.listed_ranges.push_back(range);
     copy.OnState(1, state);
     journal.Run();
   }
   bool Empty() const {
-    return std::all_of(copy.digests().begin(), copy.digests().end(), [](uint64_t digest) { return digest == 0; });
+    return std::all_of(copy.digests().begin(), copy.digests().end(),
+                       [](uint64_t digest) { return digest == 0; });
   }
   discovery::Journal<discovery::Changed> journal;
   discovery::Copy copy{discovery::Table::kConfiguration, &journal};
@@ -535,7 +577,7 @@
   gateway.State(1, true, 11, true);
   CHECK(gateway.told["a"].dropped);
   CHECK(!gateway.told["b"].dropped);
-  CHECK(!gateway.told["c"].dropped);  // came later than that list began
+  CHECK(!gateway.told["c"].dropped);                              // came later than that list began
   gateway.Push(9, {{"a", 1, false, "x"}, {"d", 1, false, "x"}});  // of a core that is far behind
   CHECK(gateway.told["a"].dropped);
   CHECK(gateway.told.count("d") == 0);
@@ -559,8 +601,12 @@
 
 TEST(Plumbing, SettingsTellEveryFaultByItsField) {
   process::Settings settings;
-  auto faults = process::ReadSettings(R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","timing_bounds":{"grace_s":"long"}})", &settings);
+  auto faults = process::ReadSettings(
+      R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","timing_bounds":{"grace_s":"long"}})",
+      &settings);
   std::string all;
   for (const auto& fault : faults) all += fault + "\n";
-  for (const char* field : {"node_name", "ip_address", "internal_port_range", "seed_nodes", "timing_bounds.grace_s"}) Has(all, field);
+  for (const char* field :
+       {"node_name", "ip_address", "internal_port_range", "seed_nodes", "timing_bounds.grace_s"})
+    Has(all, field);
 }
--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -1,5 +1,6 @@
-// Limits over many gateways: the very Lender and Admission objects, joined by a simulated network. Whatever is cut, killed or
-// started anew, what all gateways together send stays within what the operators allow in every window.
+// Limits over many gateways: the very Lender and Admission objects, joined by a simulated network. Whatever
+// is cut, killed or started anew, what all gateways together send stays within what the operators allow in
+// every window.
 #include <cmath>
 #include <deque>
 #include <map>
@@ -52,7 +53,8 @@
         gateway.admission->OnLenders(InTouch(g).size());
         gateway.admission->OnTime(now_);
         if (std::fmod(now_, 0.25) < 0.005) ReportAll(g);
-        std::poisson_distribution<int> arrivals(0.62 * options_.rate * options_.overload * gateway.weight * 0.005);
+        std::poisson_distribution<int> arrivals(0.62 * options_.rate * options_.overload * gateway.weight *
+                                                0.005);
         for (int n = arrivals(dice_); n > 0; --n) {
           ++asked;
           rate_limit::Verdict verdict = gateway.admission->Ask(now_, tenant_);
@@ -68,7 +70,8 @@
       while (!sent_.empty() && sent_.front() < now_ - 5) sent_.pop_front();
       double most = (options_.rate * 5 + options_.burst) * 1.1 + 20;
       if (static_cast<double>(sent_.size()) > most) {
-        return "at " + std::to_string(now_) + " " + std::to_string(sent_.size()) + " in a window, " + std::to_string(most) + " allowed";
+        return "at " + std::to_string(now_) + " " + std::to_string(sent_.size()) + " in a window, " +
+               std::to_string(most) + " allowed";
       }
     }
     return {};
@@ -134,10 +137,13 @@
   }
   static std::string Name(size_t g) { return "g" + std::to_string(g); }
   static std::string CoreName(size_t c) { return "c" + std::to_string(c); }
-  bool Joined(size_t g, size_t c) const { return cores_[c].lender && gateways_[g].admission && !gateway_cut_[g][c]; }
+  bool Joined(size_t g, size_t c) const {
+    return cores_[c].lender && gateways_[g].admission && !gateway_cut_[g][c];
+  }
   void Report(size_t g, size_t c, size_t lenders, bool all, bool draw) {
     messages::Report report = gateways_[g].admission->Report(now_, CoreName(c), lenders, all, draw);
-    if (all || !report.uses.empty()) Send({now_ + 0.001 + 0.002 * Chance(), g, c, gateways_[g].boot, cores_[c].life, report, {}});
+    if (all || !report.uses.empty())
+      Send({now_ + 0.001 + 0.002 * Chance(), g, c, gateways_[g].boot, cores_[c].life, report, {}});
   }
   std::vector<size_t> InTouch(size_t g) const {
     std::vector<size_t> out;
@@ -149,7 +155,8 @@
   void ReportAll(size_t g) {
     auto cores = InTouch(g);
     size_t from = gateways_[g].draws++;
-    for (size_t i = 0; i < cores.size(); ++i) Report(g, cores[i], cores.size(), true, i == from % cores.size());
+    for (size_t i = 0; i < cores.size(); ++i)
+      Report(g, cores[i], cores.size(), true, i == from % cores.size());
   }
   void Draw(size_t g) {
     auto cores = InTouch(g);
@@ -160,9 +167,11 @@
     while (!messages_.empty() && messages_.top().at <= now_) {
       Message m = messages_.top();
       messages_.pop();
-      if (!Joined(m.gateway, m.core) || gateways_[m.gateway].boot != m.boot || cores_[m.core].life != m.life) continue;
+      if (!Joined(m.gateway, m.core) || gateways_[m.gateway].boot != m.boot || cores_[m.core].life != m.life)
+        continue;
       if (m.report) {
-        messages::Loans loans = cores_[m.core].lender->OnReport(now_, Name(m.gateway), m.boot, *m.report, options_.cores);
+        messages::Loans loans =
+            cores_[m.core].lender->OnReport(now_, Name(m.gateway), m.boot, *m.report, options_.cores);
         Send({now_ + 0.001 + 0.002 * Chance(), m.gateway, m.core, m.boot, m.life, {}, loans});
       } else {
         Gateway& gateway = gateways_[m.gateway];
@@ -219,7 +228,7 @@
 
 }  // namespace
 
-TEST_GROUP(Limits) {};
+TEST_GROUP(Limits){};
 
 TEST(Limits, HoldOverAllGatewaysWhateverIsCutKilledOrStartedAnew) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
@@ -334,7 +343,8 @@
 }
 
 TEST(Limits, TheCounterCheckRefusesWhatOthersHaveSent) {
-  // One gateway with plenty in its bucket; the counter tells that the others have sent a whole window's worth.
+  // One gateway with plenty in its bucket; the counter tells that the others have sent a whole window's
+  // worth.
   Admission admission({0.1, 20, 5, 30});
   config_model::Tenant tenant;
   tenant.name = "t";
--- a/tests/system/proxy_wire_test.cpp
+++ b/tests/system/proxy_wire_test.cpp
@@ -1,7 +1,7 @@
 // The proxy's requests against backends that go wrong at the level of bytes: answers cut, split, doubled,
 // glued, late, of others, garbage, resets, ends and silence, at every offset, by seeds. All is the running
-// code (the proxy's exchanges, the links, the server of clients) over real sockets of one process. What clients
-// and backends saw must agree in the end.
+// code (the proxy's exchanges, the links, the server of clients) over real sockets of one process. What
+// clients and backends saw must agree in the end.
 #include <array>
 #include <cstdio>
 #include <functional>
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "config_model/model.h"
-#include "proxy/exchanges.h"
 #include "net/message_reader.h"
+#include "proxy/exchanges.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
--- a/tests/system/publisher_test.cpp
+++ b/tests/system/publisher_test.cpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "registry/roll.h"
 #include "messages/codec.h"
+#include "registry/roll.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
--- a/tests/system/snapshot_export_test.cpp
+++ b/tests/system/snapshot_export_test.cpp
@@ -1,11 +1,10 @@
 // A copy of a table from a core on loopback, while the table changes and connections end.
-#include "snapshot/exporter.h"
-
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "replication/table.h"
+#include "snapshot/exporter.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -21,9 +20,9 @@
 
 // A core that answers for a table, which changes after each part that it sends.
 struct ChangingCore {
-  explicit ChangingCore(asio::io_context& io) : host(io, {[this](uint64_t, const messages::Hello& hello) { greeted = hello; },
-                                                          [this](uint64_t peer, messages::Message m) { Answer(peer, m); },
-                                                          [](uint64_t) {}}) {
+  explicit ChangingCore(asio::io_context& io)
+      : host(io, {[this](uint64_t, const messages::Hello& hello) { greeted = hello; },
+                  [this](uint64_t peer, messages::Message m) { Answer(peer, m); }, [](uint64_t) {}}) {
     tcp::acceptor any(io, {asio::ip::make_address("127.0.0.1"), 0});
     address = any.local_endpoint();
     any.close();
@@ -63,7 +62,8 @@
   std::unique_ptr<ChangingCore> core = std::make_unique<ChangingCore>(io);
   ReadResult Export(double patience) {
     std::optional<ReadResult> result;
-    Exporter exporter(io, core->address, "config_store", patience, [&](ReadResult ended) { result = std::move(ended); });
+    Exporter exporter(io, core->address, "config_store", patience,
+                      [&](ReadResult ended) { result = std::move(ended); });
     while (!result) io.run_one();
     return *result;
   }
--- a/tests/system/snapshot_test.cpp
+++ b/tests/system/snapshot_test.cpp
@@ -87,7 +87,8 @@
   CHECK(!snapshot::WriteSnapshot(path, Sample()));
   const std::string good = BytesOf(path);
   for (size_t length = 1; length < good.size(); ++length) {
-    CHECK_TEXT(CodeOf(good.substr(0, length)) == SnapshotErrorCode::kTruncated, std::to_string(length).c_str());
+    CHECK_TEXT(CodeOf(good.substr(0, length)) == SnapshotErrorCode::kTruncated,
+               std::to_string(length).c_str());
   }
   CHECK(CodeOf(good + '\0') == SnapshotErrorCode::kTruncated);
   CHECK(CodeOf("") == SnapshotErrorCode::kForeign);
--- a/tests/system/table_store_test.cpp
+++ b/tests/system/table_store_test.cpp
@@ -1,4 +1,5 @@
-// A table on disk: what was told as stored is there again, exactly, whatever the disk refuses and whenever the power is lost.
+// A table on disk: what was told as stored is there again, exactly, whatever the disk refuses and whenever
+// the power is lost.
 #include "storage/table_store.h"
 
 #include <leveldb/db.h>
@@ -145,7 +146,8 @@
 
 TEST(TableStoreTest, WhatWasStoredIsThereInTheNextLife) {
   Record a = MakeRecord("t/a", 4), b = MakeRecord("t/b", 6);
-  replication::AcceptedChange accepted{{3, 9}, {8, {{5, 1}}, {a}, {"t/z"}, replication::Membership{2, {{"10.0.0.9", 5, "c"}}}}};
+  replication::AcceptedChange accepted{
+      {3, 9}, {8, {{5, 1}}, {a}, {"t/z"}, replication::Membership{2, {{"10.0.0.9", 5, "c"}}}}};
   {
     Life life(folder.table());
     life.Store(Records({a, MakeRecord("t/b", 5), MakeRecord("t/c", 5)}));
@@ -164,7 +166,8 @@
   CHECK(loaded.state.membership == (replication::Membership{3, {{"10.0.0.3", 4, "z"}}}));
   CHECK_EQUAL(7u, loaded.state.revision);
   CHECK(loaded.state.promised == (replication::Ballot{2, 9}));
-  CHECK(loaded.accepted && loaded.accepted->ballot == accepted.ballot && loaded.accepted->change == accepted.change);
+  CHECK(loaded.accepted && loaded.accepted->ballot == accepted.ballot &&
+        loaded.accepted->change == accepted.change);
   CHECK(ByKey(loaded.records) == (std::map<std::string, Record>{{"t/a", a}, {"t/b", b}}));
   {
     Life life(folder.table());
@@ -214,8 +217,9 @@
       file.seekp(20).put('#');
     }
   };
-  std::vector<std::function<void(const std::string&)>> damages = {break_current, lose_current, break_record, swap_record,
-                                                                  lose_state,    lose_format,  break_format, break_log};
+  std::vector<std::function<void(const std::string&)>> damages = {break_current, lose_current, break_record,
+                                                                  swap_record,   lose_state,   lose_format,
+                                                                  break_format,  break_log};
   for (size_t n = 0; n < damages.size(); ++n) {
     std::string path = folder.other(static_cast<int>(n));
     {
@@ -280,7 +284,8 @@
   batch.state.revision = revision;
   if (batch.replace_all) expected->records.clear();
   for (uint64_t n = random() % 5; n > 0; --n) {
-    Record record = MakeRecord("t/" + std::to_string(random() % 10), revision, one_in(20) ? 400'000 : random() % 300);
+    Record record =
+        MakeRecord("t/" + std::to_string(random() % 10), revision, one_in(20) ? 400'000 : random() % 300);
     expected->records[record.item.key] = record;
     batch.records.push_back(record);
   }
@@ -389,6 +394,7 @@
     life.Await(n);
     if (n % 10'000 == 0) most = std::max(most, BytesIn(folder.table()));
   }
-  std::printf("table store: %.1f MB on disk at most in 100000 changes of 300 keys\n", static_cast<double>(most) / 1e6);
+  std::printf("table store: %.1f MB on disk at most in 100000 changes of 300 keys\n",
+              static_cast<double>(most) / 1e6);
   CHECK(most < 16'000'000);
 }
--- a/tests/trace/trace_test.cpp
+++ b/tests/trace/trace_test.cpp
@@ -1,5 +1,5 @@
-// The flight recorder alone: records there and back, what is hidden, the bound on disk, every kind of damage, and a replay
-// that finds the first difference.
+// The flight recorder alone: records there and back, what is hidden, the bound on disk, every kind of damage,
+// and a replay that finds the first difference.
 #include <gtest/gtest.h>
 #include <stdlib.h>
 
@@ -24,22 +24,52 @@
   core::Listed listed;
   listed.backend = {9, micadock::BackendState::kDraining, 1, 2, 3, 0.5, 1700000000.25};
   listed.address = 4;
-  return {arrival, core::ClientGone{1}, core::Connected{2}, core::Written{3},
-          core::Answered{4, micadock::Result::kError, 1.5, true}, core::Lost{5}, core::Stale{6},
-          core::ListTold{micadock::ListKind::kDelta, {listed, listed}}, core::ListFailed{}, core::CountWritten{7},
-          core::CountAnswered{8, micadock::Result::kFull, 12.25}, core::CountLost{9}, core::TimeCame{},
-          core::ShutdownBegun{}, core::BanTold{10, true}, core::DrainTold{true}, core::BodyGone{11}, core::BodyEnded{12},
+  return {arrival,
+          core::ClientGone{1},
+          core::Connected{2},
+          core::Written{3},
+          core::Answered{4, micadock::Result::kError, 1.5, true},
+          core::Lost{5},
+          core::Stale{6},
+          core::ListTold{micadock::ListKind::kDelta, {listed, listed}},
+          core::ListFailed{},
+          core::CountWritten{7},
+          core::CountAnswered{8, micadock::Result::kFull, 12.25},
+          core::CountLost{9},
+          core::TimeCame{},
+          core::ShutdownBegun{},
+          core::BanTold{10, true},
+          core::DrainTold{true},
+          core::BodyGone{11},
+          core::BodyEnded{12},
           core::AnswerBegun{13},
-          core::LearnedTold{{{{9, 1.5, 0.25, 3, 0.1, 17.5}, {10, 1, 0, 4, 0, 0}}, {0.5, 0.25}, {1, 2}, 0.75, 3.5}},
-          core::IntentTold{14, 2, true}, core::Withdrawn{15}, core::FleetTold{16, false},
+          core::LearnedTold{
+              {{{9, 1.5, 0.25, 3, 0.1, 17.5}, {10, 1, 0, 4, 0, 0}}, {0.5, 0.25}, {1, 2}, 0.75, 3.5}},
+          core::IntentTold{14, 2, true},
+          core::Withdrawn{15},
+          core::FleetTold{16, false},
           core::ShareTold{17, 0.25, 2.5}};
 }
 Effects EachEffect() {
-  return {core::Hold{1, 2}, core::Answer{1, 2, 429, 0.5, 3}, core::Forget{4}, core::Connect{5, 6},
-          core::Write{7, 8, 1, 0.25, true}, core::Close{9}, core::Count{1, 0xdeadbeef, 2, 3}, core::DropCount{4},
-          core::Log{"text"}, core::Subscribe{}, core::AskClientsToClose{}, core::CloseIdleClients{},
-          core::StopIfQuiet{}, core::Stop{}, core::KeepClients{},
-          core::BeginAnswer{1, 2, 3}, core::BreakAnswer{4, 5}, core::Intend{6, 1, 7}, core::AttemptOver{8, 2, true}};
+  return {core::Hold{1, 2},
+          core::Answer{1, 2, 429, 0.5, 3},
+          core::Forget{4},
+          core::Connect{5, 6},
+          core::Write{7, 8, 1, 0.25, true},
+          core::Close{9},
+          core::Count{1, 0xdeadbeef, 2, 3},
+          core::DropCount{4},
+          core::Log{"text"},
+          core::Subscribe{},
+          core::AskClientsToClose{},
+          core::CloseIdleClients{},
+          core::StopIfQuiet{},
+          core::Stop{},
+          core::KeepClients{},
+          core::BeginAnswer{1, 2, 3},
+          core::BreakAnswer{4, 5},
+          core::Intend{6, 1, 7},
+          core::AttemptOver{8, 2, true}};
 }
 
 TEST(Codec, EachEventAndEffectComesBack) {
@@ -126,10 +156,13 @@
     std::ifstream in(path, std::ios::binary);
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
   }
-  static void Spill(const std::string& path, const std::string& bytes) { std::ofstream(path, std::ios::binary) << bytes; }
+  static void Spill(const std::string& path, const std::string& bytes) {
+    std::ofstream(path, std::ios::binary) << bytes;
+  }
   void Write(int chunks, size_t size, const TraceLimits& limits = {}) {
     SegmentWriter writer(file, 42, limits);
-    for (int i = 0; i < chunks; ++i) EXPECT_TRUE(writer.Append(std::string(size, static_cast<char>('a' + i % 26))));
+    for (int i = 0; i < chunks; ++i)
+      EXPECT_TRUE(writer.Append(std::string(size, static_cast<char>('a' + i % 26))));
   }
   std::string folder_, file;
 };
@@ -197,7 +230,8 @@
     ReadTrace(file);
     FAIL() << "a trace of another version was read";
   } catch (const TraceError& error) {
-    EXPECT_EQ(std::string(error.what()), name + ": a trace of version 9, and this program reads version " + std::to_string(kVersion));
+    EXPECT_EQ(std::string(error.what()),
+              name + ": a trace of version 9, and this program reads version " + std::to_string(kVersion));
   }
   Spill(name, "not a trace of any kind, and long enough");
   EXPECT_THROW(ReadTrace(file), TraceError);
@@ -227,8 +261,10 @@
   void Do(core::Write& e) {
     if (e.kept && random() % 8 == 0) return driver->Tell(core::Stale{e.connection});
     driver->Tell(core::Written{e.connection});
-    const micadock::Result results[] = {micadock::Result::kOk, micadock::Result::kError, micadock::Result::kFull};
-    if (random() % 16 != 0) driver->Tell(core::Answered{e.connection, results[random() % 8 < 6 ? 0 : 1 + random() % 2], 1, true});
+    const micadock::Result results[] = {micadock::Result::kOk, micadock::Result::kError,
+                                        micadock::Result::kFull};
+    if (random() % 16 != 0)
+      driver->Tell(core::Answered{e.connection, results[random() % 8 < 6 ? 0 : 1 + random() % 2], 1, true});
   }
   void Do(core::Count& e) {
     driver->Tell(core::CountWritten{e.call});
@@ -289,7 +325,8 @@
   ASSERT_GT(served, 50);
   Replay replay(settings);
   auto difference = replay.Play(turns);
-  EXPECT_FALSE(difference) << difference->event << ": " << difference->recorded << " / " << difference->replayed;
+  EXPECT_FALSE(difference) << difference->event << ": " << difference->recorded << " / "
+                           << difference->replayed;
   EXPECT_EQ(replay.turns(), turns.size());
 }
 
