The wire test's memory outlives callbacks that are still queued

Cause: AddressSanitizer on the fixture, whose memory ended before its event loop; the links want it to outlive them. Only the test changes.

--- a/tests/system/proxy_wire_test.cpp
+++ b/tests/system/proxy_wire_test.cpp
@@ -399,12 +399,13 @@
 };
 
 struct Proxy {
-  Proxy(asio::io_context& io, uint64_t seed, const std::vector<std::string>& addresses)
+  Proxy(asio::io_context& io, bodies::BodyMemory* memory, uint64_t seed,
+        const std::vector<std::string>& addresses)
       : admission(hollyford::AdmissionOptions{}),
         pool(seed, "z"),
         budget(1, 10, 1000),
-        exchanges(io, &memory, &routes, &admission, &pool, &budget),
-        front(io, 100, &memory,
+        exchanges(io, memory, &routes, &admission, &pool, &budget),
+        front(io, 100, memory,
               {[this](uint64_t client, ClientMessage message) {
                  exchanges.OnRequest(client, std::move(message));
                },
@@ -431,7 +432,6 @@
     exchanges.Open(true);
     front.Listen(Loopback());
   }
-  bodies::BodyMemory memory{size_t{64} << 20};
   routeburn::Routes routes;
   hollyford::Admission admission;
   tongariro::Pool pool;
@@ -450,6 +450,7 @@
 // Two clients through one proxy to two backends, whose first connections begin with the seed's action and
 // offset.
 Ledger Play(int seed) {
+  bodies::BodyMemory memory{size_t{64} << 20};  // outlives callbacks that are still queued
   asio::io_context io;
   Ledger ledger;
   std::mt19937 dice(static_cast<unsigned>(seed));
@@ -458,7 +459,7 @@
   size_t offset = static_cast<size_t>(seed / kActions);
   Backend first(io, &dice, action, offset, &ledger), second(io, &dice, action, offset, &ledger);
   {
-    Proxy proxy(io, static_cast<uint64_t>(seed), {first.address(), second.address()});
+    Proxy proxy(io, &memory, static_cast<uint64_t>(seed), {first.address(), second.address()});
     Client one(io, proxy.front.local(), "a", dice(), &ledger),
         two(io, proxy.front.local(), "b", dice(), &ledger);
     while (ledger.broken.empty() && !(one.done() && two.done())) io.run_one_for(std::chrono::seconds(5));
