--- a/system/adapters/replicated_table/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -64,7 +64,9 @@
   // Tells gateways that follow an item that isn't decided yet.
   void PushProvisional(const messages::Item& item) { publisher_->PushProvisional(item); }
   // The gateways that hold a lease, as gateways are told.
-  void SetGateways(std::vector<messages::Member> gateways) { publisher_->SetGateways(std::move(gateways)); }
+  void SetGateways(std::vector<messages::GatewayMember> gateways) {
+    publisher_->SetGateways(std::move(gateways));
+  }
   // Steady clock, s.
   double Now() const;
 
--- a/system/adapters/replicated_table/publisher.h
+++ b/system/adapters/replicated_table/publisher.h
@@ -61,7 +61,7 @@
   // Tells listed followers an item that isn't decided yet. It is not kept here.
   void PushProvisional(const messages::Item& item);
   // The gateways that hold a lease.
-  void SetGateways(std::vector<messages::Member> gateways) { gateways_ = std::move(gateways); }
+  void SetGateways(std::vector<messages::GatewayMember> gateways) { gateways_ = std::move(gateways); }
   // All cores that gateways should hold connections to.
   void SetCores(std::vector<std::string> cores) { cores_ = std::move(cores); }
   // Some ten times a second: lists that wait for contact, and news of the state.
@@ -89,7 +89,7 @@
   const std::string shown_prefix_;
   Events events_;
   std::map<uint64_t, Follower> followers_;
-  std::vector<messages::Member> gateways_;
+  std::vector<messages::GatewayMember> gateways_;
   std::vector<std::string> cores_;
   messages::State told_;
 
--- a/system/adapters/transport/links.cpp
+++ b/system/adapters/transport/links.cpp
@@ -6,6 +6,12 @@
 #include <algorithm>
 
 namespace ivygw::transport {
+
+using messages::Decode;
+using messages::kForm;
+using messages::Ping;
+using messages::Pong;
+
 namespace {
 
 constexpr double kFirstPause = 0.05, kLongestPause = 0.25;  // s
--- a/system/adapters/transport/links.h
+++ b/system/adapters/transport/links.h
@@ -1,8 +1,8 @@
 // Held connections between the system's processes. Frames of messages over TCP, dialled again with a pause
 // that grows and is drawn by chance, watched by pings so that silence ends them. One thread, that of the
 // event loop.
-#ifndef IVYGW_SYSTEM_HEAPHY_LINKS_H_
-#define IVYGW_SYSTEM_HEAPHY_LINKS_H_
+#ifndef IVYGW_SYSTEM_TRANSPORT_LINKS_H_
+#define IVYGW_SYSTEM_TRANSPORT_LINKS_H_
 
 #include <deque>
 #include <functional>
@@ -17,6 +17,11 @@
 
 namespace ivygw::transport {
 
+using messages::Encode;
+using messages::FrameReader;
+using messages::Hello;
+using messages::Message;
+
 // For which a peer may say nothing before the connection counts as dead; each side pings three times in it.
 inline constexpr double kSilence = 1.5;  // s
 inline constexpr size_t kMostUnsent = size_t{64}
@@ -115,4 +120,4 @@
 
 }  // namespace ivygw::transport
 
-#endif  // IVYGW_SYSTEM_HEAPHY_LINKS_H_
+#endif  // IVYGW_SYSTEM_TRANSPORT_LINKS_H_
--- a/system/decisions/load_balancing/pool.cpp
+++ b/system/decisions/load_balancing/pool.cpp
@@ -36,7 +36,7 @@
   dealt_ = false;
 }
 
-void Pool::OnMembers(const std::vector<messages::Member>& members, const std::string& self) {
+void Pool::OnMembers(const std::vector<messages::GatewayMember>& members, const std::string& self) {
   if (members == members_ && self == self_) return;
   members_ = members;
   self_ = self;
@@ -51,7 +51,7 @@
   std::vector<std::string> peers;
   std::set<std::string> zones;
   bool member = false;
-  for (const messages::Member& other : members_) {
+  for (const messages::GatewayMember& other : members_) {
     zones.insert(other.zone);
     if (other.zone == zone_) peers.push_back(other.node);
     member = member || other.node == self_;
--- a/system/decisions/messages/codec.h
+++ b/system/decisions/messages/codec.h
@@ -1,6 +1,6 @@
 // Messages as bytes (cereal, portable binary) in frames: a length of four bytes, then so many. Pure.
-#ifndef IVYGW_SYSTEM_HEAPHY_CODEC_H_
-#define IVYGW_SYSTEM_HEAPHY_CODEC_H_
+#ifndef IVYGW_SYSTEM_MESSAGES_CODEC_H_
+#define IVYGW_SYSTEM_MESSAGES_CODEC_H_
 
 #include <optional>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace ivygw::messages
 
-#endif  // IVYGW_SYSTEM_HEAPHY_CODEC_H_
+#endif  // IVYGW_SYSTEM_MESSAGES_CODEC_H_
--- a/system/decisions/messages/control.h
+++ b/system/decisions/messages/control.h
@@ -1,7 +1,7 @@
 // The messages between the system's processes. What they tell each other, as values. Serialised by cereal;
 // the form number goes up with every change that an older program can't read. No I/O.
-#ifndef IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
-#define IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
+#ifndef IVYGW_SYSTEM_MESSAGES_CONTROL_H_
+#define IVYGW_SYSTEM_MESSAGES_CONTROL_H_
 
 #include <cstdint>
 #include <string>
@@ -50,20 +50,21 @@
 struct PushAck {
   uint64_t number = 0;
 };
+// A gateway that holds a lease.
 // `members`: the gateways that hold a lease, where they are few enough to be named. `voters`: addresses of
 // the members of the core, of that epoch. `cores`: all core machines to hold connections to. `complete`: this
 // gateway has been told all that was decided before it asked, and what came since. Where a list ends with it,
 // `list_revision` is the table's when that began, and `listed_ranges` are those of which all that the table
 // held then, and what came since, has been told.
-struct Member {
+struct GatewayMember {
   std::string node, zone;
-  bool operator==(const Member&) const = default;
+  bool operator==(const GatewayMember&) const = default;
 };
 struct State {
   uint32_t gateways = 0;
   bool complete = false;
   std::vector<std::string> cores;
-  std::vector<Member> members;
+  std::vector<GatewayMember> members;
   uint64_t epoch = 0;
   std::vector<std::string> voters;
   uint64_t list_revision = 0;
@@ -137,7 +138,7 @@
   a(m.number);
 }
 template <class A>
-void serialize(A& a, Member& m) {
+void serialize(A& a, GatewayMember& m) {
   a(m.node, m.zone);
 }
 template <class A>
@@ -179,4 +180,4 @@
 
 }  // namespace ivygw::messages
 
-#endif  // IVYGW_SYSTEM_HEAPHY_MESSAGES_H_
+#endif  // IVYGW_SYSTEM_MESSAGES_CONTROL_H_
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -357,7 +357,7 @@
 
 void Registry::TellGateways(double now) {
   std::erase_if(members_, [&](const auto& entry) { return now >= entry.second.until; });
-  std::vector<messages::Member> members;
+  std::vector<messages::GatewayMember> members;
   for (const auto& [member, lease] : members_) members.push_back({member, lease.zone});
   node_.SetGateways(std::move(members));
 }
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -236,7 +236,7 @@
 TEST_GROUP(Choice){};
 
 TEST(Choice, OwnSlotsOfTheZoneComeFirstAndAllGatewaysOwnAll) {
-  std::vector<messages::Member> members = {{"g1", "z1"}, {"g2", "z1"}, {"g3", "z2"}};
+  std::vector<messages::GatewayMember> members = {{"g1", "z1"}, {"g2", "z1"}, {"g3", "z2"}};
   std::map<std::string, int> taken;
   for (const auto& member : members) {
     load_balancing::Pool pool(1, member.zone);
