--- a/system/rees/core_node.cpp
+++ b/system/rees/core_node.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr char kSnapshotRole[] = "snapshot";  // of a Hello; its node names the table
+constexpr size_t kExportPartBytes = 256 * 1024;
 constexpr auto kTick = std::chrono::milliseconds(50);
 constexpr uint64_t kOwnerEvery = 2;      // ticks
 constexpr uint64_t kFiguresEvery = 100;  // ticks
@@ -53,26 +55,33 @@
   asio::post(io_, [this] { Tick(); });
 }
 
-// The seeds are the first epoch where the whole system starts for the first time; every other new store is a learner's.
+// The seeds are the first epoch where the whole system starts for the first time; every other new store is a
+// learner's.
 storage::OpenOptions CoreNode::FirstState() const {
   std::set<std::string> seeds = SeedHosts(settings_);
   storage::OpenOptions first;
   first.founder = settings_.initial_boot && seeds.count(settings_.ip) > 0;
   if (!first.founder) return first;
   first.first_membership.epoch = 1;
-  for (const std::string& seed : seeds) first.first_membership.members.push_back({seed, replication::kFounderStoreId, ""});
+  for (const std::string& seed : seeds)
+    first.first_membership.members.push_back({seed, replication::kFounderStoreId, ""});
   return first;
 }
 
 replication::LoadedState CoreNode::OpenStore() {
   if (settings_.data_directory.empty()) return WithoutDisk();
-  store_ = std::make_unique<storage::TableStore>(io_, settings_.data_directory + "/" + options_.role, FirstState());
+  store_ = std::make_unique<storage::TableStore>(io_, settings_.data_directory + "/" + options_.role,
+                                                 FirstState());
   store_->OnStored([this](uint64_t batch) { OnStored(batch); });
   store_->OnRefused([](const std::string& reason) { Log("disk_refused").Add("reason", reason); });
   storage::OpenedTable opened = store_->TakeOpened();
   const replication::DurableState& state = opened.loaded.state;
-  Log("loaded").Add("role", options_.role).Add("records", opened.loaded.records.size()).Add("created", opened.created)
-      .Add("epoch", state.membership.epoch).Add("revision", state.revision);
+  Log("loaded")
+      .Add("role", options_.role)
+      .Add("records", opened.loaded.records.size())
+      .Add("created", opened.created)
+      .Add("epoch", state.membership.epoch)
+      .Add("revision", state.revision);
   if (!opened.unreadable.empty()) Log("store_put_aside").Add("reason", opened.unreadable);
   return std::move(opened.loaded);
 }
@@ -85,20 +94,25 @@
   return loaded;
 }
 
-double CoreNode::Now() const { return std::chrono::duration<double>(Clock::now().time_since_epoch()).count(); }
+double CoreNode::Now() const {
+  return std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
+}
 
 // --- Connections ---
 
 heaphy::Host::Events CoreNode::HostEvents() {
   heaphy::Host::Events events;
   events.up = [this](uint64_t peer, const heaphy::Hello& hello) { OnHello(peer, hello); };
-  events.message = [this](uint64_t peer, heaphy::Message message) { OnPeerMessage(peer, std::move(message)); };
+  events.message = [this](uint64_t peer, heaphy::Message message) {
+    OnPeerMessage(peer, std::move(message));
+  };
   events.down = [this](uint64_t peer) { OnPeerGone(peer); };
   return events;
 }
 
 void CoreNode::OnHello(uint64_t peer, const heaphy::Hello& hello) {
   if (hello.role == "milford") return events_.follower_up(peer, publisher_->OnFollowerUp(peer, hello));
+  if (hello.role == kSnapshotRole && hello.node == options_.role) exports_.insert(peer);
   if (hello.role != options_.role) return;
   // What an earlier connection still holds is of the past, perhaps of an earlier life of that core.
   std::vector<uint64_t> earlier;
@@ -121,13 +135,29 @@
     replica_->OnMessage(Now(), core->second, *own, &effects);
     return Run(std::move(effects));
   }
+  if (exports_.count(peer) > 0) return OnExportMessage(peer, message);
   if (const auto* ack = std::get_if<heaphy::PushAck>(&message)) return publisher_->OnPushAck(peer, *ack);
   if (const auto* have = std::get_if<heaphy::Have>(&message)) return publisher_->OnHave(peer, *have);
   events_.message(peer, std::move(message));
 }
 
+// An operator's tool copies the table; it is no core, and the replica isn't told of it. docs/operate/snapshots.md
+void CoreNode::OnExportMessage(uint64_t peer, const heaphy::Message& message) {
+  const auto* asked = std::get_if<heaphy::PeerMessage>(&message);
+  const auto* request = asked ? std::get_if<messages::DeltaRequest>(&asked->body) : nullptr;
+  if (!request) return;
+  messages::Delta delta = replica_->table().DeltaFor(*request, replica_->revision(), kExportPartBytes);
+  delta.membership = replica_->membership();
+  heaphy::PeerMessage answer;
+  answer.header.epoch = delta.membership.epoch;
+  answer.header.revision = replica_->revision();
+  answer.body = std::move(delta);
+  host_.Send(peer, answer);
+}
+
 void CoreNode::OnPeerGone(uint64_t peer) {
   cores_in_.erase(peer);
+  exports_.erase(peer);
   auto it = followers().find(peer);
   if (it == followers().end()) return;
   Follower gone = it->second;
@@ -282,7 +312,10 @@
   const messages::Membership& membership = replica_->membership();
   std::string members;
   for (const Member& member : membership.members) members += (members.empty() ? "" : " ") + member.address;
-  Log("epoch").Add("role", options_.role).Add("number", membership.epoch).Add("members", members)
+  Log("epoch")
+      .Add("role", options_.role)
+      .Add("number", membership.epoch)
+      .Add("members", members)
       .Add("member", replica_->IsMember());
   known_.SetMembers(membership);
   DialWanted();
@@ -294,7 +327,9 @@
   events.send = [this](uint64_t peer, const heaphy::Message& message) { host_.Send(peer, message); };
   events.send_frame = [this](uint64_t peer, const std::string& frame) { host_.SendFrame(peer, frame); };
   events.read = [this](std::function<void(bool)> then) {
-    Read([then = std::move(then)](const replication::Ended& ended) { then(ended.outcome == replication::Outcome::kDone); });
+    Read([then = std::move(then)](const replication::Ended& ended) {
+      then(ended.outcome == replication::Outcome::kDone);
+    });
   };
   events.in_contact = [this] { return InContact(); };
   return events;
@@ -321,7 +356,8 @@
   });
 }
 
-// The replica may want to go on between two ticks. What is due already has been tried, and waits for something else.
+// The replica may want to go on between two ticks. What is due already has been tried, and waits for
+// something else.
 void CoreNode::ArmWake() {
   std::optional<double> at = replica_->WakeAt();
   if (at && *at <= Now()) at.reset();
@@ -345,9 +381,15 @@
 void CoreNode::LogFigures() const {
   size_t behind = 0;
   for (const auto& [peer, follower] : followers()) behind += follower.acknowledged < follower.pushed;
-  Log("figures").Add("role", options_.role).Add("records", replica_->table().records().size())
-      .Add("revision", replica_->revision()).Add("epoch", replica_->membership().epoch).Add("contact", InContact())
-      .Add("cores", cores_in_.size() + 1).Add("gateways", followers().size()).Add("pushed", publisher_->pushed())
+  Log("figures")
+      .Add("role", options_.role)
+      .Add("records", replica_->table().records().size())
+      .Add("revision", replica_->revision())
+      .Add("epoch", replica_->membership().epoch)
+      .Add("contact", InContact())
+      .Add("cores", cores_in_.size() + 1)
+      .Add("gateways", followers().size())
+      .Add("pushed", publisher_->pushed())
       .Add("behind", behind);
 }
 
