--- a/scenarios/system/generate.py
+++ b/scenarios/system/generate.py
@@ -190,7 +190,7 @@
         build.add("config_race", start + draw.uniform(0.0, 3.0), count=draw.randint(2, 5), gap_s=draw.uniform(0.2, 1.2))
         build.add("bad_config", start + draw.uniform(0.0, 5.0), count=2, gap_s=0.5, how=draw.choice(("same_version", "old_version")))
         build.changes(start, start + 9.0, draw.randint(3, 7))
-        kill = draw.choice(("timed", "taken", "kill", ""))
+        kill = draw.choice(("timed", "timed", "kill", ""))
         build.add("after_ack_kill", start + draw.uniform(1.0, 6.0), for_s=draw.uniform(1.0, 4.0), how=kill)
     build.add("bad_config", draw.uniform(10.0, 30.0), count=3, gap_s=0.8, how=draw.choice(("shared_key", "stale_match", "cut_short")))
     build.add("core_cut", draw.uniform(15.0, 28.0), count=1, for_s=draw.uniform(3.0, 6.0), how="leader race")
@@ -229,7 +229,7 @@
     elif loss == "planned":
         build.add("replace_core", at, x=draw.uniform(0.5, 3.0), how="planned")
     elif loss == "wipe":
-        build.add("after_ack_wipe", at, for_s=draw.uniform(1.0, 4.0), how=draw.choice(("", "timed", "taken")))
+        build.add("after_ack_wipe", at, for_s=draw.uniform(1.0, 4.0), how=draw.choice(("", "timed", "timed")))
     elif loss == "power":
         build.add("node_kill", at, on="core", count=1, for_s=draw.uniform(1.0, 5.0), how="power leader")
     else:
@@ -273,7 +273,7 @@
     elif trouble == "core_cut":
         build.add("core_cut", at, count=1, for_s=away_s, how=f"{who} race".strip())
     elif trouble == "after_ack_wipe":
-        build.add("after_ack_wipe", at, for_s=away_s, how=draw.choice(("", "timed", "taken")))
+        build.add("after_ack_wipe", at, for_s=away_s, how=draw.choice(("", "timed", "timed")))
     else:
         away_s /= 2
         build.add(trouble, at, count=1, for_s=away_s, how=who)
