A core's table may end while its loop goes on: handlers that are still queued do nothing

Cause: a timer that had fired before its owner ended called it all the same; the tests of whole machines stop some while the loop runs, and one run in five or so hung (in Replica::CatchUpOnTime of an ended table) or ended without a word. The programs end only after their loop, so they were not hit.

--- a/system/heaphy/links.cpp
+++ b/system/heaphy/links.cpp
@@ -157,6 +157,7 @@
 }
 
 Host::~Host() {
+  *alive_ = false;
   for (auto& [id, peer] : links_) peer.link->Close();
 }
 
@@ -169,12 +170,12 @@
 }
 
 void Host::Accept() {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
+  acceptor_.async_accept([this, alive = alive_](error_code error, tcp::socket socket) {
+    if (!*alive || error == asio::error::operation_aborted) return;
     if (error) {  // out of descriptors or of memory: what waits is taken when there is room
       retry_.expires_after(std::chrono::milliseconds(50));
-      return retry_.async_wait([this](error_code cancelled) {
-        if (!cancelled) Accept();
+      return retry_.async_wait([this, alive](error_code cancelled) {
+        if (!cancelled && *alive) Accept();
       });
     }
     if (!Prepare(socket)) {
--- a/system/heaphy/links.h
+++ b/system/heaphy/links.h
@@ -101,6 +101,7 @@
   asio::steady_timer retry_;
   Events events_;
   uint64_t last_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   struct Peer { std::shared_ptr<Link> link; bool greeted = false; };
   std::unordered_map<uint64_t, Peer> links_;
 };
