--- a/system/adapters/replicated_table/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -52,7 +52,9 @@
   known_.SetMembers(replica_->membership());
   host_.Listen({asio::ip::make_address(settings.ip), static_cast<uint16_t>(options_.port)});
   DialWanted();
-  asio::post(io_, [this] { Tick(); });
+  asio::post(io_, [this, alive = alive_] {
+    if (*alive) Tick();
+  });
 }
 
 // The seeds are the first epoch where the whole system starts for the first time; every other new store is a
@@ -300,7 +302,9 @@
 
 void CoreNode::Store(replication::StoreBatch batch) {
   if (store_) return store_->Store(std::move(batch));
-  asio::post(io_, [this, number = batch.number] { OnStored(number); });
+  asio::post(io_, [this, alive = alive_, number = batch.number] {
+    if (*alive) OnStored(number);
+  });
 }
 
 void CoreNode::OnStored(uint64_t batch) {
@@ -352,8 +356,8 @@
   }
   if (ticks_ % kFiguresEvery == 0) LogFigures();
   tick_timer_.expires_after(kTick);
-  tick_timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled) Tick();
+  tick_timer_.async_wait([this, alive = alive_](error_code cancelled) {
+    if (!cancelled && *alive) Tick();
   });
 }
 
@@ -369,8 +373,8 @@
     return;
   }
   wake_timer_.expires_after(Seconds(*at - Now()));
-  wake_timer_.async_wait([this](error_code cancelled) {
-    if (cancelled) return;
+  wake_timer_.async_wait([this, alive = alive_](error_code cancelled) {
+    if (cancelled || !*alive) return;
     wake_at_.reset();
     Effects effects;
     replica_->OnTime(Now(), &effects);
--- a/system/adapters/replicated_table/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -43,6 +43,11 @@
   CoreNode(asio::io_context& io, const process::Settings& settings, Options options,
            replication::OrderPolicy* policy, Events events);
 
+  // The loop may go on: what it still holds of this does nothing any more.
+  ~CoreNode() { *alive_ = false; }
+  CoreNode(const CoreNode&) = delete;
+  CoreNode& operator=(const CoreNode&) = delete;
+
   using OnEnded = std::function<void(const replication::Ended&)>;
   // An order for these items, all of it or nothing.
   void Write(std::vector<messages::Item> items, OnEnded then);
@@ -94,6 +99,7 @@
   void LogFigures() const;
 
   asio::io_context& io_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   const process::Settings settings_;
   const Options options_;
   Events events_;
--- a/system/adapters/replicated_table/publisher.cpp
+++ b/system/adapters/replicated_table/publisher.cpp
@@ -103,8 +103,8 @@
 void Publisher::StartGathering() {
   if (gather_.expiry() > Clock::now()) return;
   gather_.expires_after(kGather);
-  gather_.async_wait([this](error_code cancelled) {
-    if (!cancelled) PushNews();
+  gather_.async_wait([this, alive = alive_](error_code cancelled) {
+    if (!cancelled && *alive) PushNews();
   });
 }
 
--- a/system/adapters/replicated_table/publisher.h
+++ b/system/adapters/replicated_table/publisher.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,10 @@
   Publisher(asio::io_context& io, const replication::Replica& replica, std::string shown_prefix,
             Events events);
 
+  ~Publisher() { *alive_ = false; }
+  Publisher(const Publisher&) = delete;
+  Publisher& operator=(const Publisher&) = delete;
+
   // `peer`: a number for the connection.
   const Follower& OnFollowerUp(uint64_t peer, const messages::Hello& hello);
   void OnFollowerDown(uint64_t peer) { followers_.erase(peer); }
@@ -97,6 +102,7 @@
   std::set<std::string> news_;
   std::map<std::string, messages::Item> provisional_;
   asio::steady_timer gather_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   uint64_t last_push_ = 0;
 
   std::vector<uint64_t> shown_digests_;  // empty: to be computed anew
