--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -1,5 +1,4 @@
-// Requests from their arrival to their one final answer. Quotas (quotas.h) and servers (fleet.h) don't know
-// each other.
+// Requests from their arrival to their one final answer. Quotas (quotas.h) and servers (fleet.h) don't know each other.
 #include "policy/balance.h"
 
 #include <algorithm>
@@ -17,7 +16,7 @@
 constexpr double kCheckShare = 0.5;  // of the aim after which a silent backend may be given up,
 constexpr double kCheckTimes = 6;    // and so many times what its answers take: chance alone is rarer
 constexpr double kRetryShare = 0.1, kRetryStore = 20;  // further attempts for each first one; most saved
-constexpr uint64_t kAskTag = 1ULL << 40;               // of the timer after which discovery is asked again
+constexpr uint64_t kAskTag = 1ULL << 40;  // of the timer after which discovery is asked again
 
 }  // namespace
 
@@ -99,8 +98,7 @@
     live.r = r;
     live.deadline = now + r.body_s + r.left_s;
     fleet_.Seen(r);
-    bool ask = quotas_.WorthAsking(c, r, verdict, chance, now),
-         reserve = !ask && verdict == Verdict::kReserve;
+    bool ask = quotas_.WorthAsking(c, r, verdict, chance, now), reserve = !ask && verdict == Verdict::kReserve;
     if (ask || reserve) {
       if (fleet_.Crowded(r, false)) return Refuse(r.id, 0, out);
       c.waiting.push_back({r.id, r.units, reserve || chance >= 0.5, reserve});
@@ -129,17 +127,14 @@
     Live& l = lives_[r.id];
     l.r = r;
     l.deadline = now + r.left_s;
-    std::tie(l.may_have_run, l.ran_at, l.ran_zone, l.ran_cell) =
-        std::tuple(r.may_have_run, now - r.ran_age_s, r.ran_zone, r.ran_cell);
+    std::tie(l.may_have_run, l.ran_at, l.ran_zone, l.ran_cell) = std::tuple(r.may_have_run, now - r.ran_age_s, r.ran_zone, r.ran_cell);
     Node* node = MayResend(l, now) ? fleet_.Pick(l, now) : nullptr;
     if (node == nullptr) return Finish(&l, out);
     Send(&l, node, now, out);
     Arm(l, now, out);
   }
 
-  void OnShare(double now, uint64_t customer, double share, double seconds) {
-    quotas_.OnShare(customer, share, now, seconds);
-  }
+  void OnShare(double now, uint64_t customer, double share, double seconds) { quotas_.OnShare(customer, share, now, seconds); }
   void OnFleet(int gateways, bool counted) { s_.gateways = std::max(1, gateways), s_.counted = counted; }
 
   void Send(Live* l, Node* node, double now, Actions* out) {
@@ -290,6 +285,7 @@
     Arm(l, now, out);
   }
 
+
   Fleet& fleet() { return fleet_; }
 
  private:
@@ -314,15 +310,11 @@
 }
 void Balancer::OnRequest(double t, const Request& r, Actions* out) { impl_->OnRequest(t, r, out); }
 void Balancer::OnBodyEnded(double t, uint32_t request, Actions* out) { impl_->OnBodyEnded(t, request, out); }
-void Balancer::OnStreamBegun(double t, uint32_t request, Actions* out) {
-  impl_->OnStreamBegun(t, request, out);
-}
+void Balancer::OnStreamBegun(double t, uint32_t request, Actions* out) { impl_->OnStreamBegun(t, request, out); }
 void Balancer::OnOutcome(double t, const Outcome& o, Actions* out) { impl_->OnOutcome(t, o, out); }
 void Balancer::OnAbandoned(double, uint32_t request, Actions* out) { impl_->OnAbandoned(request, out); }
 void Balancer::OnFleet(int gateways, bool counted) { impl_->OnFleet(gateways, counted); }
-void Balancer::OnShare(double t, uint64_t customer, double share, double s) {
-  impl_->OnShare(t, customer, share, s);
-}
+void Balancer::OnShare(double t, uint64_t customer, double share, double s) { impl_->OnShare(t, customer, share, s); }
 void Balancer::OnTimer(double t, uint64_t tag, Actions* out) { impl_->OnTimer(t, tag, out); }
 Learned Balancer::Remember(double now) const { return impl_->fleet().Remember(now); }
 void Balancer::Recall(double now, const Learned& learned) { impl_->fleet().Recall(now, learned); }
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -9,8 +9,8 @@
 constexpr double kEjectMinS = 0.5, kEjectMaxS = 4.0;  // s set aside
 constexpr double kDeadS = 1.5;  // s without an answer, after which a failed connection means a dead process
 constexpr double kMostEjected = 0.25;  // of the ready backends; beyond that the fault is likely elsewhere
-constexpr double kBackCost = 1e-3;     // times, of one that is back from a drain, for its first attempt
-constexpr double kAsideCost = 10;      // times, of one set aside where so many are
+constexpr double kBackCost = 1e-3;      // times, of one that is back from a drain, for its first attempt
+constexpr double kAsideCost = 10;       // times, of one set aside where so many are
 constexpr double kLimitStart = 3, kLimitMax = 200;  // attempts out at one backend
 constexpr double kCut = 0.7, kCutEveryS = 0.1;      // share that a sign of a queue leaves; s between cuts
 constexpr double kLeastRoom = 0.3;  // of the room, that a class of next to no worth for its work may use
@@ -22,16 +22,14 @@
 constexpr double kWarmShare = 0.8;  // of what a warm backend serves, that a cold one is sent for its fraction
 constexpr double kWarmS = 2;        // s over which that is taken
 constexpr double kColdSaveS = 0.3;  // s of a cold backend's budget that may be saved up
-constexpr double kSteer = 0.02;     // of the share let in, at least, for an answer off by the queue target,
-constexpr double kSteerS = 0.8;     // s in which answers off by that change it by its like, if they are rare
-constexpr double kSteerMost = 0.4;  // but by so much, as one answer tells little;
-constexpr double kSteerSpare =
-    2;  // answers off by that, which the share stands without a refusal: chance alone
-constexpr double kSteerBack = 0.05;   // a second, that comes back of itself
+constexpr double kSteer = 0.02;      // of the share let in, at least, for an answer off by the queue target,
+constexpr double kSteerS = 0.8;      // s in which answers off by that change it by its like, if they are rare
+constexpr double kSteerMost = 0.4;   // but by so much, as one answer tells little;
+constexpr double kSteerSpare = 2;    // answers off by that, which the share stands without a refusal: chance alone
+constexpr double kSteerBack = 0.05;  // a second, that comes back of itself
 constexpr double kLeastLetIn = 0.05;  // share let in at least, so that answers go on telling
-constexpr double kLearn = 0.02;       // weight of one answer in a class's mean time and units
-constexpr double kZoneWeight = 0.3,
-                 kZoneS = 4;         // of a silent backend in its zone's silence; s in which that fades
+constexpr double kLearn = 0.02;      // weight of one answer in a class's mean time and units
+constexpr double kZoneWeight = 0.3, kZoneS = 4;  // of a silent backend in its zone's silence; s in which that fades
 constexpr double kWorkPrior = 0.25;  // of the aim: the time a request takes, until answers tell
 
 }  // namespace
@@ -47,9 +45,8 @@
   return work_[r.cls] * (mean_units > 0 ? r.units / mean_units : 1);
 }
 
-// A cold backend's budget of work: its fraction of what this gateway sends a warm one now, so that all
-// together send no more than that; where they are little used, as if it had one core, over all gateways.
-// Guards against a herd onto it.
+// A cold backend's budget of work: its fraction of what this gateway sends a warm one now, so that all together send no
+// more than that; where they are little used, as if it had one core, over all gateways. Guards against a herd onto it.
 bool Fleet::ColdRoom(Node* n, double now) {
   double warmed = std::max(0.0, now - n->cold_since) / std::max(1e-3, s_.warm_after_s);
   if (warmed >= 1) n->cold_since = 0;
@@ -63,8 +60,7 @@
   return n->budget > 0;
 }
 
-// It starts below nought by a random part of a request: hundreds with room for less than one don't all send
-// one at once.
+// It starts below nought by a random part of a request: hundreds with room for less than one don't all send one at once.
 void Fleet::Chill(Node* n, double since, double now) {
   n->cold_since = since;
   n->budget_at = now;
@@ -91,9 +87,7 @@
   bool late = r.left_s < longest_left_[r.cls] - s_.resolution_s && c.deadline_s - r.left_s > c.aim_s;
   if (late) share *= c.late_share;
   // Gateways that seldom have an attempt out at a backend go by the answers of all backends together.
-  if (dice_->Unit() >
-      std::pow(std::min(1.0, let_in_), (lent ? 2 : 1) / (kLeastRoom + (1 - kLeastRoom) * share)))
-    return true;
+  if (dice_->Unit() > std::pow(std::min(1.0, let_in_), (lent ? 2 : 1) / (kLeastRoom + (1 - kLeastRoom) * share))) return true;
   double room = kLeastRoom + (1 - kLeastRoom) * share;
   return out >= limit * room * (lent ? kLentRoom : 1);
 }
@@ -132,16 +126,14 @@
 
 Learned Fleet::Remember(double now) const {
   Learned out{{}, work_, class_units_, let_in_, warm_work_ * std::exp(-(now - warm_at_) / kWarmS)};
-  for (const Node& n : nodes_)
-    out.backends.push_back({n.info.id, n.speed, n.pace, n.limit, n.fails, n.cold_since});
+  for (const Node& n : nodes_) out.backends.push_back({n.info.id, n.speed, n.pace, n.limit, n.fails, n.cold_since});
   return out;
 }
 
 // The room of a cold backend is not taken over: who learned of it may still be spending it.
 void Fleet::Recall(double now, const Learned& l) {
   auto within = [](double value, double least, double most) { return value >= least && value <= most; };
-  for (size_t i = 0; i < work_.size() && l.work.size() == work_.size() && l.units.size() == work_.size();
-       ++i) {
+  for (size_t i = 0; i < work_.size() && l.work.size() == work_.size() && l.units.size() == work_.size(); ++i) {
     if (within(l.work[i], 1e-4, s_.classes[i].aim_s)) work_[i] = l.work[i];
     if (within(l.units[i], 0, 1e6)) class_units_[i] = l.units[i];
   }
@@ -149,8 +141,7 @@
   if (within(l.warm_work, 0, 1e6)) warm_work_ = l.warm_work, warm_at_ = now;
   for (const Learned::OfBackend& b : l.backends) {
     Node* n = Find(b.id);
-    if (n == nullptr || !within(b.speed, 1e-3, 10) || !within(b.pace, 0, 2) || !within(b.limit, 1, kLimitMax))
-      continue;
+    if (n == nullptr || !within(b.speed, 1e-3, 10) || !within(b.pace, 0, 2) || !within(b.limit, 1, kLimitMax)) continue;
     n->speed = b.speed;
     n->pace = b.pace;
     n->limit = b.limit;
@@ -214,8 +205,7 @@
   double took = now - t.sent;
   bool silent = n->heard <= t.sent;
   bool heard = o.result == Result::kOk || o.result == Result::kFull || o.result == Result::kError;
-  bool left = o.result == Result::kNeverSent ||
-              (o.result == Result::kCancelled && l.done);  // not the backend's doing
+  bool left = o.result == Result::kNeverSent || (o.result == Result::kCancelled && l.done);  // not the backend's doing
   if (heard) n->heard = now;
   if (heard || (silent && !left)) Silent(n->info.zone, !heard, now);
   switch (o.result) {
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -51,13 +51,13 @@
   Node* Find(uint32_t id);
   Learned Remember(double now) const;
   void Recall(double now, const Learned& learned);
-  int SetAside(double now) const;         // of those that the list has ready
+  int SetAside(double now) const;  // of those that the list has ready
   double WorkOf(const Request& r) const;  // s that its answer is to take
   double Work(int cls) const { return work_[cls]; }
   void Seen(const Request& r) { longest_left_[r.cls] = std::max(longest_left_[r.cls], r.left_s); }
 
-  // While the back end is pressed, the last of the room is kept for what is worth most for the work it makes,
-  // and nothing is left for a retry that can't be in time. Harms a class whose work is misjudged.
+  // While the back end is pressed, the last of the room is kept for what is worth most for the work it makes, and
+  // nothing is left for a retry that can't be in time. Harms a class whose work is misjudged.
   bool Crowded(const Request& r, bool lent);
   // Least expected time over own attempts out and learned speed; other zones cost more.
   Node* Pick(const Live& l, double now);
@@ -79,16 +79,16 @@
   Dice* dice_;
   Ticks* ticks_;
   std::vector<Node> nodes_;
-  std::vector<double> work_;         // s, mean time of an answer by class
-  std::vector<double> class_units_;  // mean units by class
+  std::vector<double> work_;          // s, mean time of an answer by class
+  std::vector<double> class_units_;   // mean units by class
   struct Quiet {
     double share = 0, at = 0;
   };
   std::unordered_map<int, Quiet> silent_;  // by zone
-  std::vector<double> longest_left_;       // s, the most a try of the class had
-  int warm_ = 0;                           // backends warm and ready
-  double warm_work_ = 0, warm_at_ = 0;     // s of work served by a warm backend, fading
-  double let_in_ = 1, steered_at_ = 0;     // share of requests let in, by the answers of all backends
+  std::vector<double> longest_left_;  // s, the most a try of the class had
+  int warm_ = 0;                        // backends warm and ready
+  double warm_work_ = 0, warm_at_ = 0;  // s of work served by a warm backend, fading
+  double let_in_ = 1, steered_at_ = 0;  // share of requests let in, by the answers of all backends
 };
 
 }  // namespace micadock
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -11,24 +11,22 @@
 constexpr double kGapMaxS = 0.3;      // s between a gateway's calls to a counter that fails, but no more
 constexpr double kSilentCalls = 100;  // calls a second than this of all gateways
 constexpr int kSilentRun = 4;         // failed calls in a row after which the counter counts as silent
-constexpr double kKeepWindows = 1;    // windows for which what was told of others is taken to go on
-constexpr double kPartWindows = 8;    // windows over which the parts are taken
-constexpr double kShort = 0.25;       // of the burst, by which corrections of others may lower a sound total
-constexpr double kSlowCall = 1.6;  // of the counter's time-out, after which an answer is a sign of crowding
+constexpr double kKeepWindows = 1;  // windows for which what was told of others is taken to go on
+constexpr double kPartWindows = 8;  // windows over which the parts are taken
+constexpr double kShort = 0.25;     // of the burst, by which corrections of others may lower a sound total
+constexpr double kSlowCall = 1.6;   // of the counter's time-out, after which an answer is a sign of crowding
 constexpr double kCrowdGrow = 0.1, kCrowdShrink = 0.1;  // of the price of crowding, on such a sign; on none
 constexpr double kDearCall = 5, kMostUntold = 0.8;  // share of such tries for each price of a call; at most
-constexpr double kCallsPerAsk = 1.5;                // one to ask and add, at times one to put that right
-constexpr double kAskPatience = 4;  // of the counter's time-out, that a try must have left to be held
-constexpr double kJustTold = 0.9;   // of attempts told, still out: too few have ended to guess
-constexpr double kOutKeepS = 5;     // s for which a customer's mean of attempts out stays like what was told
-constexpr double kCapCrowd =
-    0.1;  // of the crowding, that counts against a question at a cap: a guess costs more
-constexpr double kToldAt = 1.5;  // of the share of the cap in use, that is told of attempts; at least:
-constexpr double kLeastTold =
-    0.1;  // share of attempts told, that stand for the others, of who is far under its cap
-constexpr double kSurelyInside = 0.9;   // share inside, from which a customer not yet told of is trusted
+constexpr double kCallsPerAsk = 1.5;    // one to ask and add, at times one to put that right
+constexpr double kAskPatience = 4;      // of the counter's time-out, that a try must have left to be held
+constexpr double kJustTold = 0.9;       // of attempts told, still out: too few have ended to guess
+constexpr double kOutKeepS = 5;         // s for which a customer's mean of attempts out stays like what was told
+constexpr double kCapCrowd = 0.1;       // of the crowding, that counts against a question at a cap: a guess costs more
+constexpr double kToldAt = 1.5;         // of the share of the cap in use, that is told of attempts; at least:
+constexpr double kLeastTold = 0.1;      // share of attempts told, that stand for the others, of who is far under its cap
+constexpr double kSurelyInside = 0.9;  // share inside, from which a customer not yet told of is trusted
 constexpr double kDearFirst = 0.2;      // where calls are dearer than this, so that first reads seldom come
-constexpr double kInsideAtFirst = 0.7;  // share of tries inside, until questions tell
+constexpr double kInsideAtFirst = 0.7;                   // share of tries inside, until questions tell
 constexpr double kLearnInside = 0.05, kLearnOwn = 0.3;  // weight of one for the plan, and for the customer
 
 }  // namespace
@@ -85,8 +83,7 @@
   swept_at_ = now;
   std::erase_if(customers_, [&](const auto& entry) {
     const Customer& c = entry.second;
-    return now > c.seen + IdleS(PlanOf(c)) && !c.calling && !c.out_calling && !c.ceiling.reserving() &&
-           c.open == 0;
+    return now > c.seen + IdleS(PlanOf(c)) && !c.calling && !c.out_calling && !c.ceiling.reserving() && c.open == 0;
   });
 }
 
@@ -137,8 +134,7 @@
   ticks_->At(tick).asked += units;
 }
 
-// The share of tries let in without a question that are not told, the others standing for them: calls are
-// dear.
+// The share of tries let in without a question that are not told, the others standing for them: calls are dear.
 double Quotas::Dear() const { return std::min(kMostUntold, kDearCall * (crowd_ + s_.count_price)); }
 
 void Quotas::MaybeCount(uint64_t id, Customer* c, double now, Actions* out) {
@@ -175,8 +171,7 @@
   Customer* c = &found->second;
   Refill(c, now);
   if (call.kind != Call::kPool) (call.kind == Call::kOpen ? c->out_calling : c->calling) = false;
-  // Calls grow dearer and rarer by what fails, in whatever way, and come back answer by answer, without a
-  // flood.
+  // Calls grow dearer and rarer by what fails, in whatever way, and come back answer by answer, without a flood.
   bool ok = answer.result == Result::kOk, was = Quiet();
   bool easy = ok && now - call.sent < kSlowCall * s_.count_timeout_s;
   failed_calls_ = ok ? 0 : failed_calls_ + 1;
@@ -204,13 +199,11 @@
 // Whether the customer's totals are no guide now, so that this gateway keeps to its part of the quota.
 bool Quotas::Apart(const Customer& c) const { return c.entries > 1 && (Quiet() || c.missed >= kApartRun); }
 
-// Units a second that others are taken to send: as last told, fading to what leaves this gateway its part:
-// what it was seen to send and an even part of what nobody used, or its share. All parts add up to the quota,
-// but for the least.
+// Units a second that others are taken to send: as last told, fading to what leaves this gateway its part: what it was
+// seen to send and an even part of what nobody used, or its share. All parts add up to the quota, but for the least.
 double Quotas::Others(const Customer& c) const {
   if (c.entries < 2) return 0;
-  double rate = PlanOf(c).rate, sum = c.own_mean + c.others_mean,
-         age = (c.at - c.sound_at) / WindowS(PlanOf(c));
+  double rate = PlanOf(c).rate, sum = c.own_mean + c.others_mean, age = (c.at - c.sound_at) / WindowS(PlanOf(c));
   // What was seen of the shares grows old: traffic moves, and old shares of several gateways don't add up.
   double own = sum / c.entries + std::exp(-age / kShareWindows) * (c.own_mean - sum / c.entries);
   double part = sum < rate ? own + (rate - sum) * kSpare / c.entries : rate * own / sum;
@@ -226,8 +219,8 @@
   c->read_at = now;
   c->total = std::max(total, least);
   if (others < -kShort * std::min(p.burst, 4 * s_.max_units)) {
-    // No sound counter tells less than before and what was added since, but for corrections by others.
-    // Nothing is learned from it, others are taken to go on, and what it tells next is compared with this.
+    // No sound counter tells less than before and what was added since, but for corrections by others. Nothing is
+    // learned from it, others are taken to go on, and what it tells next is compared with this.
     if (now - forgot_log_ > 5) Log(out, "counter has lost counts: keeping what was known");
     forgot_log_ = now;
     c->total = total;
@@ -235,14 +228,12 @@
     c->missed += kApartRun;
     return;
   }
-  // In doubt, one that is short by a little is not taken in either, nor one that could not be: it tells of
-  // nothing.
+  // In doubt, one that is short by a little is not taken in either, nor one that could not be: it tells of nothing.
   if (c->missed > 0 && (others < -1e-6 || (amount <= 0 && others < 1e-6))) return;
   if (others > -1e-6 && amount > 0) c->missed = 0;
   c->read = true;
   c->sound_at = now;
-  // The first told of in a window tells burst less S for all, or reads the window before; else a full store
-  // is taken.
+  // The first told of in a window tells burst less S for all, or reads the window before; else a full store is taken.
   bool first = others < 1e-3 && total > 0 && total - amount < 1e-3;
   // Who carries more than was told adds the rest, so that all come to go by the most that one knows of.
   if (c->known) c->pending += std::max(0.0, c->carried - std::max(0.0, others));
@@ -309,16 +300,14 @@
   const PlanSettings& p = PlanOf(c);
   if (!s_.may_count || Soft(p) || c.entries < 2) return false;
   if (r.left_s < kAskPatience * s_.count_timeout_s) return false;
-  double gain =
-      (verdict == Verdict::kOver ? chance : std::min(chance, (1 - chance) * Loss(p))) * (0.5 + dice_->Unit());
+  double gain = (verdict == Verdict::kOver ? chance : std::min(chance, (1 - chance) * Loss(p))) * (0.5 + dice_->Unit());
   double crowd = p.rate <= 0 ? kCapCrowd * crowd_ : crowd_;
   if (gain < kCallsPerAsk * s_.count_price + crowd) return false;
   return now >= counter_after_ || c.calling || c.out_calling;
 }
 
-// Chance that others have fewer attempts out than the cap leaves free: about what was told last, fading to
-// the mean, and as that grows old to as many at each gateway as here, so that what all let in comes to the
-// cap where nobody is told.
+// Chance that others have fewer attempts out than the cap leaves free: about what was told last, fading to the mean, and as
+// that grows old to as many at each gateway as here, so that what all let in comes to the cap where nobody is told.
 double Quotas::OpenRoom(const Customer& c, const PlanSettings& p, double span, double now) const {
   int free = p.parallel - c.open;
   double stays = c.out_at < 0 ? 0 : std::exp(-(now - c.out_at) / span);
