Incident's timeline with the real store under the simulated network; causes told apart

Sight: figures tell proposals abandoned in a row and how long a write waits; without them a core that decides nothing shows contact 1 and undecided 0.

--- a/system/adapters/replicated_table/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -401,6 +401,8 @@
       .Add("member", replica_->IsMember())
       .Add("members_alive", replica_->MembersAlive(Now()))
       .Add("undecided", replica_->HoldsUndecidedChange())
+      .Add("abandoned", replica_->AbandonedProposals())
+      .Add("write_delay_s", store_ ? store_->WriteDelay().count() : 0.0)
       .Add("cores", inbound_cores_.size() + 1)
       .Add("gateways", subscribers().size())
       .Add("pushed", publisher_->pushed())
--- a/system/adapters/storage/table_store.cpp
+++ b/system/adapters/storage/table_store.cpp
@@ -1,6 +1,9 @@
 #include "storage/table_store.h"
 
 #include <chrono>
+#include <utility>
+
+#include "net/clock.h"
 
 namespace ivygw::storage {
 namespace {
@@ -32,15 +35,23 @@
   {
     std::lock_guard lock(mutex_);
     sync_wanted_ = sync_wanted_ || batch.sync;
+    if (!waiting_since_) waiting_since_ = Clock::now();
     waiting_.push_back(std::move(batch));
   }
   wake_.notify_one();
 }
 
+Duration TableStore::WriteDelay() const {
+  std::lock_guard lock(mutex_);
+  std::optional<TimePoint> since = writing_since_ ? writing_since_ : waiting_since_;
+  return since ? Duration(Clock::now() - *since) : Duration(0);
+}
+
 void TableStore::Run() {
   std::vector<StoreBatch> batches;
   while (TakeWaiting(&batches)) {
     if (!WriteUntilDone(batches)) return;
+    OnWritten();
     PostStored(batches);
     batches.clear();
   }
@@ -52,6 +63,7 @@
   wake_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
   wake_.wait_for(lock, kWaitForSync, [this] { return stopping_ || sync_wanted_; });
   batches->swap(waiting_);
+  writing_since_ = std::exchange(waiting_since_, std::nullopt);
   sync_wanted_ = false;
   return !batches->empty();
 }
@@ -72,6 +84,11 @@
   }
 }
 
+void TableStore::OnWritten() {
+  std::lock_guard lock(mutex_);
+  writing_since_.reset();
+}
+
 void TableStore::PostStored(const std::vector<StoreBatch>& batches) {
   std::vector<uint64_t> numbers;
   numbers.reserve(batches.size());
--- a/system/adapters/storage/table_store.h
+++ b/system/adapters/storage/table_store.h
@@ -10,10 +10,12 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "base/steady_time.h"
 #include "net/mailbox.h"
 #include "replication/durable_state.h"
 #include "storage/table_disk.h"
@@ -22,7 +24,7 @@
 
 class TableStore {
  public:
-  // As TableDisk's constructor, which throws std::runtime_error.
+  // Throws as TableDisk's constructor.
   TableStore(asio::io_context& io, const std::string& folder, const OpenOptions& options);
   // Writes what waits, unless the disk refuses. Blocks for as long as a write hangs.
   ~TableStore();
@@ -39,11 +41,15 @@
   void OnRefused(Refused refused) { refused_ = std::move(refused); }
 
   void Store(replication::StoreBatch batch);
+  // For how long the oldest batch that isn't on disk has waited; 0 where all are. It grows while a disk hangs
+  // or refuses.
+  Duration WriteDelay() const;
 
  private:
   void Run();
   bool TakeWaiting(std::vector<replication::StoreBatch>* batches);
   bool WriteUntilDone(const std::vector<replication::StoreBatch>& batches);
+  void OnWritten();
   void PostStored(const std::vector<replication::StoreBatch>& batches);
 
   TableDisk disk_;  // of `thread_` once that runs, but for TakeOpened
@@ -51,10 +57,11 @@
   Mailbox mailbox_;
   Stored stored_;
   Refused refused_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable wake_;
   std::vector<replication::StoreBatch> waiting_;
-  bool sync_wanted_ = false;  // by a batch of `waiting_`
+  std::optional<TimePoint> waiting_since_, writing_since_;  // of the oldest batch of each kind
+  bool sync_wanted_ = false;                                // by a batch of `waiting_`
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/system/decisions/replication/proposer.h
+++ b/system/decisions/replication/proposer.h
@@ -46,6 +46,8 @@
   bool MustPrepare() const { return !prepared_ || recovery_requested_; }
   // When MayBegin will hold, as far as pauses decide it.
   TimePoint resume_at() const;
+  // Proposals in a row that came to nothing, since one was decided; counted up to a bound.
+  uint64_t abandoned() const { return abandoned_; }
 
   // Phase 1 for `revision`. The message goes to every member.
   messages::Prepare BeginPrepare(TimePoint now, uint64_t revision);
--- a/system/decisions/replication/replica.h
+++ b/system/decisions/replication/replica.h
@@ -96,6 +96,9 @@
   }
   // A change has been accepted here and is not known to be decided.
   bool HoldsUndecidedChange() const { return acceptor_.accepted().has_value(); }
+  // Proposals of this core in a row that came to nothing: many, beside a quorum that is alive, are members
+  // that don't come to a decision, or whose disks don't take what they are to promise.
+  uint64_t AbandonedProposals() const { return proposer_.abandoned(); }
   // Addresses of cores that have sent something lately and don't vote.
   std::vector<std::string> Learners(TimePoint now) const;
 
--- a/tests/system/control_sim.cpp
+++ b/tests/system/control_sim.cpp
@@ -22,6 +22,8 @@
 constexpr double kMostBehind = 1.0;   // of the disk of who is proposed as a member
 constexpr double kOrderPatience = 0.9;
 constexpr double kLeastLinkDelay = 0.0003, kLinkJitter = 0.002;
+constexpr double kRestartDelay = 0.5;  // of a process that has ended by itself
+constexpr double kWriteRetry = 0.1;    // of a disk that refuses
 constexpr double kLeastSync = 0.002, kSyncJitter = 0.004, kPlainWrite = 0.0002;
 
 // The order's own judgement, of those of its items.
@@ -76,11 +78,13 @@
     names.push_back("10.0.0." + std::to_string(i + 1));
     founder.state.membership.members.push_back({names.back(), replication::kFounderStoreId, ""});
   }
+  founders_ = founder.state.membership;
   for (const std::string& name : names) {
     Machine& machine = machines_[name];
     machine.address = name;
     machine.seeds = names;
     machine.disk = SimulatedDisk(founder);
+    if (options_.make_store) machine.store = options_.make_store(name);
   }
   for (const std::string& name : names) {
     if (options_.start) Start(name);
@@ -107,7 +111,7 @@
 }
 
 void World::Until(double at) {
-  while (broken_.empty() && !events_.empty() && events_.top().at <= at) {
+  while (!Stops() && !events_.empty() && events_.top().at <= at) {
     std::function<void()> run = events_.top().run;
     now_ = events_.top().at;
     events_.pop();
@@ -137,14 +141,43 @@
   machine.address = name;
   machine.seeds = std::move(seeds);
   machine.disk = SimulatedDisk(DiskImage{{RandomId(), {}, 0, {}}, {}, {}});
+  if (options_.make_store) machine.store = options_.make_store(name);
   return name;
 }
 
+std::optional<Membership> World::FoundersOf(const Machine& machine) const {
+  bool founder = std::any_of(founders_.members.begin(), founders_.members.end(),
+                             [&](const Member& member) { return member.address == machine.address; });
+  return founder && !machine.booted ? std::optional<Membership>(founders_) : std::nullopt;
+}
+
+std::optional<DiskImage> World::LoadImage(Machine* machine) {
+  if (!machine->store) return machine->disk.Open();
+  if (machine->disk_blocked_until > now_) return std::nullopt;
+  std::optional<replication::LoadedState> loaded = machine->store->Open(FoundersOf(*machine));
+  if (!loaded) {
+    Trace(machine->address + " can't open its store: " + machine->store->opening_error());
+    return std::nullopt;
+  }
+  machine->booted = true;
+  DiskImage image{loaded->state, loaded->accepted, {}};
+  for (const Record& record : loaded->records) image.records[record.item.key] = record;
+  machine->disk = SimulatedDisk(image);
+  return image;
+}
+
 void World::Start(const std::string& name) {
   Machine& machine = machines_.at(name);
   if (machine.replica || machine.removed) return;
   Trace("start " + name);
   ++machine.life;
+  std::optional<DiskImage> image = LoadImage(&machine);
+  if (!image) {
+    At(kRestartDelay, [this, name, life = machine.life] {
+      if (machines_.at(name).life == life) Start(name);
+    });
+    return;
+  }
   machine.policy = options_.make_policy
                        ? options_.make_policy()
                        : std::make_unique<SimulatedPolicy>(options_.keep_past, options_.keep_past ? 1 : 64);
@@ -154,24 +187,32 @@
   options.incarnation = RandomId();
   options.voters = options_.voters;
   options.command_timeout = Duration(kOrderPatience);
-  const DiskImage& image = machine.disk.Open();
-  machine.replica = std::make_unique<Replica>(options, image.Load(), machine.policy.get());
+  machine.replica = std::make_unique<Replica>(options, image->Load(), machine.policy.get());
   machine.reached_until.clear();
   machine.clock_offset = 1000 * Chance();  // since the machine has been on
-  rules_.OnStarted(name, image);
+  rules_.OnStarted(name, *image);
   UpdateContact();
   Tick(name, machine.life);
 }
 
 void World::EndProcess(Machine* machine, double told_after) {
-  if (!machine->replica) return;
+  if (!machine->replica) {
+    ++machine->life;  // it may be starting
+    return;
+  }
   machine->replica.reset();
   ++machine->life;
   machine->tickets.clear();  // whoever waits never knows: each may have been done
   machine->met.clear();
   machine->writing = false;
   machine->paused_until = -1;
-  machine->disk.ProcessEnds(Pick(machine->disk.given() + 1));
+  if (machine->store) {
+    const std::deque<StoreBatch>& unwritten = machine->disk.given_batches();
+    machine->store->ProcessEnds({unwritten.begin(), unwritten.end()});
+    machine->disk.ProcessEnds(0);
+  } else {
+    machine->disk.ProcessEnds(Pick(machine->disk.given() + 1));
+  }
   for (const auto& [name, other] : machines_) {
     if (name != machine->address) Disconnect(machine->address, name, told_after);
   }
@@ -192,6 +233,7 @@
   Trace("power off " + name);
   Machine& machine = machines_.at(name);
   EndProcess(&machine, kPingsNotice);
+  if (machine.store) machine.store->PowerEnds();
   machine.disk.PowerEnds(Pick(machine.disk.not_durable() + 1));
 }
 
@@ -208,6 +250,7 @@
   const DiskImage& held = machine.disk.durable();
   lost_stores_[{name, held.state.store_id}] = held;
   machine.disk = SimulatedDisk(empty);
+  if (machine.store) machine.store->Lose();
   if (!options_.wiped_keeps_store_id) rules_.OnDisk();
 }
 
@@ -348,12 +391,17 @@
     At(0.02, [this, name, life, count] { FinishWriting(name, life, count); });
     return;
   }
+  if (machine.store && !WriteToStore(&machine, count)) {
+    At(kWriteRetry, [this, name, life, count] { FinishWriting(name, life, count); });
+    return;
+  }
   std::set<uint64_t> told;
   for (size_t i = 0; i < count; ++i) {
     const StoreBatch& batch = machine.disk.given_batches()[i];
     if (options_.told_before_sync && options_.told_before_sync(batch)) told.insert(batch.number);
   }
   std::vector<uint64_t> numbers = machine.disk.Write(count);
+  if (machine.store) machine.disk.SyncAll();
   rules_.OnDisk();
   machine.writing = false;
   for (uint64_t number : numbers) {
@@ -365,6 +413,12 @@
   BeginWriting(&machine);
 }
 
+bool World::WriteToStore(Machine* machine, size_t count) {
+  const std::deque<StoreBatch>& given = machine->disk.given_batches();
+  auto end = given.begin() + static_cast<std::ptrdiff_t>(count);
+  return machine->store->Write({given.begin(), end});
+}
+
 // Links.
 
 bool World::IsCut(const std::string& a, const std::string& b) const {
--- a/tests/system/control_sim.h
+++ b/tests/system/control_sim.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -61,6 +62,9 @@
   std::function<void(const std::string& from, const std::string& to, PeerMessage* message)> tamper;
   std::function<bool(const replication::StoreBatch& batch)> told_before_sync;
   bool wiped_keeps_store_id = false;
+  bool stops_when_broken = true;  // else the day goes on, to show where it ends
+  // A real store for a machine's disk; none: the model alone. A store id that it draws is not the seed's.
+  std::function<std::unique_ptr<StoreOnDisk>(const std::string& machine)> make_store;
 };
 
 class World {
@@ -69,6 +73,7 @@
 
   // What was broken first; empty while all holds.
   const std::string& broken() const { return broken_; }
+  bool Stops() const { return options_.stops_when_broken && !broken_.empty(); }
   Rules& rules() { return rules_; }
   double now() const { return now_; }
   void Until(double at);
@@ -86,6 +91,10 @@
   bool HasQuorumContact(const std::string& machine) const { return HasQuorumContact(machines_.at(machine)); }
   bool Runs(const std::string& machine) const { return machines_.at(machine).replica != nullptr; }
   const Replica& replica(const std::string& machine) const { return *machines_.at(machine).replica; }
+  size_t MembersAlive(const std::string& machine) const {
+    const Machine& asked = machines_.at(machine);
+    return asked.replica->MembersAlive(TimePointOf(Clock(asked)));
+  }
   // A machine with an empty disk, not started.
   std::string AddMachine(std::vector<std::string> seeds);
   void SetSeeds(const std::string& machine, std::vector<std::string> seeds) {
@@ -114,6 +123,12 @@
   void HangDisk(const std::string& machine, double duration);
   void SlowDisk(const std::string& machine, double factor) { machines_.at(machine).disk_factor = factor; }
   const SimulatedDisk& disk(const std::string& machine) const { return machines_.at(machine).disk; }
+  // The disk refuses writes, or takes them again. REQUIRES: a real store.
+  void RefuseWrites(const std::string& machine, bool refuses) {
+    machines_.at(machine).store->Refuse(refuses);
+  }
+  // Null where there is the model alone.
+  const StoreOnDisk* store(const std::string& machine) const { return machines_.at(machine).store.get(); }
 
   // Callers. Contents of orders are unique; `Resend` sends the same order again.
   size_t Write(const std::string& machine, const std::string& key, uint64_t version, bool dropped = false);
@@ -154,6 +169,8 @@
     std::string address;
     std::vector<std::string> seeds;
     SimulatedDisk disk;
+    std::unique_ptr<StoreOnDisk> store;
+    bool booted = false;  // has started with a store of its own
     std::unique_ptr<SimulatedPolicy> policy;
     std::unique_ptr<Replica> replica;
     uint64_t life = 0;
@@ -201,7 +218,11 @@
   void Call(const std::string& machine, Ticket ticket,
             const std::function<void(Replica*, TimePoint, uint64_t, replication::Effects*)>& call);
 
+  // What the disk holds; none where its store can't be opened now.
+  std::optional<DiskImage> LoadImage(Machine* machine);
+  std::optional<Membership> FoundersOf(const Machine& machine) const;
   void BeginWriting(Machine* machine);
+  bool WriteToStore(Machine* machine, size_t count);
   void FinishWriting(const std::string& machine, uint64_t life, size_t count);
 
   static std::pair<std::string, std::string> PairOf(const std::string& a, const std::string& b) {
@@ -235,6 +256,7 @@
   bool LacksQuorumContact(const Machine& machine) const;
 
   const WorldOptions options_;
+  Membership founders_;  // the first epoch
   const bool traced_;
   std::mt19937_64 random_;
   std::map<std::string, Machine> machines_;
--- a/tests/system/faulty_env.h
+++ b/tests/system/faulty_env.h
@@ -149,7 +149,7 @@
       }
       // LevelDB syncs the folder before it syncs a manifest.
       if (name_.starts_with("MANIFEST")) env_->NamesAreDurable();
-      leveldb::Status status = file_->Sync();
+      leveldb::Status status = file_->Flush();  // what a sync covers is booked here; the machine stays on
       if (!status.ok()) return status;
       state = {.synced = env_->SizeOf(id_), .write_ends = {}};
       if (env_->names_.count(name_) > 0 && env_->names_.at(name_) == id_) env_->durable_names_[name_] = id_;
--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -106,3 +106,17 @@
   TOLD "store:!state: differs from byte")
 target_include_directories(planted_stored_fields_swapped SYSTEM PRIVATE ${LEVELDB_INCLUDE} ${CEREAL_INCLUDE})
 target_link_libraries(planted_stored_fields_swapped PRIVATE system_discovery system_registry_records ${LEVELDB_LIBRARY})
+
+# The store without what a loss of power asks of it: the incident's timeline ends without a quorum, and why is told.
+function(planted_in_storage name)
+  planted_mistake(${name} OBJECTS system_incident_timeline_tests_objects LIBRARY system_storage ${ARGN})
+  target_link_libraries(planted_${name} PRIVATE system_replication ${LEVELDB_LIBRARY})
+  set_tests_properties(planted_${name} PROPERTIES ENVIRONMENT IVYGW_INCIDENT_SEEDS=40)
+endfunction()
+
+planted_in_storage(rename_not_synced SOURCE system/adapters/storage/folder_syncing_env.cpp RUN OnDisksThatLoseNames
+  FROM "return status.ok() ? SyncFolderOf(to) : status;" TO "return status;"
+  TOLD "at their end names lost")
+planted_in_storage(torn_tail_is_damage SOURCE system/adapters/storage/table_disk.cpp RUN OnDisksThatTearWrites
+  FROM "opened_.dropped_tails = DropTornTails(folder_);" TO ""
+  TOLD "at their end record torn")
--- a/tests/system/simulated_disk.h
+++ b/tests/system/simulated_disk.h
@@ -13,6 +13,29 @@
 
 namespace ivygw::control_sim {
 
+// A real store on the disk of a simulated machine, beside the model of what the disk must hold.
+class StoreOnDisk {
+ public:
+  virtual ~StoreOnDisk() = default;
+  // What a process that starts now reads; none where the store can't be opened. `founders`: the members of
+  // the first epoch, where a new store is to be that of one of them.
+  virtual std::optional<replication::LoadedState> Open(
+      const std::optional<replication::Membership>& founders) = 0;
+  // Writes and syncs all of these; false where the disk refuses, which may leave any of them there.
+  virtual bool Write(const std::vector<replication::StoreBatch>& batches) = 0;
+  // The process ends; it may have been writing these.
+  virtual void ProcessEnds(const std::vector<replication::StoreBatch>& unwritten) = 0;
+  // The power ends, after the process.
+  virtual void PowerEnds() = 0;
+  // The disk is replaced by an empty one.
+  virtual void Lose() = 0;
+  virtual void Refuse(bool refuses) = 0;
+  // Why a store of this disk was put aside as damaged; empty: none was.
+  virtual const std::string& put_aside() const = 0;
+  // Why the last Open failed; empty: it did not.
+  virtual const std::string& opening_error() const = 0;
+};
+
 // What a disk holds of one replicated table.
 struct DiskImage {
   replication::DurableState state;
@@ -77,6 +100,7 @@
     written_.clear();
   }
   size_t not_durable() const { return written_.size(); }
+  void SyncAll() { MakeDurable(written_.size()); }
 
   const DiskImage& durable() const { return durable_; }
   // What a process that starts now reads. It is durable then, as opening the store syncs it.
