A store that can't be opened is tried again; the service ends before its event loop

Cause: a core whose disk refused at its start ended by itself, and started again without initial_boot; a founder's store that could not be made at the first start was lost to the first epoch so. And each orderly end destroyed the event loop before the service whose timers and sockets belong to it.

--- a/system/adapters/replicated_table/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -38,8 +38,8 @@
     std::function<void()> membership_changed = [] {};
     std::function<void()> tick = [] {};  // some ten times a second
   };
-  // `policy` outlives this. Throws std::runtime_error where the disk can't be read,
-  // boost::system::system_error where nothing can be listened on.
+  // `policy` outlives this. Throws as TableDisk's constructor (storage::StoreUnavailable: to be tried again),
+  // and boost::system::system_error where nothing can be listened on.
   CoreNode(asio::io_context& io, const process::Settings& settings, Options options,
            replication::CommandPolicy* policy, Events events);
 
--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -94,14 +94,22 @@
   return options;
 }
 
-std::runtime_error FolderError(const std::string& folder, const std::string& what) {
-  return std::runtime_error("data_directory " + folder + ": " + what);
+std::string AboutFolder(const std::string& folder, const std::string& what) {
+  return "data_directory " + folder + ": " + what;
+}
+
+StoreUnavailable FolderError(const std::string& folder, const std::string& what) {
+  return StoreUnavailable(AboutFolder(folder, what));
+}
+
+std::runtime_error CreationError(const std::string& folder, const std::string& what) {
+  return std::runtime_error(AboutFolder(folder, what));
 }
 
 std::runtime_error FormatError(const std::string& folder, const std::string& found) {
-  return FolderError(folder, "holds a store of format " + found + ", and format " +
-                                 std::to_string(kFormatVersion) +
-                                 " is wanted: move it away, or start the build that made it");
+  return std::runtime_error(AboutFolder(
+      folder, "holds a store of format " + found + ", and format " + std::to_string(kFormatVersion) +
+                  " is wanted: move it away, or start the build that made it"));
 }
 
 // A store's first file besides its lock and log is MANIFEST-000001, then comes CURRENT, then all others.
@@ -154,6 +162,14 @@
     : folder_(folder),
       options_(options),
       env_(options.env ? options.env : leveldb::Env::Default(), options.sync_folder) {
+  try {
+    Open();
+  } catch (const std::filesystem::filesystem_error& error) {
+    throw FolderError(folder_, error.what());
+  }
+}
+
+void TableDisk::Open() {
   std::error_code failed;
   std::filesystem::create_directories(folder_, failed);
   if (failed) throw FolderError(folder_, failed.message());
@@ -316,25 +332,25 @@
   std::string unfinished = name + ".unfinished";
   std::error_code failed;
   std::filesystem::create_directories(parent, failed);
-  if (failed) throw FolderError(folder, failed.message());
+  if (failed) throw CreationError(folder, failed.message());
   bool exists = std::filesystem::exists(folder, failed);
   if (failed || (exists && (!std::filesystem::is_empty(folder, failed) || failed))) {
-    throw FolderError(folder, "exists and isn't empty: a store is made in a new folder only");
+    throw CreationError(folder, "exists and isn't empty: a store is made in a new folder only");
   }
   std::filesystem::remove_all(unfinished, failed);
-  if (failed) throw FolderError(unfinished, failed.message());
+  if (failed) throw CreationError(unfinished, failed.message());
   {
     leveldb::Options options = DatabaseOptions(leveldb::Env::Default());
     leveldb::DB* opened = nullptr;
     leveldb::Status status = leveldb::DB::Open(options, unfinished, &opened);
     std::unique_ptr<leveldb::DB> database(opened);
     if (status.ok()) status = WriteWhole(content, database.get());
-    if (!status.ok()) throw FolderError(unfinished, status.ToString());
+    if (!status.ok()) throw CreationError(unfinished, status.ToString());
   }
-  if (!SyncFolder(unfinished)) throw FolderError(unfinished, "can't be synced");
+  if (!SyncFolder(unfinished)) throw CreationError(unfinished, "can't be synced");
   std::filesystem::rename(unfinished, folder, failed);
-  if (failed) throw FolderError(folder, failed.message());
-  if (!SyncFolder(parent)) throw FolderError(folder, "can't be synced");
+  if (failed) throw CreationError(folder, failed.message());
+  if (!SyncFolder(parent)) throw CreationError(folder, "can't be synced");
 }
 
 }  // namespace ivygw::storage
--- a/system/adapters/storage/table_disk.h
+++ b/system/adapters/storage/table_disk.h
@@ -14,6 +14,7 @@
 #include "replication/durable_state.h"
 #include "storage/folder_syncing_env.h"
 #include "storage/log_tail.h"
+#include "storage/store_unavailable.h"
 
 namespace leveldb {
 class DB;
@@ -47,9 +48,9 @@
 
 class TableDisk {
  public:
-  // Opens `folder`, or makes a store in it; a new one is on disk when this returns. Throws
-  // std::runtime_error, with one line, where the folder holds a store of another format, or can't be read or
-  // written.
+  // Opens `folder`, or makes a store in it; a new one is on disk when this returns. Throws, with one line,
+  // StoreUnavailable where the folder can't be read or written at this time, and another std::runtime_error
+  // where it holds a store of another format.
   TableDisk(const std::string& folder, const OpenOptions& options);
   ~TableDisk();
 
@@ -72,6 +73,7 @@
     bool empty = false;
     replication::LoadedState loaded = {};
   };
+  void Open();
   Found OpenAndLoad();
   Found Load();
   std::string CheckFormat();
--- a/system/programs/apps/config_store.cpp
+++ b/system/programs/apps/config_store.cpp
@@ -2,13 +2,27 @@
 #include "apps/daemon.h"
 #include "config_store/store.h"
 
+namespace {
+
+using ivygw::apps::Service;
+using ivygw::process::Settings;
+
+class ConfigStoreService : public Service {
+ public:
+  ConfigStoreService(ivygw::asio::io_context& io, const Settings& settings) : io_(io), store_(io, settings) {}
+  void Stop() override { io_.stop(); }
+
+ private:
+  ivygw::asio::io_context& io_;
+  ivygw::config_store::Store store_;
+};
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  std::unique_ptr<ivygw::config_store::Store> store;
-  return ivygw::apps::Run(
-      {"ivygw-config-store", "the store of configuration",
-       [&](ivygw::asio::io_context& io, const ivygw::process::Settings& settings) -> std::function<void()> {
-         store = std::make_unique<ivygw::config_store::Store>(io, settings);
-         return [&io] { io.stop(); };
-       }},
-      argc, argv);
+  return ivygw::apps::Run({"ivygw-config-store", "the store of configuration",
+                           [](ivygw::asio::io_context& io, const Settings& settings) {
+                             return std::make_unique<ConfigStoreService>(io, settings);
+                           }},
+                          argc, argv);
 }
--- a/system/programs/apps/proxy.cpp
+++ b/system/programs/apps/proxy.cpp
@@ -2,13 +2,27 @@
 #include "apps/daemon.h"
 #include "proxy/gateway.h"
 
+namespace {
+
+using ivygw::apps::Service;
+using ivygw::process::Settings;
+
+class ProxyService : public Service {
+ public:
+  ProxyService(ivygw::asio::io_context& io, const Settings& settings)
+      : gateway_(io, settings, [&io] { io.stop(); }) {}
+  void Stop() override { gateway_.Stop(); }
+
+ private:
+  ivygw::proxy::Gateway gateway_;
+};
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  std::unique_ptr<ivygw::proxy::Gateway> gateway;
-  return ivygw::apps::Run(
-      {"ivygw-proxy", "the proxy of a gateway",
-       [&](ivygw::asio::io_context& io, const ivygw::process::Settings& settings) -> std::function<void()> {
-         gateway = std::make_unique<ivygw::proxy::Gateway>(io, settings, [&io] { io.stop(); });
-         return [&] { gateway->Stop(); };
-       }},
-      argc, argv);
+  return ivygw::apps::Run({"ivygw-proxy", "the proxy of a gateway",
+                           [](ivygw::asio::io_context& io, const Settings& settings) {
+                             return std::make_unique<ProxyService>(io, settings);
+                           }},
+                          argc, argv);
 }
--- a/system/programs/apps/registry.cpp
+++ b/system/programs/apps/registry.cpp
@@ -3,16 +3,30 @@
 
 #include "apps/daemon.h"
 
+namespace {
+
+using ivygw::apps::Service;
+using ivygw::process::Settings;
+
+class RegistryService : public Service {
+ public:
+  RegistryService(ivygw::asio::io_context& io, const Settings& settings) : io_(io), registry_(io, settings) {}
+  void Stop() override {
+    registry_.Stop();
+    io_.stop();
+  }
+
+ private:
+  ivygw::asio::io_context& io_;
+  ivygw::registry::Registry registry_;
+};
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  std::unique_ptr<ivygw::registry::Registry> registry;
-  return ivygw::apps::Run(
-      {"ivygw-registry", "the registry of backends",
-       [&](ivygw::asio::io_context& io, const ivygw::process::Settings& settings) -> std::function<void()> {
-         registry = std::make_unique<ivygw::registry::Registry>(io, settings);
-         return [&] {
-           registry->Stop();
-           io.stop();
-         };
-       }},
-      argc, argv);
+  return ivygw::apps::Run({"ivygw-registry", "the registry of backends",
+                           [](ivygw::asio::io_context& io, const Settings& settings) {
+                             return std::make_unique<RegistryService>(io, settings);
+                           }},
+                          argc, argv);
 }
--- a/tests/system/table_store_test.cpp
+++ b/tests/system/table_store_test.cpp
@@ -384,6 +384,31 @@
   RunSeedsWithFaults({.loses_names = true});
 }
 
+// Of a disk that refuses at the start, whichever act is the first that it refuses: the store is not taken for
+// damaged, and is there once the disk takes writes again.
+TEST(TableStoreTest, ADiskThatRefusesAtTheStartIsUnavailableAndNothingIsPutAside) {
+  constexpr int kForGood = 1 << 30, kActsOfAStart = 14;
+  for (int refused_after = 0; refused_after < kActsOfAStart; ++refused_after) {
+    Folder of_run;
+    FaultyEnv env(1, of_run.table());
+    { Life(of_run.table(), OptionsOn(&env)).Await(0); }
+    uint64_t store_id = Life(of_run.table(), OptionsOn(&env)).opened.loaded.state.store_id;
+    env.Refuse(kForGood, refused_after);
+    bool opened = true;
+    try {
+      Life life(of_run.table(), OptionsOn(&env));
+    } catch (const storage::StoreUnavailable&) {
+      opened = false;
+    }
+    CHECK_FALSE(opened && refused_after == 0);
+    env.Refuse(0, 0);
+    OpenedTable later = Life(of_run.table(), OptionsOn(&env)).opened;
+    CHECK_EQUAL(store_id, later.loaded.state.store_id);
+    CHECK_FALSE(later.created);
+    CHECK(later.unreadable.empty());
+  }
+}
+
 // A process ends between a write and its sync; the next one reads that write and builds on it, then the power
 // is lost. What the first process was told as stored, and all that the second one has read, must be there.
 TEST(TableStoreNamesTest, WhatARestartHasReadSurvivesALossOfPower) {
