--- a/system/decisions/registry/allocation_right.h
+++ b/system/decisions/registry/allocation_right.h
@@ -4,7 +4,9 @@
 // Every member allocates one even part by itself. A core that becomes a member at another address than the
 // one it replaces, or that is added, therefore waits for a lease term, and for the time after which the other
 // members go by the new epoch. A member that allocates records the epoch durably under its address, so that a
-// restart knows whether that wait is over.
+// restart knows whether that wait is over. An epoch replaces or adds one member, so a member of one epoch
+// that is a member of the next has kept its part: a restart before the next one is recorded need not wait,
+// either.
 #ifndef IVYGW_SYSTEM_REGISTRY_ALLOCATION_RIGHT_H_
 #define IVYGW_SYSTEM_REGISTRY_ALLOCATION_RIGHT_H_
 
@@ -31,7 +33,7 @@
   AllocationRight(TimePoint now, std::string address, uint64_t store_id, messages::Membership membership,
                   uint64_t recorded_epoch)
       : address_(std::move(address)), store_id_(store_id), membership_(std::move(membership)) {
-    allocates_from_ = AllocatedInThisEpoch(recorded_epoch) ? now : now + kTakeoverDelay;
+    allocates_from_ = HasKeptItsPart(recorded_epoch) ? now : now + kTakeoverDelay;
   }
 
   void OnMembership(TimePoint now, const messages::Membership& membership, uint64_t recorded_epoch) {
@@ -39,7 +41,7 @@
     bool same_address =
         std::any_of(membership_.members.begin(), membership_.members.end(),
                     [&](const messages::Member& member) { return member.address == address_; });
-    bool takes_own_place = !was_member && same_address && AllocatedInThisEpoch(recorded_epoch);
+    bool takes_own_place = !was_member && same_address && HasKeptItsPart(recorded_epoch);
     // Of epochs that were skipped it isn't known who allocated.
     bool next = membership.epoch == membership_.epoch + 1;
     membership_ = membership;
@@ -50,14 +52,23 @@
     }
   }
 
+  // This copy of the table has caught up, and holds a later record than it was loaded with.
+  void OnRecordedEpoch(TimePoint now, uint64_t recorded_epoch) {
+    if (HasKeptItsPart(recorded_epoch)) allocates_from_ = std::min(allocates_from_, now);
+  }
+
   bool May(TimePoint now) const {
     return membership_.Contains(address_, store_id_) && now >= allocates_from_;
   }
   uint64_t epoch() const { return membership_.epoch; }
 
  private:
-  bool AllocatedInThisEpoch(uint64_t recorded_epoch) const {
-    return membership_.epoch == 1 || (membership_.epoch > 0 && recorded_epoch == membership_.epoch);
+  // This address has allocated in this epoch, or in the one before.
+  bool HasKeptItsPart(uint64_t recorded_epoch) const {
+    if (membership_.epoch <= 1) return membership_.epoch == 1;
+    bool in_this_epoch = recorded_epoch == membership_.epoch;
+    bool in_epoch_before = recorded_epoch > 0 && recorded_epoch + 1 == membership_.epoch;
+    return in_this_epoch || in_epoch_before;
   }
 
   const std::string address_;
--- a/system/programs/registry/quota_leases.cpp
+++ b/system/programs/registry/quota_leases.cpp
@@ -100,6 +100,7 @@
 void QuotaLeases::OnTime(TimePoint now) {
   ++ticks_;
   allocator_.OnTime(SecondsOf(now));
+  right_.OnRecordedEpoch(now, RecordedEpoch());
   if (MayAllocate(now)) {
     if (!holders_known_) ReadHolders();
     if (RecordedEpoch() < right_.epoch()) RecordAllocation();
--- a/tests/system/control_sim.h
+++ b/tests/system/control_sim.h
@@ -49,6 +49,8 @@
   std::map<std::string, uint64_t> known_;
 };
 
+using StoreFactory = std::function<std::unique_ptr<StoreOnDisk>(const std::string& machine)>;
+
 struct WorldOptions {
   uint64_t seed = 1;
   size_t founders = 3;
@@ -64,7 +66,7 @@
   bool wiped_keeps_store_id = false;
   bool stops_when_broken = true;  // else the day goes on, to show where it ends
   // A real store for a machine's disk; none: the model alone. A store id that it draws is not the seed's.
-  std::function<std::unique_ptr<StoreOnDisk>(const std::string& machine)> make_store;
+  StoreFactory make_store;
 };
 
 class World {
--- /dev/null
+++ b/tests/system/control_stores_model.cpp
@@ -0,0 +1,7 @@
+#include "system/control_stores.h"
+
+namespace ivygw::control_sim {
+
+StoreFactory StoresOfThisProgram(uint64_t) { return {}; }
+
+}  // namespace ivygw::control_sim
--- /dev/null
+++ b/tests/system/control_stores_real.cpp
@@ -0,0 +1,10 @@
+#include "system/control_stores.h"
+#include "system/stored_disk.h"
+
+namespace ivygw::control_sim {
+
+StoreFactory StoresOfThisProgram(uint64_t seed) {
+  return StoredDisks(seed, {.loses_names = true, .tears_writes = true});
+}
+
+}  // namespace ivygw::control_sim
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -6,6 +6,7 @@
 
 #include "replication/timing.h"
 #include "system/control_operators.h"
+#include "system/control_stores.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -51,6 +52,7 @@
   size_t only = told ? std::strtoul(told, nullptr, 10) : 0;
   for (size_t seed = std::max<size_t>(only, 1); seed <= (only ? only : seeds); ++seed) {
     options.seed = seed;
+    options.make_store = StoresOfThisProgram(seed);
     std::string broken = RunDay(options, troubles, &tally);
     if (!broken.empty()) FAIL(("seed " + std::to_string(seed) + " " + broken).c_str());
   }
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -2,6 +2,7 @@
 // backends, the roll of backends, and the codec under bad input.
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
@@ -484,6 +485,82 @@
   CHECK(noted.May(TimePointOf(100)));
 }
 
+// All cores lose power right after an epoch has begun, before any of them has recorded it.
+TEST(Members, AMemberThatStaysLendsAtOnceAfterARestartThatForgotToRecordTheEpoch) {
+  using registry::AllocationRight;
+  messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, c{"10.0.0.3", 1, ""},
+      c_anew{"10.0.0.3", 9, ""}, d{"10.0.0.4", 7, ""};
+  AllocationRight stayed(TimePointOf(100), a.address, a.store_id, Epoch(3, {a, b, c_anew}), 2);
+  CHECK(stayed.May(TimePointOf(100)));
+  AllocationRight back(TimePointOf(100), c_anew.address, c_anew.store_id, Epoch(3, {a, b, c_anew}), 2);
+  CHECK(back.May(TimePointOf(100)));
+  // Its disk had the record only as accepted, not applied; it comes with catching up.
+  AllocationRight behind(TimePointOf(100), a.address, a.store_id, Epoch(3, {a, b, c_anew}), 0);
+  CHECK(!behind.May(TimePointOf(101)));
+  behind.OnRecordedEpoch(TimePointOf(101), 3);
+  CHECK(behind.May(TimePointOf(101)));
+  // One that joined in it has recorded none, or an epoch before the one in which another had its place.
+  AllocationRight joined(TimePointOf(100), d.address, d.store_id, Epoch(3, {a, b, d}), 0);
+  CHECK(!joined.May(TimePointOf(110)));
+  AllocationRight rejoined(TimePointOf(100), c.address, c.store_id, Epoch(4, {a, b, c}), 2);
+  CHECK(!rejoined.May(TimePointOf(110)));
+  // Not yet a member, and never one.
+  AllocationRight learner(TimePointOf(100), d.address, d.store_id, Epoch(0, {}), 0);
+  CHECK(!learner.May(TimePointOf(200)));
+}
+
+// Whatever series of restarts, epochs and lost disks a member goes through, it may lend a takeover delay
+// after the last of them; and no series of restarts alone holds it back.
+TEST(Members, NoSeriesOfTroublesHoldsLendingBackForLonger) {
+  using registry::AllocationRight;
+  enum class Trouble { kRestart, kOtherReplaced, kOwnDiskLost, kRemoved, kJoined, kTwoEpochsMissed, kCount };
+  constexpr int kSeriesLength = 5, kKinds = static_cast<int>(Trouble::kCount);
+  const messages::Member b{"10.0.0.2", 1, ""}, c{"10.0.0.3", 1, ""}, spare{"10.0.0.4", 1, ""};
+  int series_count = 1;
+  for (int i = 0; i < kSeriesLength; ++i) series_count *= kKinds;
+  for (double gap : {0.05, 5.0, 20.0}) {
+    for (int series = 0; series < series_count; ++series) {
+      messages::Member self{"10.0.0.1", 1, ""};
+      messages::Membership membership = Epoch(1, {self, b, c});
+      uint64_t recorded = 0;
+      double now = 0;
+      bool only_restarts = true;
+      auto right = std::make_unique<AllocationRight>(TimePointOf(now), self.address, self.store_id,
+                                                     membership, recorded);
+      auto begin_epoch = [&](std::vector<messages::Member> members) {
+        membership = Epoch(membership.epoch + 1, std::move(members));
+        right->OnMembership(TimePointOf(now), membership, recorded);
+      };
+      for (int i = 0, left = series; i < kSeriesLength; ++i, left /= kKinds) {
+        now += gap;
+        // Recorded a little after it may.
+        if (gap > 1 && right->May(TimePointOf(now - 1))) recorded = right->epoch();
+        Trouble trouble = static_cast<Trouble>(left % kKinds);
+        bool member = membership.Contains(self.address, self.store_id);
+        only_restarts = only_restarts && trouble == Trouble::kRestart;
+        if (trouble == Trouble::kRestart || trouble == Trouble::kOwnDiskLost) {
+          if (trouble == Trouble::kOwnDiskLost) ++self.store_id;
+          right = std::make_unique<AllocationRight>(TimePointOf(now), self.address, self.store_id, membership,
+                                                    recorded);
+          if (trouble == Trouble::kOwnDiskLost && member) begin_epoch({self, b, c});
+        } else if (trouble == Trouble::kOtherReplaced && member) {
+          begin_epoch({self, b, c});
+        } else if (trouble == Trouble::kRemoved && member) {
+          begin_epoch({b, c, spare});
+        } else if (trouble == Trouble::kJoined && !member) {
+          begin_epoch({self, b, c});
+        } else if (trouble == Trouble::kTwoEpochsMissed && member) {
+          membership.epoch += 1;
+          begin_epoch({self, b, c});
+        }
+      }
+      bool member = membership.Contains(self.address, self.store_id);
+      CHECK_EQUAL(member, right->May(TimePointOf(now + AllocationRight::kTakeoverDelay.count())));
+      if (only_restarts) CHECK(right->May(TimePointOf(now)));
+    }
+  }
+}
+
 TEST(Members, AddressesThatNobodyNamesAreDialledNoLonger) {
   replicated_table::KnownCores known("10.0.0.1", {"10.0.0.1", "10.0.0.2"});
   known.SetMembers(Epoch(1, {{"10.0.0.1", 1, ""}, {"10.0.0.3", 1, ""}}));
--- a/tests/system/incident_timeline_test.cpp
+++ b/tests/system/incident_timeline_test.cpp
@@ -34,9 +34,7 @@
   WorldOptions options;
   options.seed = seed;
   options.keep_past = keep_past;
-  options.make_store = [seed, loss](const std::string& machine) {
-    return std::make_unique<StoredDisk>(seed * 16 + static_cast<uint64_t>(machine.back()), loss);
-  };
+  options.make_store = StoredDisks(seed, loss);
   return options;
 }
 
--- a/tests/system/stored_disk.h
+++ b/tests/system/stored_disk.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "storage/table_disk.h"
+#include "system/control_sim.h"
 #include "system/faulty_env.h"
 #include "system/simulated_disk.h"
 
@@ -69,9 +70,7 @@
     env_->CopyAsAfterPowerLoss(next, loss_);
     UseFolder(next);
   }
-  void Lose() override {
-    UseFolder(NextFolder());
-  }
+  void Lose() override { UseFolder(NextFolder()); }
   void Refuse(bool refuses) override {
     refuses_ = refuses;
     env_->Refuse(refuses ? kForGood : 0, 0);
@@ -118,6 +117,12 @@
   std::unique_ptr<storage::TableDisk> store_;
 };
 
+inline StoreFactory StoredDisks(uint64_t seed, testing::PowerLoss loss) {
+  return [seed, loss](const std::string& machine) {
+    return std::make_unique<StoredDisk>(seed * 16 + static_cast<uint64_t>(machine.back()), loss);
+  };
+}
+
 }  // namespace ivygw::control_sim
 
 #endif  // IVYGW_TESTS_SYSTEM_STORED_DISK_H_
