Registry and store of configuration answer the calls in hand before a planned end

Change: Stop takes no more connections, answers what is open, and ends within 2 s and before grace_s; the store of configuration waits 0.2 s for calls on their way to it; a second SIGTERM changes nothing. Measured: two new tests over loopback sockets pass: a change whose body was half sent at SIGTERM gets 200, and a call that never comes doesn't hold up the end beyond 3 s.

--- a/system/programs/apps/config_store.cpp
+++ b/system/programs/apps/config_store.cpp
@@ -10,7 +10,9 @@
 class ConfigStoreService : public Service {
  public:
   ConfigStoreService(ivygw::asio::io_context& io, const Settings& settings) : io_(io), store_(io, settings) {}
-  void Stop() override { io_.stop(); }
+  void Stop() override {
+    store_.Stop([this] { io_.stop(); });
+  }
 
  private:
   ivygw::asio::io_context& io_;
--- a/system/programs/apps/registry.cpp
+++ b/system/programs/apps/registry.cpp
@@ -12,8 +12,7 @@
  public:
   RegistryService(ivygw::asio::io_context& io, const Settings& settings) : io_(io), registry_(io, settings) {}
   void Stop() override {
-    registry_.Stop();
-    io_.stop();
+    registry_.Stop([this] { io_.stop(); });
   }
 
  private:
--- a/system/programs/config_store/store.cpp
+++ b/system/programs/config_store/store.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+// After a SIGTERM: for calls that the registry has sent, and for all calls to be answered.
+constexpr Duration kCallDelay{0.2}, kStopTimeout{1.5};
+
 constexpr char kNoQuorumContact[] = "not taken: this core is out of contact with a majority of the core";
 constexpr char kNotDone[] = "not taken: a majority of the core did not answer in time, or decided otherwise";
 constexpr char kMaybeDone[] = "may have been taken: a majority of the core has not confirmed it in time";
@@ -31,17 +34,35 @@
 }  // namespace
 
 Store::Store(asio::io_context& io, const process::Settings& settings)
-    : node_(io, settings, {"config_store", settings.first_port + 1, ""}, &policy_, [this] {
-        replicated_table::CoreNode::Events events;
-        events.message = [this](uint64_t peer, messages::Message message) {
-          const auto* call = std::get_if<messages::ForwardedCall>(&message);
-          if (!call) return;
-          Take(*call, [this, peer, number = call->number](uint32_t status, std::string body) {
-            node_.Send(peer, messages::ForwardedCallResult{number, status, std::move(body)});
-          });
-        };
-        return events;
-      }()) {}
+    : node_(io, settings, {"config_store", settings.first_port + 1, ""}, &policy_, NodeEvents()) {}
+
+replicated_table::CoreNode::Events Store::NodeEvents() {
+  replicated_table::CoreNode::Events events;
+  events.message = [this](uint64_t peer, messages::Message message) {
+    const auto* call = std::get_if<messages::ForwardedCall>(&message);
+    if (!call) return;
+    ++calls_in_hand_;
+    Take(*call, [this, peer, number = call->number](uint32_t status, std::string body) {
+      --calls_in_hand_;
+      node_.Send(peer, messages::ForwardedCallResult{number, status, std::move(body)});
+    });
+  };
+  events.tick = [this] { EndIfQuiet(); };
+  return events;
+}
+
+void Store::Stop(std::function<void()> ended) {
+  if (ended_) return;
+  ended_ = std::move(ended);
+  stopped_at_ = node_.Now();
+}
+
+void Store::EndIfQuiet() {
+  if (!ended_) return;
+  Duration stopping_for = node_.Now() - stopped_at_;
+  bool quiet = calls_in_hand_ == 0 && stopping_for >= kCallDelay;
+  if (quiet || stopping_for >= kStopTimeout) ended_();
+}
 
 void Store::Take(const messages::ForwardedCall& call, Answer answer) {
   if (call.name == "configuration.modify") return Modify(call.body, std::move(answer));
--- a/system/programs/config_store/store.h
+++ b/system/programs/config_store/store.h
@@ -20,14 +20,22 @@
 
   // An outside call; answered once, within a second.
   void Take(const messages::ForwardedCall& call, Answer answer);
+  // A planned end: answers the calls in hand, those that are on their way to it, too, then calls `ended`,
+  // within a bound. A second call changes nothing.
+  void Stop(std::function<void()> ended);
   const replicated_table::CoreNode& node() const { return node_; }
 
  private:
   void Modify(const std::string& body, Answer answer);
   void Show(Answer answer);
+  replicated_table::CoreNode::Events NodeEvents();
+  void EndIfQuiet();
 
   ConfigurationPolicy policy_;
   replicated_table::CoreNode node_;
+  size_t calls_in_hand_ = 0;
+  TimePoint stopped_at_;
+  std::function<void()> ended_;  // none: it has not been told to stop
 };
 
 }  // namespace ivygw::config_store
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "config_model/json.h"
+#include "drain/drain_manager.h"
 #include "net/address.h"
 #include "registry/call_target.h"
 
@@ -16,6 +17,7 @@
 
 constexpr char kRole[] = "registry";
 constexpr Duration kForwardTimeout{1.5};  // for the store of configuration to answer
+constexpr Duration kStopTimeout = kForwardTimeout + Duration(0.5);  // at most
 constexpr size_t kBodyMemory = size_t{32} << 20;
 // Ticks, of some 0.1 s.
 constexpr uint64_t kSeenInterval = 5;
@@ -41,17 +43,25 @@
       quota_(&node_, settings.ip, settings.initial_boot),
       memory_(kBodyMemory),
       server_(io, MaxClients(settings), &memory_, ServerEvents()),
-      store_(std::make_unique<transport::Dialer>(io, StoreAddress(settings), StoreEvents())) {
+      store_(std::make_unique<transport::Dialer>(io, StoreAddress(settings), StoreEvents())),
+      stop_timeout_(std::min(kStopTimeout, Duration(drain::DrainSchedule::ForGrace(settings.grace_s).end))) {
   if (!settings.control_plane.empty())
     server_.Listen(ParseAddress("listen_addresses.control_plane", settings.control_plane));
 }
 
-void Registry::Stop() {
+void Registry::Stop(std::function<void()> ended) {
+  if (ended_) return;
+  ended_ = std::move(ended);
+  stop_deadline_ = node_.Now() + stop_timeout_;
   server_.StopAccepting();
   server_.AskToClose(true);
   server_.CloseIdle();
 }
 
+void Registry::EndIfQuiet(TimePoint now) {
+  if (ended_ && (server_.Quiet() || now >= stop_deadline_)) ended_();
+}
+
 // --- Events ---
 
 CoreNode::Events Registry::NodeEvents() {
@@ -125,6 +135,7 @@
   if (ticks_ % kPruneInterval == 0) backends_.PruneTombstones(now);
   ExpireForwardedCalls(now);
   node_.SetGateways(gateways_.Alive(now));
+  EndIfQuiet(now);
 }
 
 // --- Calls ---
--- a/system/programs/registry/registry.h
+++ b/system/programs/registry/registry.h
@@ -7,6 +7,7 @@
 #ifndef IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
 #define IVYGW_SYSTEM_REGISTRY_REGISTRY_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -26,8 +27,9 @@
  public:
   // Throws as CoreNode's constructor.
   Registry(asio::io_context& io, const process::Settings& settings);
-  // Takes no more calls.
-  void Stop();
+  // A planned end: takes no more connections, answers the calls in hand, then calls `ended`, within a bound
+  // whatever is still open. A second call changes nothing.
+  void Stop(std::function<void()> ended);
   const replicated_table::CoreNode& node() const { return node_; }
 
  private:
@@ -48,6 +50,7 @@
   void Reply(uint64_t connection, int status, std::string body);
   void ForwardToStore(uint64_t connection, const std::string& name, const std::string& body);
   void ExpireForwardedCalls(TimePoint now);
+  void EndIfQuiet(TimePoint now);
 
   const std::string address_;
   RegistryPolicy policy_;
@@ -61,6 +64,9 @@
   call_routing::PendingCalls forwarded_{std::random_device()()};
   std::map<uint64_t, ClientMessage> incomplete_;  // calls whose body is still coming, by connection
   uint64_t ticks_ = 0;
+  const Duration stop_timeout_;
+  TimePoint stop_deadline_;
+  std::function<void()> ended_;  // none: it has not been told to stop
 };
 
 }  // namespace ivygw::registry
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -103,7 +103,7 @@
   }
   void Stop(int machine) {
     if (registries.count(machine) == 0) return;
-    registries.at(machine)->Stop();
+    registries.at(machine)->Stop([] {});
     RunFor(0.02);  // the door's connections hold memory of the registry until they have ended
     registries.erase(machine);
     stores.erase(machine);
@@ -270,6 +270,54 @@
   CHECK_EQUAL(200, world.ModifyUntilClear(3, Call(Route("r1", "00000009", 102))).status);
 }
 
+// A change whose body is still coming when the machine is told to end: it is decided and answered, then the
+// two roles end, and a second SIGTERM doesn't cut that short.
+TEST(CoreMachines, ACallInHandIsAnsweredBeforeAPlannedEnd) {
+  World world;
+  world.StartThree();
+  std::string body = Call(Route("r1", "00000007", 100));
+  std::string head =
+      "POST /ivygw/rpc?call=configuration.modify HTTP/1.1\r\nHost: control\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n";
+  tcp::socket socket(world.io);
+  socket.connect({asio::ip::make_address(Address(1)), kDoorPort});
+  asio::write(socket, asio::buffer(head + body.substr(0, 20)));
+  world.RunFor(0.1);
+  bool registry_ended = false, store_ended = false;
+  world.registries.at(1)->Stop([&] { registry_ended = true; });
+  world.registries.at(1)->Stop([] { FAIL("told twice"); });
+  world.RunFor(0.15);
+  CHECK_FALSE(registry_ended);
+  asio::write(socket, asio::buffer(body.substr(20)));
+  world.RunFor(0.001);
+  world.stores.at(1)->Stop([&] { store_ended = true; });
+  std::string text;
+  bool closed = false;
+  asio::async_read(socket, asio::dynamic_buffer(text), [&](error_code, size_t) { closed = true; });
+  CHECK(world.RunUntil([&] { return registry_ended && store_ended && closed; }, 3));
+  CHECK_EQUAL(std::string("HTTP/1.1 200"), text.substr(0, 12));
+  CHECK(text.find("Connection: close") != std::string::npos);
+  CHECK(world.Show(2).body.find("r1") != std::string::npos);
+}
+
+// Callers that never finish a call, or never read their answer, don't hold up the end.
+TEST(CoreMachines, ACallThatDoesntComeDoesntHoldUpAPlannedEnd) {
+  World world;
+  world.StartThree();
+  tcp::socket socket(world.io);
+  socket.connect({asio::ip::make_address(Address(1)), kDoorPort});
+  asio::write(
+      socket,
+      asio::buffer(std::string(
+          "POST /ivygw/rpc?call=configuration.modify HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n{")));
+  world.RunFor(0.1);
+  bool ended = false;
+  double began = Now();
+  world.registries.at(1)->Stop([&] { ended = true; });
+  CHECK(world.RunUntil([&] { return ended; }, 4));
+  CHECK(Now() - began < 3);
+}
+
 TEST(CoreMachines, AFourthCoreTakesThePlaceOfOneThatIsGone) {
   World world;
   world.StartThree();
