--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -446,6 +446,37 @@
   }
 }
 
+// The processor share of each core is a quota: it runs until that is spent, then does nothing for the rest of
+// a tenth of a second.
+class ProcessorQuota {
+ public:
+  ProcessorQuota(World* world, double share) : world_(world), share_(share) {
+    for (const std::string& name : world->Machines()) Next(name);
+  }
+  void Stop() { stopped_ = true; }
+
+ private:
+  static constexpr double kPeriod = 0.1;
+  void Next(const std::string& name) {
+    world_->At(kPeriod * share_, [this, name] {
+      if (stopped_) return;
+      world_->Pause(name, kPeriod * (1 - share_));
+      world_->At(kPeriod * (1 - share_), [this, name] { Next(name); });
+    });
+  }
+
+  World* const world_;
+  const double share_;
+  bool stopped_ = false;
+};
+
+void ThrottledWhileADiskIsLost(World* world) {
+  ProcessorQuota quota(world, 0.2);
+  CutOffWhileADiskIsLost(world);
+  quota.Stop();
+  world->For(0.2);
+}
+
 // Several rounds in which a core dies between the phases of a proposal.
 void ProposersDie(World* world) {
   for (int round = 0; round < 30 && world->broken().empty(); ++round) {
@@ -492,6 +523,9 @@
 TEST(Control, CutOffWhileADiskIsLost) {
   RunDays("cut off while a disk is lost", CutOffWhileADiskIsLost, Seeds());
 }
+TEST(Control, ThrottledWhileADiskIsLost) {
+  RunDays("throttled while a disk is lost", ThrottledWhileADiskIsLost, Seeds());
+}
 TEST(Control, ReplacementsInTurn) { RunDays("replacements in turn", ReplacementsInTurn, Seeds(8)); }
 TEST(Control, SecondLossAfterReplacement) { RunDays("second loss", SecondLossAfterReplacement, Seeds(8)); }
 TEST(Control, AReplacedMemberReturns) {
