ivygw refuses on arrival what its planned end could cut off

Change: Shutdown::CutsOff; a request that may be held beyond the end gets 503 on its arrival and isn't told to the module.

--- a/src/core/gateway_core.cpp
+++ b/src/core/gateway_core.cpp
@@ -100,6 +100,12 @@
   held->recorded = arrival.recorded;
   timers_.Add(deadline, Due::kGuard, id);
   out->push_back(Hold{id, arrival.client});
+  // Refused while nothing has been sent on, so that its client may go elsewhere; taken, it might be cut off.
+  if (!arrival.resumed && shutdown_.CutsOff(deadline)) {
+    Finish(id, 503, 0, 0, out);
+    Settle(now, out);
+    return id;
+  }
   micadock::Request request;
   request.id = id;
   request.cls = arrival.cls;
--- a/src/core/shutdown.h
+++ b/src/core/shutdown.h
@@ -19,7 +19,9 @@
   }
   bool begun() const { return closing_at_ != kNever; }
   bool closing(double now) const { return now >= closing_at_; }  // clients no longer come
-  bool over(double now) const { return now >= over_at_; }        // the time for what is held is over too
+  // Whether a request that is held until `deadline` may be cut off by the end.
+  bool CutsOff(double deadline) const { return begun() && deadline > over_at_; }
+  bool over(double now) const { return now >= over_at_; }  // the time for what is held is over too
   double next(double now) const { return closing(now) ? over_at_ : closing_at_; }
 
  private:
--- a/tests/core/gateway_core_test.cpp
+++ b/tests/core/gateway_core_test.cpp
@@ -438,6 +438,31 @@
   EXPECT_TRUE(Take<Stop>());
 }
 
+// SIGTERM, and a client that goes on using its connection: what can't be finished before the end is refused
+// with nothing sent on, what can is served.
+TEST_F(Core, ShutdownTakesNothingThatItsEndMayCutOff) {
+  hooks.on_request = [](const micadock::Request& r, Actions* out) {
+    out->push_back(micadock::Send(r.id, 1));
+  };
+  core->BeginShutdown(now, &effects);
+  At(kStillComingS);
+  Ask(1);
+  EXPECT_TRUE(Take<Answer>() == std::nullopt) << "it can be finished";
+  uint64_t served = Sent();
+  core->OnAnswer(now, served, Result::kOk, 0, true, &effects);
+  EXPECT_EQ(Take<Answer>()->status, 200);
+  At(2 * kEndMarginS);
+  effects.clear();
+  Ask(2);
+  std::optional<Answer> refused = Take<Answer>();
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_FALSE(Take<Connect>()) << "no backend has seen it";
+  EXPECT_FALSE(Take<Write>()) << "nor on a kept connection";
+  At(1.5 + kEndMarginS);
+  EXPECT_TRUE(Take<Stop>());
+}
+
 TEST_F(Core, AClockThatGoesBackLosesNothing) {
   Ask(1);
   Sent();
