A store that was put aside while the disk was full is told as such at the next start

Change: a new store beside ...unreadable tells that one was put aside at an earlier start, and is a learner's. Measured: the new test fails without the change, passes with it.

--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -126,6 +126,9 @@
   return false;
 }
 
+// Where a damaged store is kept.
+std::string AsideFolder(const std::string& folder) { return folder + ".unreadable"; }
+
 // Random, and neither 0 nor the founders'.
 uint64_t DrawStoreId() {
   std::random_device device;
@@ -185,6 +188,9 @@
     found = OpenAndLoad();
     if (!found.damage.empty()) throw FolderError(folder_, found.damage);
   }
+  // The disk refused the new store at an earlier start.
+  if (found.empty && opened_.unreadable.empty() && std::filesystem::exists(AsideFolder(folder_)))
+    opened_.unreadable = "put aside at an earlier start";
   opened_.created = found.empty;
   opened_.loaded = std::move(found.loaded);
   if (found.empty) MakeNew();
@@ -260,7 +266,7 @@
 
 void TableDisk::PutAside() {
   database_.reset();
-  std::string aside = folder_ + ".unreadable";
+  std::string aside = AsideFolder(folder_);
   std::error_code failed;
   std::filesystem::remove_all(aside, failed);
   if (!failed) std::filesystem::rename(folder_, aside, failed);
--- a/tests/system/table_store_test.cpp
+++ b/tests/system/table_store_test.cpp
@@ -409,6 +409,33 @@
   }
 }
 
+// A damaged store is put aside, and the disk refuses the new one: the start after that tells so, too, and
+// never takes the empty folder for that of a first start.
+TEST(TableStoreTest, AStoreThatWasPutAsideIsToldOnceTheNewOneIsThere) {
+  Folder of_run;
+  OpenOptions founder;
+  founder.founder = true;
+  { Life(of_run.table(), founder).Await(0); }
+  std::filesystem::remove(of_run.table() + "/CURRENT");
+  FaultyEnv env(1, of_run.table());
+  OpenOptions refused = OptionsOn(&env);
+  refused.founder = true;
+  constexpr int kForGood = 1 << 30;
+  env.Refuse(kForGood, 0);
+  bool opened = true;
+  try {
+    Life life(of_run.table(), refused);
+  } catch (const storage::StoreUnavailable&) {
+    opened = false;
+  }
+  CHECK_FALSE(opened);
+  OpenedTable later = Life(of_run.table(), founder).opened;
+  CHECK(later.created);
+  CHECK_FALSE(later.unreadable.empty());
+  CHECK(later.loaded.state.store_id != replication::kFounderStoreId);
+  CHECK(Life(of_run.table(), founder).opened.unreadable.empty());
+}
+
 // A process ends between a write and its sync; the next one reads that write and builds on it, then the power
 // is lost. What the first process was told as stored, and all that the second one has read, must be there.
 TEST(TableStoreNamesTest, WhatARestartHasReadSurvivesALossOfPower) {
