SIGHUP is pending while a program starts, and a blocked one is obeyed; ready notices

Symptom: a SIGHUP in the first 5 ms after exec ended 24 of 40 starts; a process whose starter had blocked SIGHUP never read its settings again, and a SIGHUP between SIG_IGN and the handler was lost. Mask and pending signals outlive exec, and nothing cleared the mask. Change: SIGHUP is blocked before any constructor and unblocked once it is handled, with SIGTERM and SIGINT; notices of sd_notify(3); all four daemons. The soak's starter blocks SIGHUP and holds each SIGHUP to its reload within 2.5 s.

--- a/apps/ivygw.cpp
+++ b/apps/ivygw.cpp
@@ -9,8 +9,10 @@
 #include <string>
 #include <utility>
 
+#include "base/startup_signals.h"
 #include "gateway/gateway.h"
 #include "gateway/quota_bound.h"
+#include "net/service_notifier.h"
 #ifdef IVYGW_FLEET
 #include "fleet/node.h"
 #endif
@@ -41,6 +43,8 @@
   ivygw::ReadEnvironment([](const char* name) { return std::getenv(name); }, &config);
   boost::asio::io_context io(1);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT), reload(io, SIGHUP);
+  ivygw::UnblockHandledSignals();
+  const ivygw::ServiceNotifier manager = ivygw::ServiceNotifier::FromEnvironment();
   ivygw::Gateway::Tap tap;
 #ifdef IVYGW_TRACE
   std::optional<ivygw::trace::SegmentWriter> segments;
@@ -66,12 +70,14 @@
   signals.async_wait([&](boost::system::error_code error, int) {
     if (error) return;
     std::fprintf(stderr, "closing\n");
+    manager.Stopping();
     gateway.Close();
   });
   // The file may name other addresses of discovery and counter. One that can't be read changes nothing.
   std::function<void()> await_reload = [&] {
     reload.async_wait([&](boost::system::error_code error, int) {
       if (error) return;
+      manager.Reloading();
       try {
         gateway.Reload(ivygw::LoadConfig(path));
         std::fprintf(stderr, "configuration read again\n");
@@ -79,6 +85,7 @@
         gateway.ReloadFailed();
         std::fprintf(stderr, "configuration kept as it was: %s\n", bad.what());
       }
+      manager.Ready();
       await_reload();
     });
   };
@@ -89,6 +96,7 @@
   if (auto admin = gateway.admin()) {
     std::fprintf(stderr, "operators call at %s:%d\n", admin->address().to_string().c_str(), admin->port());
   }
+  manager.Ready();
   io.run();
   return 0;
 }
@@ -96,9 +104,6 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  // Until it is handled, SIGHUP would end the process. The configuration is yet to be read, so nothing is
-  // missed.
-  std::signal(SIGHUP, SIG_IGN);
   CLI::App app("ivygw: a gateway that holds quotas, chooses a backend, and answers in time", "ivygw");
   std::string path;
   bool check = false;
--- a/system/programs/apps/daemon.cpp
+++ b/system/programs/apps/daemon.cpp
@@ -9,7 +9,9 @@
 #include <iterator>
 #include <optional>
 
+#include "base/startup_signals.h"
 #include "net/clock.h"
+#include "net/service_notifier.h"
 #include "process/log.h"
 #include "storage/store_unavailable.h"
 
@@ -37,8 +39,10 @@
         start_timer_(io_) {}
 
   void Run() {
+    UnblockHandledSignals();
     Start();
     AwaitSignal();
+    manager_.Ready();
     io_.run();
   }
 
@@ -71,13 +75,16 @@
 
   // The addresses and bounds of a start hold for its life; a file that can't be read changes nothing.
   void ReadSettingsAgain() const {
+    manager_.Reloading();
     process::Settings again;
     std::string content;
     bool read = ReadFile(settings_file_, &content) && process::ReadSettings(content, &again).empty();
-    process::Log line(read ? "settings_read" : "settings_unreadable");
+    { process::Log line(read ? "settings_read" : "settings_unreadable"); }
+    manager_.Ready();
   }
 
   void Stop() {
+    manager_.Stopping();
     if (service_) return service_->Stop();
     io_.stop();
   }
@@ -88,6 +95,7 @@
   asio::io_context io_{1};
   asio::signal_set signals_;
   asio::steady_timer start_timer_;
+  const ServiceNotifier manager_ = ServiceNotifier::FromEnvironment();
   std::unique_ptr<Service> service_;  // null: not started yet
 };
 
@@ -132,8 +140,6 @@
 }  // namespace
 
 int Run(const Daemon& daemon, int argc, char** argv) {
-  // Until it is handled, SIGHUP would end the process. The settings are yet to be read, so nothing is missed.
-  std::signal(SIGHUP, SIG_IGN);
   try {
     Arguments arguments = ReadArguments(daemon, argc, argv);
     if (arguments.exit_status) return *arguments.exit_status;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,9 @@
 LOSS_SLACK_S = 0.2
 CONTACT_S = 3.0
 RECOVERY_S = 15.0
+RELOAD_S = 2.5  # from SIGHUP to the line that tells of it: the operators' config_apply_ms
+RELOAD_POLL_S = 0.1
+LOG_RESOLUTION_S = 0.002
 CORE_COUNT = 3
 BACKENDS = 4
 SLOTS = 40
@@ -33,7 +36,7 @@
 
 
 class Process:
-    """One daemon of the system, started again whenever it ends, as the platform does; with SIGHUP ignored until it takes it, as
+    """One daemon of the system, started again whenever it ends, as the platform does; with SIGHUP blocked until it takes it, as
     docs/operate/system.md asks for. sighup_while_loading.py starts it without."""
 
     def __init__(self, site, program, machine, settings):
@@ -48,6 +51,7 @@
         self.disks_lost = 0
         self.joins_after = 0  # offset in its log: a member again once that is told later
         self.disk_away = False
+        self.frozen = 0  # freezes that are under way; they overlap
 
     async def run(self):
         while self.wanted:
@@ -59,7 +63,7 @@
             with open(self.log, "ab") as log:
                 self.child = await asyncio.create_subprocess_exec(
                     self.site.build / "system" / self.program, "--config", str(path), stderr=log,
-                    preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN))
+                    preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP}))
                 self.ended_by_us = False
                 status = await self.child.wait()
             if not self.ended_by_us:
@@ -72,6 +76,21 @@
         if self.child is not None and self.child.returncode is None:
             self.child.send_signal(number)
 
+    async def reload(self):
+        """SIGHUP: the settings are read again in time, whatever else happens to the process, unless it ends. Time in which it is frozen
+        doesn't count."""
+        child, sent_at, left_s = self.child, time.time(), RELOAD_S
+        self.send(signal.SIGHUP)
+        while child is not None and child.returncode is None and not self.has_reloaded_since(sent_at):
+            if left_s <= 0:
+                return self.site.broken(f"RELOAD: {self.machine} {self.program} has not read its settings {RELOAD_S} s after SIGHUP")
+            await asyncio.sleep(RELOAD_POLL_S)
+            left_s -= 0 if self.frozen else RELOAD_POLL_S
+
+    def has_reloaded_since(self, at):
+        lines = events_in(self.log.read_text())
+        return any(line["event"] == "settings_read" and line["at"] >= at - LOG_RESOLUTION_S for line in lines)
+
     # Of a core.
 
     def store(self):
@@ -124,9 +143,11 @@
 
     async def freeze(self, seconds):
         self.unplanned_at = time.monotonic()
+        self.frozen += 1
         self.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         self.unplanned_at = time.monotonic()
+        self.frozen -= 1
         self.send(signal.SIGCONT)
 
 
@@ -400,12 +421,13 @@
             if all(p.is_member() and not p.disk_away and not p.disk_lost for p in self.core_processes):
                 await process.take_disk_away(self.random.uniform(0.2, 3))
         elif kind == "hup":
-            for process in self.gateways + self.core_processes:
-                process.send(signal.SIGHUP)
+            await asyncio.gather(*(process.reload() for process in self.gateways + self.core_processes))
         elif kind == "hup_series":
+            series = []
             for _ in range(100):
-                pick(self.gateways + self.core_processes).send(signal.SIGHUP)
+                series.append(asyncio.create_task(pick(self.gateways + self.core_processes).reload()))
                 await asyncio.sleep(self.random.uniform(0, 0.03))
+            await asyncio.gather(*series)
         elif kind == "freeze_core":
             await pick(self.core_processes).freeze(self.random.uniform(0.2, 2))
         elif kind == "freeze_gateway":
