Gateways retain most of their shares of limits for 60 s while no core allocates

Cause: a grant ended as a whole after its term, and nothing but half a second of it was left. Change: a grant ends in two steps, all of it stands for 12 s, 0.75 of it until 60 s (lease_terms.h). What a silent holder may retain counts as leased: by the core that granted it, by its next incarnation (a holder's record says "retained" between the steps), and by whoever takes its place, who records that it allocates once that is over. Recovery waits as long as before, then lends beside what may be retained. Refusals while no core answers are counted by themselves (by_isolation). Cores are upgraded before gateways.

--- a/system/decisions/rate_limit/admission.cpp
+++ b/system/decisions/rate_limit/admission.cpp
@@ -22,9 +22,7 @@
 
 double Admission::LeasedShareOf(double now, const Bucket& bucket) const {
   double sum = 0;
-  for (const auto& [core, leased] : bucket.leased) {
-    if (now < leased.until) sum += leased.share;
-  }
+  for (const auto& [core, leased] : bucket.leased) sum += leased.InForce(now);
   return sum;
 }
 
@@ -158,7 +156,7 @@
       urgent_ = urgent_ || !drawn_tenants;
       return {false, true, 0};
     }
-    ++figures_.by_bucket;
+    ++(IsIsolated(now) ? figures_.by_isolation : figures_.by_bucket);
     return {false, false, RetryAfter(now, *bucket)};
   }
   bucket->tokens -= 1;
@@ -215,9 +213,7 @@
       bucket.batch_requested_at = now;
       out.drawn_tenants.insert(it->first);
     }
-    auto leased = bucket.leased.find(core);
-    if (leased != bucket.leased.end() && now < leased->second.until)
-      usage.held_share = static_cast<float>(leased->second.share);
+    usage.held_share = static_cast<float>(reported.InForce(now));
     out.admitted[it->first] = bucket.admitted;
     report.tenants.push_back(std::move(usage));
     ++it;
@@ -254,7 +250,7 @@
     }
     LeasedShare& leased = bucket.leased[core];
     leased.share = grant.share;
-    leased.until = report.at + kLeaseTerm - kLeaseMargin;
+    leased.reported_for_it_at = report.at;
     // The counter: of several cores, the one that has heard most since.
     Window(now, &bucket);
     if (leased.counted && grant.total >= leased.total) {
--- a/system/decisions/rate_limit/admission.h
+++ b/system/decisions/rate_limit/admission.h
@@ -10,8 +10,8 @@
 // the guarantee leaves wanting, as requests come in clumps, is drawn from the cores' pools in small batches
 // ahead of need. Beside that stands the counter check: in windows of burst / rate, the store estimate S =
 // clip(S + rate * window - last total, 0, burst); refused is what passes S + rate * window by the counter's
-// total and this gateway's newer count. A gateway that is cut off goes on with what it was granted until that
-// ends.
+// total and this gateway's newer count. A gateway that is cut off goes on with what it was granted, and then
+// with what it retains of that (lease_terms.h).
 #ifndef IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
 #define IVYGW_SYSTEM_RATE_LIMIT_ADMISSION_H_
 
@@ -72,13 +72,17 @@
   bool urgent() const { return urgent_; }
 
   struct Figures {
-    uint64_t admitted = 0, by_bucket = 0, by_counter = 0;
+    uint64_t admitted = 0;
+    // Refused: by the bucket while cores answer, by the bucket while none does, by the counter.
+    uint64_t by_bucket = 0, by_isolation = 0, by_counter = 0;
   };
   Figures figures() const;
 
  private:
   struct LeasedShare {
-    double share = 0, until = -1;
+    double share = 0;
+    double reported_for_it_at = -kRetentionTerm;  // when the report was sent that the grant answers
+    double InForce(double now) const { return ShareInForce(share, now - reported_for_it_at + kLeaseMargin); }
     uint64_t total = 0;  // the counter's, at its last word
     bool counted = false;
     double reported_at = -1, reported_wanted = 0;  // by this gateway's last report
--- a/system/decisions/rate_limit/lease_terms.h
+++ b/system/decisions/rate_limit/lease_terms.h
@@ -8,6 +8,10 @@
 // most, by those that no core answers: within (r * w + b) * (1 + overrun) + slack as long as N stays under
 // kBucketSlackShare of the slack. Whichever machines can reach each other: each core allocates its own even
 // part, and knows its holders.
+//
+// A grant ends in two steps, so that a gateway goes on serving while no core may allocate: all of it stands
+// for kLeaseTerm, kRetainedPart of it until kRetentionTerm. What a silent holder may retain counts as leased
+// until then, at the core that has granted it and at whoever takes that core's place.
 #ifndef IVYGW_SYSTEM_RATE_LIMIT_LEASE_TERMS_H_
 #define IVYGW_SYSTEM_RATE_LIMIT_LEASE_TERMS_H_
 
@@ -15,7 +19,10 @@
 
 // Of a grant, s, by the allocator's clock from when the report came.
 inline constexpr double kLeaseTerm = 12;
-// s before that, at which its holder stops using it.
+// Of a grant, s likewise, in which kRetainedPart of it stands once its term is over.
+inline constexpr double kRetentionTerm = 60;
+inline constexpr double kRetainedPart = 0.75;
+// s before either, at which its holder goes by that.
 inline constexpr double kLeaseMargin = 0.5;
 // Of a limit's rate: granted for lease terms by all cores together, at most.
 inline constexpr double kLeasedRateShare = 0.75;
@@ -35,6 +42,12 @@
 inline constexpr double kBucketSlackShare = 0.7;
 inline constexpr double kRateSlackShare = 0.2;
 
+// What stands of a granted share at this age, in s.
+inline constexpr double ShareInForce(double share, double age) {
+  if (age < kLeaseTerm) return share;
+  return age < kRetentionTerm ? kRetainedPart * share : 0;
+}
+
 }  // namespace ivygw::rate_limit
 
 #endif  // IVYGW_SYSTEM_RATE_LIMIT_LEASE_TERMS_H_
--- a/system/decisions/rate_limit/quota_allocator.cpp
+++ b/system/decisions/rate_limit/quota_allocator.cpp
@@ -3,36 +3,50 @@
 #include <algorithm>
 #include <vector>
 
-#include "rate_limit/lease_terms.h"
-
 namespace ivygw::rate_limit {
 namespace {
 
 constexpr double kShareEvery = 0.2;  // s
 constexpr double kQuiet =
     2;  // s; who has not reported for so long wants nothing more, but keeps what it holds
+constexpr double kForgetAfter = kRetentionTerm + kLeaseTerm;  // s; its count of requests is kept until then
 
 }  // namespace
 
 QuotaAllocator::QuotaAllocator(double now, bool first_boot)
-    : recovering_until_(first_boot ? -1 : now + kLeaseTerm), first_boot_(first_boot) {}
+    : recovering_until_(first_boot ? -1 : now + kLeaseTerm),
+      retained_until_(first_boot ? -1 : now + kRetentionTerm),
+      first_boot_(first_boot) {}
 
-void QuotaAllocator::OnLeaseHolders(const std::vector<std::string>& holders) {
+void QuotaAllocator::OnLeaseHolders(const std::vector<std::string>& holders,
+                                    const std::vector<std::string>& retaining) {
   holders_known_ = true;
   awaited_holders_.clear();
   for (const std::string& holder : holders) {
     if (!reported_.count(holder)) awaited_holders_.insert(holder);
   }
+  awaited_retaining_.clear();
+  for (const std::string& holder : retaining) {
+    if (!reported_.count(holder)) awaited_retaining_.insert(holder);
+  }
 }
 
 bool QuotaAllocator::Recovering(double now) const {
   return now < recovering_until_ && !(holders_known_ && awaited_holders_.empty());
 }
 
+bool QuotaAllocator::RetainedIsUnknown(double now) const {
+  if (now < predecessor_retained_until_) return true;
+  bool all_known = holders_known_ && awaited_holders_.empty() && awaited_retaining_.empty();
+  return now < retained_until_ && !all_known;
+}
+
 void QuotaAllocator::RefillPool(double now, Tenant* tenant, double part) const {
   double maximum = kPooledBurstShare * tenant->burst * part;
   // What is not leased. While holders are awaited, all that may be leased counts as leased.
-  double leased = Recovering(now) ? kLeasedRateShare * part : tenant->leased;
+  double leasable = kLeasedRateShare * part, leased = tenant->leased;
+  if (RetainedIsUnknown(now)) leased = std::min(leasable, leased + kRetainedPart * leasable);
+  if (Recovering(now)) leased = leasable;
   double flow = std::max(0.0, (kLeasedRateShare + kPooledRateShare) * part - leased);
   if (!tenant->has_pool) {
     tenant->has_pool = true;
@@ -64,13 +78,27 @@
   return mine;
 }
 
+// What was granted before this start is known from the holders' reports alone. Until the term of the others
+// is over, nothing else is granted; until their retention is over, a holder keeps what it holds, and no more
+// is granted than fits beside what the others may retain.
+double QuotaAllocator::ShareToGrant(const Tenant& tenant, const std::string& gateway, double held,
+                                    double part, double others, double now) const {
+  double leasable = kLeasedRateShare * part;
+  if (Recovering(now)) return std::min({held, std::max(0.0, leasable - others), leasable});
+  bool unknown = RetainedIsUnknown(now);
+  double maximum = unknown ? (1 - kRetainedPart) * leasable : leasable;
+  double room = std::max(unknown ? std::min(held, leasable) : 0.0, maximum - others);
+  return std::min(FairShare(tenant, gateway, leasable, now), room);
+}
+
 messages::QuotaGrants QuotaAllocator::OnReport(double now, const std::string& gateway, uint64_t incarnation,
                                                const messages::UsageReport& report, size_t allocators) {
   messages::QuotaGrants out;
   out.number = report.number;
-  double part = 1 / static_cast<double>(std::max<size_t>(allocators, 1)), maximum = kLeasedRateShare * part;
+  double part = 1 / static_cast<double>(std::max<size_t>(allocators, 1));
   reported_.insert(gateway);
   awaited_holders_.erase(gateway);
+  awaited_retaining_.erase(gateway);
   for (const messages::TenantUsage& usage : report.tenants) {
     Tenant& tenant = tenants_[usage.tenant];
     if (usage.version >= tenant.version) {
@@ -99,16 +127,13 @@
       lease.computed_at = now;
       double others = 0;
       for (const auto& [name, other] : tenant.leases) {
-        if (name != gateway && now < other.until) others += other.max_in_use;
+        if (name != gateway) others += other.InUse(now);
       }
-      double room = std::max(0.0, maximum - others);
-      lease.share = std::min(FairShare(tenant, gateway, maximum, now), room);
-      // What was granted before this start is known from the holders' reports alone.
-      if (Recovering(now)) lease.share = std::min({static_cast<double>(usage.held_share), room, maximum});
-      lease.max_in_use = std::max(lease.share, static_cast<double>(usage.held_share));
+      double held = std::max(0.0f, usage.held_share);
+      lease.share = ShareToGrant(tenant, gateway, held, part, others, now);
+      lease.max_in_use = std::max(lease.share, held);
       tenant.leased = others + lease.max_in_use;
     }
-    lease.until = now + kLeaseTerm;
     double share = lease.share;
     double tokens = std::min(tenant.pool, static_cast<double>(std::max(0.0f, usage.shortfall)));
     tenant.pool -= tokens;
@@ -121,8 +146,7 @@
   for (auto it = tenants_.begin(); it != tenants_.end();) {
     auto& leases = it->second.leases;
     for (auto at = leases.begin(); at != leases.end();) {
-      at = now >= at->second.until && now - at->second.reported_at > 4 * kLeaseTerm ? leases.erase(at)
-                                                                                    : std::next(at);
+      at = now - at->second.reported_at > kForgetAfter ? leases.erase(at) : std::next(at);
     }
     it = leases.empty() ? tenants_.erase(it) : std::next(it);
   }
--- a/system/decisions/rate_limit/quota_allocator.h
+++ b/system/decisions/rate_limit/quota_allocator.h
@@ -13,16 +13,22 @@
 #include <vector>
 
 #include "messages/control.h"
+#include "rate_limit/lease_terms.h"
 
 namespace ivygw::rate_limit {
 
 class QuotaAllocator {
  public:
   // `first_boot`: nothing can have been granted before this start. Otherwise only what gateways report to
-  // hold is granted again, until all that may hold something have reported, or a lease term is over.
+  // hold is granted again, until all that may hold something have reported, or a lease term is over. Then
+  // what the others may retain is left out, until kRetentionTerm is over.
   QuotaAllocator(double now, bool first_boot);
-  // Gateways that may hold a grant of an earlier incarnation. May be called more than once.
-  void OnLeaseHolders(const std::vector<std::string>& holders);
+  // Gateways that may hold a grant of an earlier incarnation, all of it or what is retained of it. May be
+  // called more than once.
+  void OnLeaseHolders(const std::vector<std::string>& holders,
+                      const std::vector<std::string>& retaining = {});
+  // This core has taken the place of another, whose holders may retain something until then.
+  void OnPredecessor(double retained_until) { predecessor_retained_until_ = retained_until; }
 
   // The answer to a gateway's report. `incarnation`: of the gateway's process. `allocators`: how many cores
   // allocate; each has an even part.
@@ -41,9 +47,11 @@
     double share = 0;  // as granted last
     double max_in_use =
         0;  // the most that it may be using: a smaller grant counts once its holder has reported it
-    double computed_at = -1;                              // when the share was computed last
-    double until = 0, wanted_share = 0, reported_at = 0;  // `reported_at`: of its last report
+    double computed_at = -1;                   // when the share was computed last
+    double wanted_share = 0, reported_at = 0;  // of its last report
     uint64_t incarnation = 0, admitted = 0;
+    // What its holder may use, by what was granted at its last report.
+    double InUse(double now) const { return ShareInForce(max_in_use, now - reported_at); }
   };
   struct Tenant {
     std::map<std::string, Lease> leases;  // by gateway
@@ -55,11 +63,16 @@
     uint64_t total = 0;
   };
   double FairShare(const Tenant& tenant, const std::string& gateway, double maximum, double now) const;
+  // The share to grant: within `part` of the limit, and with what others may use.
+  double ShareToGrant(const Tenant& tenant, const std::string& gateway, double held, double part,
+                      double others, double now) const;
+  // What of a limit gateways that haven't reported may retain isn't known.
+  bool RetainedIsUnknown(double now) const;
   std::map<std::string, Tenant> tenants_;
   void RefillPool(double now, Tenant* tenant, double part) const;
-  double recovering_until_ = -1;
+  double recovering_until_ = -1, retained_until_ = -1, predecessor_retained_until_ = -1;
   bool first_boot_ = false, holders_known_ = false;
-  std::set<std::string> awaited_holders_, reported_;
+  std::set<std::string> awaited_holders_, awaited_retaining_, reported_;
 };
 
 }  // namespace ivygw::rate_limit
--- a/system/decisions/registry/allocation_right.h
+++ b/system/decisions/registry/allocation_right.h
@@ -1,5 +1,6 @@
-// When a core may allocate shares of tenants' rate limits: only as a member, and not before all that the
-// member whose place it took has granted is over. Pure; one thread.
+// When a core may allocate shares of tenants' rate limits: only as a member, and not before the term of all
+// that the member whose place it took has granted is over; until their retention is over, too, it allocates
+// what is left beside that. Pure; one thread.
 //
 // Every member allocates one even part by itself. A core that becomes a member at another address than the
 // one it replaces, or that is added, therefore waits for a lease term, and for the time after which the other
@@ -28,12 +29,18 @@
   // core goes on until it loses quorum contact.
   static constexpr Duration kTakeoverDelay =
       Duration(rate_limit::kLeaseTerm) + replication::kContactTimeout + Duration(0.5);
+  // From then on, until nothing is retained of them.
+  static constexpr Duration kRetentionDelay = Duration(rate_limit::kRetentionTerm - rate_limit::kLeaseTerm);
 
   // `recorded_epoch`: under which this address has recorded last that it allocates; 0: never.
   AllocationRight(TimePoint now, std::string address, uint64_t store_id, messages::Membership membership,
                   uint64_t recorded_epoch)
       : address_(std::move(address)), store_id_(store_id), membership_(std::move(membership)) {
-    allocates_from_ = HasKeptItsPart(recorded_epoch) ? now : now + kTakeoverDelay;
+    if (HasKeptItsPart(recorded_epoch)) {
+      allocates_from_ = retained_until_ = now;
+    } else {
+      AwaitPredecessor(now);
+    }
   }
 
   void OnMembership(TimePoint now, const messages::Membership& membership, uint64_t recorded_epoch) {
@@ -46,23 +53,32 @@
     bool next = membership.epoch == membership_.epoch + 1;
     membership_ = membership;
     if (!next || (!was_member && !takes_own_place)) {
-      allocates_from_ = now + kTakeoverDelay;
+      AwaitPredecessor(now);
     } else if (takes_own_place) {
-      allocates_from_ = now;
+      allocates_from_ = retained_until_ = now;
     }
   }
 
   // This copy of the table has caught up, and holds a later record than it was loaded with.
   void OnRecordedEpoch(TimePoint now, uint64_t recorded_epoch) {
-    if (HasKeptItsPart(recorded_epoch)) allocates_from_ = std::min(allocates_from_, now);
+    if (!HasKeptItsPart(recorded_epoch)) return;
+    allocates_from_ = std::min(allocates_from_, now);
+    retained_until_ = std::min(retained_until_, now);
   }
 
   bool May(TimePoint now) const {
     return membership_.Contains(address_, store_id_) && now >= allocates_from_;
   }
+  // Holders of the member whose place this one took may retain something until then. That this core has
+  // allocated is recorded after that alone, so that a restart before it begins both waits anew.
+  TimePoint predecessor_retained_until() const { return retained_until_; }
   uint64_t epoch() const { return membership_.epoch; }
 
  private:
+  void AwaitPredecessor(TimePoint now) {
+    allocates_from_ = now + kTakeoverDelay;
+    retained_until_ = allocates_from_ + kRetentionDelay;
+  }
   // This address has allocated in this epoch, or in the one before.
   bool HasKeptItsPart(uint64_t recorded_epoch) const {
     if (membership_.epoch <= 1) return membership_.epoch == 1;
@@ -74,7 +90,7 @@
   const std::string address_;
   const uint64_t store_id_;
   messages::Membership membership_;
-  TimePoint allocates_from_;
+  TimePoint allocates_from_, retained_until_;
 };
 
 }  // namespace ivygw::registry
--- a/system/programs/proxy/gateway.cpp
+++ b/system/programs/proxy/gateway.cpp
@@ -152,6 +152,7 @@
         .Add("refused", f.refused)
         .Add("limited", f.limited)
         .Add("by_bucket", a.by_bucket)
+        .Add("by_isolation", a.by_isolation)
         .Add("by_counter", a.by_counter)
         .Add("failed", f.failed)
         .Add("late", f.late)
--- a/system/programs/registry/quota_leases.cpp
+++ b/system/programs/registry/quota_leases.cpp
@@ -15,8 +15,10 @@
 namespace {
 
 constexpr uint64_t kReleaseInterval = 20;  // ticks, of some 0.1 s
-// A gateway that has not reported for so long holds nothing.
+// A gateway that has not reported for so long holds no more than what it retains; nothing.
 constexpr Duration kHolderTerm{rate_limit::kLeaseTerm + 1};
+constexpr Duration kRetainingTerm{rate_limit::kRetentionTerm + 1};
+constexpr char kRetained[] = R"("retained")";  // body of a holder's record
 
 }  // namespace
 
@@ -63,7 +65,8 @@
 bool QuotaLeases::IsRecordedHolder(const std::string& gateway) const {
   const Item* record = Find(HolderKey(gateway));
   auto least = least_version_.find(gateway);
-  return record && !record->dropped && (least == least_version_.end() || record->version >= least->second);
+  return record && !record->dropped && record->body != kRetained &&
+         (least == least_version_.end() || record->version >= least->second);
 }
 
 void QuotaLeases::RecordHolder(const std::string& gateway) {
@@ -76,24 +79,34 @@
               [this, gateway](const replication::Completion&) { writing_.erase(gateway); });
 }
 
-// A later incarnation of this core need not wait for a gateway that holds nothing. It is granted something
-// again only once it is recorded anew, whatever has become of this command.
+std::optional<Item> QuotaLeases::NextHolderItem(const Item& standing, Duration silence) const {
+  uint64_t version = standing.version + 1;
+  if (standing.dropped || silence <= kHolderTerm) return std::nullopt;
+  if (silence > kRetainingTerm) return Item{standing.key, version, true, ""};
+  if (standing.body == kRetained) return std::nullopt;
+  return Item{standing.key, version, false, kRetained};
+}
+
+// A later incarnation of this core need not wait for a gateway that holds nothing, and only in part for one
+// that holds what it retains. It is granted something again only once it is recorded anew, whatever has
+// become of this command.
 void QuotaLeases::ReleaseExpiredHolders(TimePoint now) {
   std::string prefix = HolderKey("");
   const auto& records = node_.replica().table().records();
-  std::vector<Item> tombstones;
+  std::vector<Item> changes;
   for (auto it = records.lower_bound(prefix); it != records.end() && it->first.starts_with(prefix); ++it) {
     std::string gateway = it->first.substr(prefix.size());
     TimePoint reported_at = reported_at_.try_emplace(gateway, now).first->second;
-    bool expired = now > reported_at + kHolderTerm;
-    if (it->second.item.dropped || !expired || writing_.count(gateway) > 0) continue;
-    tombstones.push_back({it->first, it->second.item.version + 1, true, ""});
-    least_version_[gateway] = it->second.item.version + 2;
+    if (writing_.count(gateway) > 0) continue;
+    std::optional<Item> next = NextHolderItem(it->second.item, now - reported_at);
+    if (!next) continue;
+    least_version_[gateway] = next->version + 1;
     writing_.insert(gateway);
+    changes.push_back(std::move(*next));
   }
-  for (const Item& tombstone : tombstones) {
-    std::string gateway = tombstone.key.substr(prefix.size());
-    node_.Write({tombstone}, [this, gateway](const replication::Completion&) { writing_.erase(gateway); });
+  for (const Item& change : changes) {
+    std::string gateway = change.key.substr(prefix.size());
+    node_.Write({change}, [this, gateway](const replication::Completion&) { writing_.erase(gateway); });
   }
 }
 
@@ -101,9 +114,10 @@
   ++ticks_;
   allocator_.OnTime(SecondsOf(now));
   right_.OnRecordedEpoch(now, RecordedEpoch());
+  allocator_.OnPredecessor(SecondsOf(right_.predecessor_retained_until()));
   if (MayAllocate(now)) {
     if (!holders_known_) ReadHolders();
-    if (RecordedEpoch() < right_.epoch()) RecordAllocation();
+    if (RecordedEpoch() < right_.epoch() && now >= right_.predecessor_retained_until()) RecordAllocation();
     if (holders_known_ && ticks_ % kReleaseInterval == 0) ReleaseExpiredHolders(now);
   }
   bool allocating = MayAllocate(now) && !allocator_.Recovering(SecondsOf(now));
@@ -122,12 +136,14 @@
     reading_holders_ = false;
     if (completion.outcome != Outcome::kDone) return;
     holders_known_ = true;
-    std::vector<std::string> holders;
+    std::vector<std::string> holders, retaining;
     std::string prefix = HolderKey("");
     for (const auto& [key, record] : node_.replica().table().records()) {
-      if (key.starts_with(prefix) && !record.item.dropped) holders.push_back(key.substr(prefix.size()));
+      if (!key.starts_with(prefix) || record.item.dropped) continue;
+      std::vector<std::string>& kind = record.item.body == kRetained ? retaining : holders;
+      kind.push_back(key.substr(prefix.size()));
     }
-    allocator_.OnLeaseHolders(holders);
+    allocator_.OnLeaseHolders(holders, retaining);
   });
 }
 
--- a/system/programs/registry/quota_leases.h
+++ b/system/programs/registry/quota_leases.h
@@ -2,12 +2,14 @@
 // keeps durable records of who may hold something, so that a later incarnation of this core knows whom to
 // wait for before it allocates the same share again. One thread, that of the event loop.
 //
-// Durable items of the registry's table: "holder/CORE/GATEWAY" (GATEWAY may hold a grant of CORE) and
-// "lender/CORE" (its version is the last epoch under which CORE has allocated).
+// Durable items of the registry's table: "holder/CORE/GATEWAY" (GATEWAY may hold a grant of CORE; with the
+// body "retained": no more than what is retained of one) and "lender/CORE" (its version is the last epoch
+// under which CORE has allocated).
 #ifndef IVYGW_SYSTEM_REGISTRY_QUOTA_LEASES_H_
 #define IVYGW_SYSTEM_REGISTRY_QUOTA_LEASES_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -42,6 +44,8 @@
   void RecordHolder(const std::string& gateway);
   void ReadHolders();
   void ReleaseExpiredHolders(TimePoint now);
+  // What is to be written once a gateway has been silent so long; none: its record stands.
+  std::optional<messages::Item> NextHolderItem(const messages::Item& standing, Duration silence) const;
 
   replicated_table::CoreNode& node_;
   const std::string address_;
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -457,6 +457,11 @@
   CHECK(founder.May(TimePointOf(100)));
   CHECK(!successor.May(TimePointOf(100 + rate_limit::kLeaseTerm + replication::kContactTimeout.count())));
   CHECK(successor.May(TimePointOf(100 + AllocationRight::kTakeoverDelay.count())));
+  // Holders of the one before retain something for longer; nobody retains anything of a founder's
+  // predecessor.
+  double retained = 100 + AllocationRight::kTakeoverDelay.count() + AllocationRight::kRetentionDelay.count();
+  CHECK(successor.predecessor_retained_until() == TimePointOf(retained));
+  CHECK(founder.predecessor_retained_until() == TimePointOf(0));
   // One that was replaced does not lend; one that comes back waits for its successor's loans, also where it
   // saw neither epoch.
   AllocationRight replaced(TimePointOf(0), c.address, c.store_id, Epoch(1, {a, b, c}), 1);
--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -27,6 +27,10 @@
   double rate = 60, burst = 60, overload = 1;
   bool faults = false, lent_twice = false;
   bool forgets_holders = false;
+  // Records of silent holders say after a lease term that they only retain something, and end with that; else
+  // all gateways count as holders for good.
+  bool records_expire = false;
+  bool forgets_retaining = false;
 };
 
 class World {
@@ -37,7 +41,7 @@
     tenant_.burst = options.burst;
     tenant_.version = 1;
     for (size_t i = 0; i < options.cores; ++i)
-      cores_.push_back({std::make_unique<QuotaAllocator>(0, true), 0, true});
+      cores_.push_back({std::make_unique<QuotaAllocator>(0, true), 0, true, CoreName(i), {}});
     for (size_t i = 0; i < options.gateways; ++i) StartGateway(i);
     gateway_cut_.assign(options.gateways, std::vector<bool>(options.cores, false));
   }
@@ -86,12 +90,26 @@
   void StartCore(size_t c) {
     cores_[c].lender = std::make_unique<QuotaAllocator>(now_, options_.lent_twice);
     std::vector<std::string> holders;
-    if (!options_.forgets_holders) {
+    if (options_.records_expire) {
+      ReadRecords(c);
+    } else if (!options_.forgets_holders) {
       for (size_t g = 0; g < gateways_.size(); ++g) holders.push_back(Name(g));
       cores_[c].lender->OnLeaseHolders(holders);
     }
     cores_[c].up = true;
   }
+  // Another core, at another address, allocates in its place from now on. REQUIRES: it was killed a takeover
+  // delay ago.
+  void ReplaceCore(size_t c) {
+    cores_[c].lender = std::make_unique<QuotaAllocator>(now_, false);
+    cores_[c].lender->OnLeaseHolders({});
+    if (!options_.forgets_retaining)
+      cores_[c].lender->OnPredecessor(now_ + rate_limit::kRetentionTerm - rate_limit::kLeaseTerm);
+    cores_[c].name += "+";
+    cores_[c].reported_at.clear();
+    ++cores_[c].life;
+  }
+  double now() const { return now_; }
   void KillGateway(size_t g) {
     gateways_[g].pending.clear();
     gateways_[g].admission.reset();
@@ -116,6 +134,8 @@
     std::unique_ptr<QuotaAllocator> lender;
     uint64_t life = 0;
     bool up = true;
+    std::string name;
+    std::map<size_t, double> reported_at;  // by gateway
   };
   struct Gateway {
     std::unique_ptr<Admission> admission;
@@ -138,11 +158,25 @@
   }
   static std::string Name(size_t g) { return "g" + std::to_string(g); }
   static std::string CoreName(size_t c) { return "c" + std::to_string(c); }
+  // What QuotaLeases has on the majority's disks.
+  void ReadRecords(size_t c) {
+    std::vector<std::string> holders, retaining;
+    for (const auto& [g, at] : cores_[c].reported_at) {
+      double silence = now_ - at;
+      if (silence <= rate_limit::kLeaseTerm + 1) {
+        holders.push_back(Name(g));
+      } else if (silence <= rate_limit::kRetentionTerm + 1 && !options_.forgets_retaining) {
+        retaining.push_back(Name(g));
+      }
+    }
+    cores_[c].lender->OnLeaseHolders(holders, retaining);
+  }
   bool Joined(size_t g, size_t c) const {
     return cores_[c].lender && gateways_[g].admission && !gateway_cut_[g][c];
   }
   void Report(size_t g, size_t c, size_t allocators, bool all, bool draw) {
-    messages::UsageReport report = gateways_[g].admission->Report(now_, CoreName(c), allocators, all, draw);
+    messages::UsageReport report =
+        gateways_[g].admission->Report(now_, cores_[c].name, allocators, all, draw);
     if (all || !report.tenants.empty())
       Send({now_ + 0.001 + 0.002 * Chance(), g, c, gateways_[g].boot, cores_[c].life, report, {}});
   }
@@ -171,12 +205,13 @@
       if (!Joined(m.gateway, m.core) || gateways_[m.gateway].boot != m.boot || cores_[m.core].life != m.life)
         continue;
       if (m.report) {
+        cores_[m.core].reported_at[m.gateway] = now_;
         messages::QuotaGrants loans =
             cores_[m.core].lender->OnReport(now_, Name(m.gateway), m.boot, *m.report, options_.cores);
         Send({now_ + 0.001 + 0.002 * Chance(), m.gateway, m.core, m.boot, m.life, {}, loans});
       } else {
         Gateway& gateway = gateways_[m.gateway];
-        gateway.admission->OnGrants(now_, CoreName(m.core), *m.loans);
+        gateway.admission->OnGrants(now_, cores_[m.core].name, *m.loans);
         for (size_t n = gateway.pending.size(); n > 0; --n) {
           double since = gateway.pending.front();
           gateway.pending.pop_front();
@@ -322,6 +357,83 @@
   CHECK(static_cast<double>(world.admitted - admitted) >= 0.9 * static_cast<double>(world.asked - asked));
 }
 
+// The core has no majority for longer than a lease term: gateways go on with what they retain, and the way
+// back passes no limit.
+TEST(Limits, AllCoresGoneForThirtySecondsRefuseAFifthAtMost) {
+  Options options;
+  World world(13, options);
+  Fine(world.Run(10));
+  size_t asked = world.asked, admitted = world.admitted;
+  for (size_t c = 0; c < 3; ++c) world.KillCore(c);
+  Fine(world.Run(40));
+  CHECK(static_cast<double>(world.admitted - admitted) >= 0.8 * static_cast<double>(world.asked - asked));
+  for (size_t c = 0; c < 3; ++c) world.StartCore(c);
+  Fine(world.Run(42));
+  asked = world.asked;
+  admitted = world.admitted;
+  Fine(world.Run(60));
+  CHECK(static_cast<double>(world.admitted - admitted) >= 0.98 * static_cast<double>(world.asked - asked));
+}
+
+TEST(Limits, NothingIsRetainedAfterItsTerm) {
+  Options options;
+  World world(17, options);
+  Fine(world.Run(10));
+  for (size_t c = 0; c < 3; ++c) world.KillCore(c);
+  Fine(world.Run(10 + rate_limit::kRetentionTerm + 3));
+  size_t asked = world.asked, admitted = world.admitted;
+  Fine(world.Run(world.now() + 10));
+  CHECK(static_cast<double>(world.admitted - admitted) <= 0.05 * static_cast<double>(world.asked - asked));
+}
+
+namespace {
+
+// Some gateways are cut off with what they were granted. While they retain it, cores start anew or are
+// replaced, and the others ask for all that they can get.
+std::string PlayRetention(uint64_t seed, bool forgets_retaining) {
+  Options options;
+  options.overload = 8;
+  options.rate = options.burst = seed % 2 ? 120 : 40;
+  options.records_expire = true;
+  options.forgets_retaining = forgets_retaining;
+  World world(seed, options);
+  std::string broken = world.Run(8);
+  for (size_t g = 0; g < 8; ++g) world.CutGateway(g, true);
+  bool replaced = seed % 3 == 0;
+  for (size_t c = 0; replaced && c < 3; ++c) world.KillCore(c);
+  if (broken.empty()) broken = world.Run(8 + rate_limit::kLeaseTerm + 1.5 + 30 * world.Chance());
+  for (size_t c = 0; c < 3; ++c) {
+    if (replaced) {
+      world.ReplaceCore(c);
+    } else {
+      world.KillCore(c);
+      world.StartCore(c);
+    }
+  }
+  if (broken.empty()) broken = world.Run(world.now() + 20);
+  // Some come back with what they retain; the last stay away until nothing is left.
+  for (size_t g = 0; g < 4; ++g) world.CutGateway(g, false);
+  return broken.empty() ? world.Run(90) : broken;
+}
+
+}  // namespace
+
+TEST(Limits, HoldWhileSilentGatewaysRetainPartsOfTheirGrants) {
+  for (uint64_t seed = 1; seed <= 24; ++seed) {
+    std::string broken = PlayRetention(seed, false);
+    if (!broken.empty()) FAIL(("seed " + std::to_string(seed) + " " + broken).c_str());
+  }
+}
+
+TEST(Limits, ARetainedShareThatIsLentTwiceIsFound) {
+  for (uint64_t first : {1, 3}) {  // cores that start anew, cores that are replaced
+    bool found = false;
+    for (uint64_t seed = first; seed <= first + 18 && !found; seed += 6)
+      found = !PlayRetention(seed, true).empty();
+    CHECK(found);
+  }
+}
+
 TEST(Limits, NoLimitAdmitsAll) {
   Admission admission({0.1, 20, 5, 30});
   config_model::Tenant tenant;
