--- a/tests/soak/daemon_process.py
+++ b/tests/soak/daemon_process.py
@@ -112,8 +112,11 @@
         try:
             await asyncio.wait_for(child.wait(), GRACE_S)
         except asyncio.TimeoutError:
-            self.site.broken(f"{self.machine} {self.program} runs {GRACE_S} s after SIGTERM")
-            child.kill()
+            elapsed_s = time.monotonic() - self.term_at
+            self.site.broken(f"{self.machine} {self.program} runs {GRACE_S} s after SIGTERM (noticed {elapsed_s:.2f} s after it, state then: "
+                             f"{state_of(child.pid)})")
+            if child.returncode is None:
+                child.kill()
 
     def kill(self):
         self.unplanned_at, self.ended_by_us = time.monotonic(), True
@@ -129,6 +132,14 @@
         self.send(signal.SIGCONT)
 
 
+def state_of(pid):
+    """The kernel's letter for a process's state; "gone" where it has none."""
+    try:
+        return pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    except OSError:
+        return "gone"
+
+
 def events_in(log_text):
     for line in log_text.splitlines():
         begin = line.find("{")
