Soak: starts of daemons don't hold its event loop any more

Cause: the function run between fork and exec, which blocked SIGHUP, makes Python fork where it would use vfork: each start copied the soak's page tables, and after a kill of many some 100 starts stand in one turn of the loop. Now the soak itself blocks SIGHUP, and its daemons inherit that, which they need as before (each SIGHUP must be obeyed).

--- a/tests/soak/daemon_process.py
+++ b/tests/soak/daemon_process.py
@@ -39,9 +39,15 @@
 
 
 
+def block_reloads():
+    """SIGHUP is blocked in this process, and in each daemon that it starts until that takes signals. A function between fork and exec
+    would do the same, but copies this process's page tables at each start, which holds its event loop for 40 ms and more."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
 class DaemonProcess:
-    """One daemon of the system, started again whenever it ends, as the platform does; with SIGHUP blocked until it takes it, as
-    docs/operate/system.md asks for. sighup_while_loading.py starts it without."""
+    """One daemon of the system, started again whenever it ends, as the platform does; with SIGHUP blocked until it takes it
+    (block_reloads), as docs/operate/system.md asks for. sighup_while_loading.py starts it without."""
 
     def __init__(self, site, program, machine, settings):
         self.site, self.program, self.machine, self.settings = site, program, machine, settings
@@ -66,9 +72,7 @@
                 shutil.rmtree(self.store())
                 self.disk_lost = False
             with open(self.log, "ab") as log:
-                self.child = await asyncio.create_subprocess_exec(
-                    self.site.build / "system" / self.program, "--config", str(path), stderr=log,
-                    preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP}))
+                self.child = await asyncio.create_subprocess_exec(self.site.build / "system" / self.program, "--config", str(path), stderr=log)
                 self.exit_clock = ExitClock(self.child.pid)
                 self.ended_by_us = False
                 status = await self.child.wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 
-from daemon_process import GRACE_S, DaemonProcess
+from daemon_process import GRACE_S, DaemonProcess, block_reloads
 from event_loop import LoopDelay
 from traffic import ROUTES, Backend, Client, field
 
@@ -294,6 +294,7 @@
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--keep", action="store_true")
     options = parser.parse_args()
+    block_reloads()
     results = [play_seed(options.build.resolve(), seed, options) for seed in range(options.seed, options.seed + options.seeds)]
     sys.exit(0 if all(results) else 1)
 
