ivygw doesn't wait for the disk to write down what it has learned

A gateway that takes over from another (LB_LISTEN_FD) writes what it has learned every 500 ms, and since its event loop waited for two syncs each time.

Cause: the file that operators' words are in and this advice share one function, which was made safe against a loss of power. The advice is of no use after 5 s, and one that is damaged or gone is learned anew: it needs no sync. The operators' file keeps both.

--- a/src/state/files.cpp
+++ b/src/state/files.cpp
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-void WriteWhole(const std::string& path, const std::string& text) {
+void WriteWhole(const std::string& path, const std::string& text, Durability durability) {
   std::string fresh = path + ".new";
   {
     Descriptor file(open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
@@ -60,11 +60,12 @@
       }
       at += static_cast<size_t>(n);
     }
-    if (fsync(file.get()) != 0) throw StateError("cannot sync " + fresh + ": " + Why());
+    if (durability == Durability::kPowerLoss && fsync(file.get()) != 0)
+      throw StateError("cannot sync " + fresh + ": " + Why());
   }
   if (rename(fresh.c_str(), path.c_str()) != 0)
     throw StateError("cannot put " + path + " in place: " + Why());
-  SyncFolderOf(path);
+  if (durability == Durability::kPowerLoss) SyncFolderOf(path);
 }
 
 }  // namespace ivygw::state
--- a/src/state/files.h
+++ b/src/state/files.h
@@ -37,9 +37,14 @@
 // Where this gateway's file of that name is; other characters in the gateway's name become '_'.
 std::string PathOf(const std::string& directory, const std::string& gateway, const std::string& name);
 std::optional<std::string> ReadWhole(const std::string& path);  // none: there is none. Throws StateError
-// Beside it, and then in its place: a reader, and a process after a loss of power, sees the old one or the
-// new one; once this returns, the new one. Throws StateError where that isn't sure.
-void WriteWhole(const std::string& path, const std::string& text);
+// What a file outlives once it is written.
+enum class Durability {
+  kProcess,    // the process; after a loss of power it may be the old one, the new one, damaged, or gone
+  kPowerLoss,  // a loss of power, too: the old one or the new one is there, once written the new one
+};
+// Beside it, and then in its place: a reader sees the old one or the new one. With kPowerLoss the caller
+// waits for the disk. Throws StateError where what was asked for isn't sure.
+void WriteWhole(const std::string& path, const std::string& text, Durability durability);
 
 }  // namespace ivygw::state
 
--- a/src/state/learned_file.cpp
+++ b/src/state/learned_file.cpp
@@ -85,7 +85,7 @@
 
 void LearnedFile::Write(const Learned& learned, double at_s,
                         const std::function<std::string(uint32_t)>& name_of) const {
-  WriteWhole(path_, FormatLearned(learned, at_s, gateway_, name_of));
+  WriteWhole(path_, FormatLearned(learned, at_s, gateway_, name_of), Durability::kProcess);
 }
 
 std::optional<Learned> LearnedFile::Read(double now_s,
--- a/src/state/operators_file.cpp
+++ b/src/state/operators_file.cpp
@@ -91,7 +91,7 @@
     rename(path_.c_str(), (path_ + ".bad").c_str());
   }
   change(&word);
-  WriteWhole(path_, Format(word, gateway_));
+  WriteWhole(path_, Format(word, gateway_), Durability::kPowerLoss);
   return word;
 }
 
