Allocator: grants of one moment fit beside each other: a test and a planted mistake

A sum of leases that is kept, instead of being added up at each report, could lack what was granted since: then 300 gateways that report in one moment would each be granted all they want. The planted mistake (the grant isn't counted) is found by the new test.

--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -319,6 +319,23 @@
   CHECK_TRUE(CostOfAReport(300) < 3 * few);
 }
 
+// Guards against: a sum of leases that is kept, and lacks what was granted since it was worked out in full.
+TEST(Limits, GrantsOfOneMomentFitBesideEachOther) {
+  QuotaAllocator core(0, true);
+  messages::UsageReport report;
+  report.tenants.emplace_back();
+  report.tenants.back().rate = report.tenants.back().burst = 30;
+  report.tenants.back().wanted_share = 0.02f;
+  double granted = 0;
+  for (int gateway = 1; gateway <= 300; ++gateway) {
+    uint64_t incarnation = static_cast<uint64_t>(gateway);
+    std::string name = "gateway" + std::to_string(gateway);
+    granted += core.OnReport(1 + gateway * 1e-5, name, incarnation, report, 3).grants.front().share;
+  }
+  if (granted > rate_limit::kLeasedRateShare / 3 + 1e-6) FAIL("more is granted than can be leased");
+  CHECK_TRUE(granted > 0.9 * rate_limit::kLeasedRateShare / 3);
+}
+
 TEST(Limits, HoldOverAllGatewaysWhateverIsCutKilledOrStartedAnew) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     Options options;
--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -120,3 +120,8 @@
 planted_in_storage(torn_tail_is_damage SOURCE system/adapters/storage/table_disk.cpp RUN OnDisksThatTearWrites
   FROM "opened_.dropped_tails = DropTornTails(folder_);" TO ""
   TOLD "at their end record torn")
+
+planted_mistake(granted_share_not_counted OBJECTS system_limits_tests_objects LIBRARY system_rate_limit
+  SOURCE system/decisions/rate_limit/quota_allocator.cpp RUN GrantsOfOneMomentFitBesideEachOther
+  FROM "    Count(now, &tenant, &lease);" TO ""
+  TOLD "more is granted than can be leased")
