As many cores vote as the loss of disks that must be borne asks for

Cause: three cores vote, whatever the deployment asks for. Class: a number that is right for the deployments at hand, where the setting stands in the file.

Now 2 x machine_failures + 1 cores vote, three at least; spare cores are added one by one, by the existing change of members. While the system starts for the first time nothing is granted until they are members (5 s at most), and a member that is added where no holder of a grant is recorded allocates its part at once: holders are recorded before they are granted anything. One that is added later waits, as before. Deployments that bear one loss are as they were.

A member that is added allocates at once only where nothing is granted.

--- a/system/adapters/process/settings.cpp
+++ b/system/adapters/process/settings.cpp
@@ -39,6 +39,12 @@
     add_fault(part.Get("memory_mb", &out->memory_mb, false));
     add_fault(part.Get("max_file_descriptors", &out->descriptors, false));
   }
+  add_fault(root.Sub("fault_tolerance", &part, &present));
+  if (present) {
+    add_fault(part.Get("machine_failures", &out->machine_failures, false));
+    if (out->machine_failures < 0)
+      add_fault("fault_tolerance.machine_failures: a number that isn't negative is wanted");
+  }
   add_fault(root.Sub("timing_bounds", &part, &present));
   if (present) {
     add_fault(part.Get("grace_s", &out->grace_s, false));
--- a/system/adapters/process/settings.h
+++ b/system/adapters/process/settings.h
@@ -15,6 +15,7 @@
   bool initial_boot = false;
   std::string data_directory;  // empty: no disk
   int memory_mb = 256, descriptors = 1024;
+  int machine_failures = 1;  // machines with a disk that may be lost at once, their disks with them
   // Bounds that decisions go by.
   int grace_s = 6;
   double retry_ratio = 0.2, retry_window_s = 10, retry_slack = 20;
--- a/system/adapters/replicated_table/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -42,6 +42,7 @@
       options_(std::move(options)),
       events_(std::move(events)),
       incarnation_(RandomId()),
+      voters_(replication::VotersToBear(static_cast<size_t>(settings.machine_failures))),
       host_(io, HostEvents()),
       known_(settings.ip, SeedHosts(settings)),
       tick_timer_(io),
@@ -50,6 +51,7 @@
   own.address = settings.ip;
   own.zone = settings.zone;
   own.incarnation = incarnation_;
+  own.voters = voters_;
   replica_ = std::make_unique<replication::Replica>(std::move(own), OpenStore(), policy);
   publisher_ = std::make_unique<Publisher>(io, *replica_, options_.published_prefix, PublisherEvents());
   known_.SetMembers(replica_->membership());
--- a/system/adapters/replicated_table/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -56,6 +56,11 @@
   void Prune(const std::vector<messages::Item>& tombstones);
   // Calls may be taken.
   bool HasQuorumContact() const { return replica_->HasQuorumContact(Now()); }
+  // Fewer members than there should be: spare cores are still to be added, or there are none.
+  bool LacksMembers() const {
+    size_t members = replica_->membership().members.size();
+    return members > 1 && members < voters_;
+  }
   // Whether this core is, of the members that it is connected to, the first by address. What only one member
   // should do falls to it.
   bool IsFirstReachableMember() const;
@@ -104,6 +109,7 @@
   const Options options_;
   Events events_;
   const uint64_t incarnation_;
+  const size_t voters_;                         // how many members there should be
   std::unique_ptr<storage::TableStore> store_;  // null without a data directory
   std::unique_ptr<replication::Replica> replica_;
   std::unique_ptr<Publisher> publisher_;
--- a/system/decisions/registry/allocation_right.h
+++ b/system/decisions/registry/allocation_right.h
@@ -7,7 +7,7 @@
 // members go by the new epoch. A member that allocates records the epoch durably under its address, so that a
 // restart knows whether that wait is over. An epoch replaces or adds one member, so a member of one epoch
 // that is a member of the next has kept its part: a restart before the next one is recorded need not wait,
-// either.
+// either. Nor does anyone wait where nothing has been granted yet, as while the first members are added.
 #ifndef IVYGW_SYSTEM_REGISTRY_ALLOCATION_RIGHT_H_
 #define IVYGW_SYSTEM_REGISTRY_ALLOCATION_RIGHT_H_
 
@@ -43,7 +43,10 @@
     }
   }
 
-  void OnMembership(TimePoint now, const messages::Membership& membership, uint64_t recorded_epoch) {
+  // `nothing_granted`: no gateway stands recorded as a holder in a table that has this membership. As holders
+  // are recorded before they are granted anything, nobody holds a grant of an earlier epoch.
+  void OnMembership(TimePoint now, const messages::Membership& membership, uint64_t recorded_epoch,
+                    bool nothing_granted) {
     bool was_member = membership_.Contains(address_, store_id_);
     bool same_address =
         std::any_of(membership_.members.begin(), membership_.members.end(),
@@ -52,10 +55,10 @@
     // Of epochs that were skipped it isn't known who allocated.
     bool next = membership.epoch == membership_.epoch + 1;
     membership_ = membership;
-    if (!next || (!was_member && !takes_own_place)) {
-      AwaitPredecessor(now);
-    } else if (takes_own_place) {
+    if (nothing_granted || (next && takes_own_place)) {
       allocates_from_ = retained_until_ = now;
+    } else if (!next || !was_member) {
+      AwaitPredecessor(now);
     }
   }
 
--- a/system/decisions/replication/membership_manager.h
+++ b/system/decisions/replication/membership_manager.h
@@ -6,6 +6,8 @@
 #ifndef IVYGW_SYSTEM_REPLICATION_MEMBERSHIP_MANAGER_H_
 #define IVYGW_SYSTEM_REPLICATION_MEMBERSHIP_MANAGER_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <deque>
 #include <optional>
 #include <string>
@@ -30,6 +32,11 @@
   Duration silent_for{0};  // since the last heartbeat that it has answered; 0 for oneself
 };
 
+inline constexpr size_t kLeastVoters = 3;
+// How many members there should be, so that a majority is left where so many of them lose their disks at
+// once.
+constexpr size_t VotersToBear(size_t failures) { return std::max(kLeastVoters, 2 * failures + 1); }
+
 // The next membership, one member replaced or added; none where nothing is due. `voters`: how many members
 // there should be.
 std::optional<Membership> NextMembership(uint64_t epoch, const std::vector<MemberView>& members,
--- a/system/programs/registry/quota_leases.cpp
+++ b/system/programs/registry/quota_leases.cpp
@@ -18,6 +18,8 @@
 // A gateway that has not reported for so long holds no more than what it retains; nothing.
 constexpr Duration kHolderTerm{rate_limit::kLeaseTerm + 1};
 constexpr Duration kRetainingTerm{rate_limit::kRetentionTerm + 1};
+constexpr Duration kFirstMembersTimeout{5};
+constexpr char kHolderPrefix[] = "holder/";
 constexpr char kRetained[] = R"("retained")";  // body of a holder's record
 
 }  // namespace
@@ -25,12 +27,14 @@
 QuotaLeases::QuotaLeases(replicated_table::CoreNode* node, std::string address, bool first_boot)
     : node_(*node),
       address_(std::move(address)),
+      first_boot_(first_boot),
+      started_at_(node_.Now()),
       allocator_(SecondsOf(node_.Now()), first_boot),
       right_(node_.Now(), address_, node_.replica().store_id(), node_.replica().membership(),
              RecordedEpoch()) {}
 
 std::string QuotaLeases::HolderKey(const std::string& gateway) const {
-  return "holder/" + address_ + "/" + gateway;
+  return kHolderPrefix + address_ + "/" + gateway;
 }
 std::string QuotaLeases::AllocatorKey() const { return "lender/" + address_; }
 
@@ -45,7 +49,20 @@
 }
 
 void QuotaLeases::OnMembershipChanged() {
-  right_.OnMembership(node_.Now(), node_.replica().membership(), RecordedEpoch());
+  right_.OnMembership(node_.Now(), node_.replica().membership(), RecordedEpoch(), NothingIsGranted());
+}
+
+bool QuotaLeases::AwaitsMembers(TimePoint now) const {
+  return first_boot_ && node_.LacksMembers() && now < started_at_ + kFirstMembersTimeout;
+}
+
+bool QuotaLeases::NothingIsGranted() const {
+  const auto& records = node_.replica().table().records();
+  for (auto it = records.lower_bound(kHolderPrefix);
+       it != records.end() && it->first.starts_with(kHolderPrefix); ++it) {
+    if (!it->second.item.dropped) return false;
+  }
+  return true;
 }
 
 // A gateway is recorded as a holder on a majority's disks before anything is granted to it, so that a later
--- a/system/programs/registry/quota_leases.h
+++ b/system/programs/registry/quota_leases.h
@@ -34,7 +34,13 @@
   void OnTime(TimePoint now);
 
  private:
-  bool MayAllocate(TimePoint now) const { return right_.May(now) && node_.HasQuorumContact(); }
+  bool MayAllocate(TimePoint now) const {
+    return right_.May(now) && node_.HasQuorumContact() && !AwaitsMembers(now);
+  }
+  // At the first start of the whole system spare cores become members first, so that each allocates its part
+  // from the beginning.
+  bool AwaitsMembers(TimePoint now) const;
+  bool NothingIsGranted() const;
   uint64_t RecordedEpoch() const;
   void RecordAllocation();
   std::string HolderKey(const std::string& gateway) const;
@@ -49,6 +55,8 @@
 
   replicated_table::CoreNode& node_;
   const std::string address_;
+  const bool first_boot_;
+  const TimePoint started_at_;
   rate_limit::QuotaAllocator allocator_;
   AllocationRight right_;
   std::set<std::string> writing_;                  // gateways whose holder record is being written
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -154,17 +154,27 @@
   }
 }
 
+// All machines that run or have a disk, those that vote before the others.
+std::vector<std::string> VotersFirst(World& world) {
+  std::vector<std::string> machines = world.Machines();
+  const Membership membership = world.rules().newest_membership();
+  std::stable_partition(machines.begin(), machines.end(), [&](const std::string& machine) {
+    return std::any_of(membership.members.begin(), membership.members.end(),
+                       [&](const Member& member) { return member.address == machine; });
+  });
+  return machines;
+}
+
 // At the moment of an acknowledgement as many disks are lost as may be, and every other core loses power.
 // They come back in an order drawn anew each time. What was acknowledged must be there.
-void DisksLostAndPowerOff(World* world) {
-  for (int round = 0; round < 3 && world->broken().empty(); ++round) {
+void LoseDisksAndPower(World* world, size_t rounds, size_t may_be_lost) {
+  for (size_t round = 0; round < rounds && world->broken().empty(); ++round) {
     std::string confirmed_by;
     world->on_command_completed = [&](size_t, const std::string& machine, Outcome outcome) {
       if (outcome != Outcome::kDone || !confirmed_by.empty()) return;
       confirmed_by = machine;
-      world->At(0, [world, machine] {
-        std::vector<std::string> machines = world->Machines();
-        size_t may_be_lost = (machines.size() - 1) / 2;
+      world->At(0, [world, machine, may_be_lost] {
+        std::vector<std::string> machines = VotersFirst(*world);
         std::swap(*std::find(machines.begin(), machines.end(), machine), machines.front());
         // The core that acknowledged is among those that lose their disks, or is not.
         if (world->Chance(0.4)) std::swap(machines.front(), machines.back());
@@ -186,6 +196,20 @@
   }
 }
 
+void DisksLostAndPowerOff(World* world) { LoseDisksAndPower(world, 3, (world->Machines().size() - 1) / 2); }
+
+// Three cores found the system, and as many more as the loss of two disks asks for become members.
+void DisksOfAddedVotersLost(World* world) {
+  std::vector<std::string> seeds = world->Machines();
+  for (int i = 0; i < 4; ++i) world->Start(world->AddMachine(seeds));
+  world->For(kSyncTime);
+  if (!world->broken().empty()) return;
+  size_t members = world->rules().newest_membership().members.size();
+  if (members != replication::VotersToBear(2))
+    world->rules().Broken(std::to_string(members) + " members where two disks may be lost");
+  LoseDisksAndPower(world, 2, 2);
+}
+
 bool HasMembers(const World& world, const std::string& asked, size_t count, const std::string& with) {
   const Membership& membership = world.replica(asked).membership();
   bool there = false;
@@ -520,6 +544,13 @@
   options.founders = options.voters = 5;
   RunDays("disks lost, power off, five voters", DisksLostAndPowerOff, Seeds(4), options);
 }
+// Guards against: three cores hold everything of eighteen, the loss of two disks that must be borne takes the
+// majority for good, and nothing is served again.
+TEST(Control, DisksOfVotersThatWereAddedAreLostWhileAllOthersLosePower) {
+  WorldOptions options;
+  options.voters = replication::VotersToBear(2);
+  RunDays("disks of added voters lost", DisksOfAddedVotersLost, Seeds(8), options);
+}
 TEST(Control, CutOffWhileADiskIsLost) {
   RunDays("cut off while a disk is lost", CutOffWhileADiskIsLost, Seeds());
 }
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -450,10 +450,10 @@
   AllocationRight founder(TimePointOf(0), a.address, a.store_id, Epoch(1, {a, b, c}), 0);
   CHECK(founder.May(TimePointOf(0)));
   AllocationRight successor(TimePointOf(0), d.address, d.store_id, Epoch(0, {}), 0);
-  successor.OnMembership(TimePointOf(1), Epoch(1, {a, b, c}), 0);
+  successor.OnMembership(TimePointOf(1), Epoch(1, {a, b, c}), 0, false);
   CHECK(!successor.May(TimePointOf(100)));
-  founder.OnMembership(TimePointOf(100), Epoch(2, {a, b, d}), 1);
-  successor.OnMembership(TimePointOf(100), Epoch(2, {a, b, d}), 0);
+  founder.OnMembership(TimePointOf(100), Epoch(2, {a, b, d}), 1, false);
+  successor.OnMembership(TimePointOf(100), Epoch(2, {a, b, d}), 0, false);
   CHECK(founder.May(TimePointOf(100)));
   CHECK(!successor.May(TimePointOf(100 + rate_limit::kLeaseTerm + replication::kContactTimeout.count())));
   CHECK(successor.May(TimePointOf(100 + AllocationRight::kTakeoverDelay.count())));
@@ -466,20 +466,42 @@
   // saw neither epoch.
   AllocationRight replaced(TimePointOf(0), c.address, c.store_id, Epoch(1, {a, b, c}), 1);
   AllocationRight absent(TimePointOf(0), c.address, c.store_id, Epoch(1, {a, b, c}), 1);
-  replaced.OnMembership(TimePointOf(100), Epoch(2, {a, b, d}), 1);
+  replaced.OnMembership(TimePointOf(100), Epoch(2, {a, b, d}), 1, false);
   CHECK(!replaced.May(TimePointOf(200)));
-  replaced.OnMembership(TimePointOf(300), Epoch(3, {a, b, c}), 1);
+  replaced.OnMembership(TimePointOf(300), Epoch(3, {a, b, c}), 1, false);
   CHECK(!replaced.May(TimePointOf(310)));
-  absent.OnMembership(TimePointOf(300), Epoch(3, {a, b, c}), 1);
+  absent.OnMembership(TimePointOf(300), Epoch(3, {a, b, c}), 1, false);
   CHECK(!absent.May(TimePointOf(310)));
   // Its disk is lost: it takes its own place at once.
   AllocationRight wiped(TimePointOf(400), c_anew.address, c_anew.store_id, Epoch(0, {}), 0);
-  wiped.OnMembership(TimePointOf(401), Epoch(1, {a, b, c}), 1);
+  wiped.OnMembership(TimePointOf(401), Epoch(1, {a, b, c}), 1, false);
   CHECK(!wiped.May(TimePointOf(500)));
-  wiped.OnMembership(TimePointOf(402), Epoch(2, {a, b, c_anew}), 1);
+  wiped.OnMembership(TimePointOf(402), Epoch(2, {a, b, c_anew}), 1, false);
   CHECK(wiped.May(TimePointOf(402)));
 }
 
+// Guards against: a core that is added while the system starts for the first time withholds its part of all
+// limits for a minute, or allocates beside what others were granted of it before.
+TEST(Members, AnAddedMemberAllocatesAtOnceOnlyWhereNothingIsGranted) {
+  using registry::AllocationRight;
+  messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, c{"10.0.0.3", 1, ""}, d{"10.0.0.4", 7, ""},
+      e{"10.0.0.5", 8, ""};
+  AllocationRight added(TimePointOf(0), d.address, d.store_id, Epoch(1, {a, b, c}), 0);
+  added.OnMembership(TimePointOf(1), Epoch(2, {a, b, c, d}), 0, true);
+  CHECK(added.May(TimePointOf(1)));
+  CHECK(added.predecessor_retained_until() == TimePointOf(1));
+  AllocationRight late(TimePointOf(0), d.address, d.store_id, Epoch(1, {a, b, c}), 0);
+  late.OnMembership(TimePointOf(1), Epoch(2, {a, b, c, d}), 0, false);
+  CHECK(!late.May(TimePointOf(1)));
+  // Two epochs at once, as a delta may tell of them; and no member in the end.
+  AllocationRight skipped(TimePointOf(0), e.address, e.store_id, Epoch(1, {a, b, c}), 0);
+  skipped.OnMembership(TimePointOf(1), Epoch(3, {a, b, c, d, e}), 0, true);
+  CHECK(skipped.May(TimePointOf(1)));
+  AllocationRight spare(TimePointOf(0), e.address, e.store_id, Epoch(1, {a, b, c}), 0);
+  spare.OnMembership(TimePointOf(1), Epoch(2, {a, b, c, d}), 0, true);
+  CHECK(!spare.May(TimePointOf(100)));
+}
+
 TEST(Members, ARestartInTheWaitBeginsItAnew) {
   using registry::AllocationRight;
   messages::Member a{"10.0.0.1", 1, ""}, b{"10.0.0.2", 1, ""}, d{"10.0.0.4", 7, ""};
@@ -534,7 +556,7 @@
                                                      membership, recorded);
       auto begin_epoch = [&](std::vector<messages::Member> members) {
         membership = Epoch(membership.epoch + 1, std::move(members));
-        right->OnMembership(TimePointOf(now), membership, recorded);
+        right->OnMembership(TimePointOf(now), membership, recorded, false);
       };
       for (int i = 0, left = series; i < kSeriesLength; ++i, left /= kKinds) {
         now += gap;
