--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -708,11 +708,11 @@
 TEST(Plumbing, SettingsTellEveryFaultByItsField) {
   process::Settings settings;
   auto faults = process::ReadSettings(
-      R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","timing_bounds":{"grace_s":"long"}})",
+      R"({"node_name":5,"zone":"z","internal_port_range":[9],"seed_nodes":"x","fault_tolerance":{"machine_failures":-1},"timing_bounds":{"grace_s":"long"}})",
       &settings);
   std::string all;
   for (const auto& fault : faults) all += fault + "\n";
-  for (const char* field :
-       {"node_name", "ip_address", "internal_port_range", "seed_nodes", "timing_bounds.grace_s"})
+  for (const char* field : {"node_name", "ip_address", "internal_port_range", "seed_nodes",
+                            "fault_tolerance.machine_failures", "timing_bounds.grace_s"})
     Has(all, field);
 }
