An error of reading isn't taken for the torn end of a store's log

What callers saw: none seen. Found by reading, where else an unknown outcome counts as a known one: while a store that LevelDB calls damaged is searched for a torn end, an error of the disk in the middle of a log ended the reading, and the records behind it were cut off as a torn tail, synced ones too.

Cause: a stream that is copied by its buffer notes a failed read in the stream that is written to; the one that is read, which was asked, stays good.

Evidence: LogTailTest.AnErrorOfReadingIsNotTheEndOfTheFile, on the code before: "expected to throw ... but threw nothing" with the first read refused. It passes now, for the first, second, third and sixth read; the file is as it was.

--- a/system/adapters/storage/log_tail.cpp
+++ b/system/adapters/storage/log_tail.cpp
@@ -1,6 +1,7 @@
 #include "storage/log_tail.h"
 
 #include <fcntl.h>
+#include <leveldb/env.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 #include <cerrno>
 #include <cstdint>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <system_error>
 
 namespace ivygw::storage {
@@ -72,13 +71,12 @@
   return false;
 }
 
-std::string ReadFile(const std::filesystem::path& path) {
-  std::ifstream stream(path, std::ios::binary);
-  std::stringstream content;
-  content << stream.rdbuf();
-  if (!stream)
-    throw std::filesystem::filesystem_error("can't be read", path, std::make_error_code(std::errc::io_error));
-  return content.str();
+// Whole, or it throws: what can't be read at this time must not count as the end of the file.
+std::string ReadFile(leveldb::Env* env, const std::filesystem::path& path) {
+  std::string content;
+  leveldb::Status status = leveldb::ReadFileToString(env, path, &content);
+  if (status.ok()) return content;
+  throw std::filesystem::filesystem_error(status.ToString(), path, std::make_error_code(std::errc::io_error));
 }
 
 void CutAndSync(const std::filesystem::path& path, size_t size) {
@@ -114,11 +112,11 @@
   return in_record ? std::optional<size_t>(record) : std::nullopt;
 }
 
-std::vector<DroppedTail> DropTornTails(const std::string& folder) {
+std::vector<DroppedTail> DropTornTails(const std::string& folder, leveldb::Env* env) {
   std::vector<DroppedTail> dropped;
   for (const auto& entry : std::filesystem::directory_iterator(folder)) {
     if (!IsInLogFormat(entry.path())) continue;
-    std::string content = ReadFile(entry.path());
+    std::string content = ReadFile(env, entry.path());
     std::optional<size_t> tail = FindTornTail(content);
     if (!tail) continue;
     CutAndSync(entry.path(), *tail);
--- a/system/adapters/storage/log_tail.h
+++ b/system/adapters/storage/log_tail.h
@@ -10,6 +10,10 @@
 #include <string_view>
 #include <vector>
 
+namespace leveldb {
+class Env;
+}  // namespace leveldb
+
 namespace ivygw::storage {
 
 // The offset at which the last record begins, where that record isn't whole and no record begins after it.
@@ -22,9 +26,9 @@
   size_t bytes = 0;
 };
 
-// Cuts torn tails off the logs and manifests of a LevelDB folder that isn't open, and syncs them. Throws
-// std::filesystem::filesystem_error where a file can't be read or cut.
-std::vector<DroppedTail> DropTornTails(const std::string& folder);
+// Cuts torn tails off the logs and manifests of a LevelDB folder that isn't open, and syncs them. Files are
+// read through `env`. Throws std::filesystem::filesystem_error where a file can't be read or cut.
+std::vector<DroppedTail> DropTornTails(const std::string& folder, leveldb::Env* env);
 
 }  // namespace ivygw::storage
 
--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -189,7 +189,7 @@
   opened_.files = FilesIn(folder_);
   Found found = OpenAndLoad();
   if (!found.damage.empty()) {
-    opened_.dropped_tails = DropTornTails(folder_);
+    opened_.dropped_tails = DropTornTails(folder_, &env_);
     if (!opened_.dropped_tails.empty()) found = OpenAndLoad();
   }
   if (!found.damage.empty()) {
--- a/tests/system/adapters/storage/log_tail_test.cpp
+++ b/tests/system/adapters/storage/log_tail_test.cpp
@@ -1,8 +1,12 @@
 // Torn ends of files in LevelDB's log format: found where only the last record isn't whole, and nowhere else.
 #include "storage/log_tail.h"
 
+#include <errno.h>
 #include <leveldb/db.h>
+#include <leveldb/env.h>
 #include <leveldb/write_batch.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -19,6 +23,9 @@
 
 namespace {
 
+constexpr int kNever = -1;
+int reads_before_an_error = kNever;
+
 // The log of a database that has written values of these sizes, one record each, and where each record ends.
 struct WrittenLog {
   std::string content;
@@ -52,7 +59,35 @@
 
 }  // namespace
 
-TEST_GROUP(LogTailTest){};
+// This program's reads, which may end in an error.
+extern "C" ssize_t read(int descriptor, void* buffer, size_t size) {
+  if (reads_before_an_error == 0) {
+    errno = EIO;
+    return -1;
+  }
+  if (reads_before_an_error > 0) --reads_before_an_error;
+  return syscall(SYS_read, descriptor, buffer, size);
+}
+
+TEST_GROUP(LogTailTest){void teardown() override{reads_before_an_error = kNever;
+}
+}
+;
+
+// Guards against: what a disk failed to read was taken for torn off, and whole records were cut.
+TEST(LogTailTest, AnErrorOfReadingIsNotTheEndOfTheFile) {
+  char name[] = "/tmp/ivygw_log_tail.XXXXXX";
+  std::filesystem::path folder = mkdtemp(name), log = folder / "000003.log";
+  std::ofstream(log, std::ios::binary) << WriteLog({100, 90'000, 60}).content;
+  size_t size = std::filesystem::file_size(log);
+  for (int reads : {0, 1, 2, 5}) {
+    reads_before_an_error = reads;
+    CHECK_THROWS(std::filesystem::filesystem_error, storage::DropTornTails(folder, leveldb::Env::Default()));
+    reads_before_an_error = kNever;
+    CHECK_EQUAL(size, std::filesystem::file_size(log));
+  }
+  std::filesystem::remove_all(folder);
+}
 
 TEST(LogTailTest, AWholeLogHasNoTornTail) {
   for (size_t size : {size_t{0}, size_t{10}, size_t{32700}, size_t{32752}, size_t{32760}, size_t{100'000}})
--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -118,7 +118,7 @@
   FROM "  SyncChangedNames();" TO ""
   TOLD "at their end names lost")
 planted_in_storage(torn_tail_is_damage SOURCE system/adapters/storage/table_disk.cpp RUN OnDisksThatTearWrites
-  FROM "opened_.dropped_tails = DropTornTails(folder_);" TO ""
+  FROM "opened_.dropped_tails = DropTornTails(folder_, &env_);" TO ""
   TOLD "at their end record torn")
 
 planted_mistake(granted_share_not_counted OBJECTS system_limits_tests_objects LIBRARY system_rate_limit
