A store that is damaged while a write is tried again says so

What callers saw: a core that acknowledged nothing again, and one line, 'disk_refused', of an error that had passed long since.

Cause: only the first error of a write was told; that the reason had changed from a refusal to damage wasn't, and nothing told the two apart but their text.

Change: an error of a write has a kind. It is told when a write first fails and whenever the kind changes; damage is the new event store_damaged. The table's disk passes LevelDB's status on instead of strings.

Result: TableStoreTest.AStoreThatIsDamagedWhileItIsRefusedIsTold; on the code before there was no second line to wait for.

--- a/system/adapters/replicated_table/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -80,7 +80,10 @@
   store_ = std::make_unique<storage::TableStore>(io_, settings_.data_directory + "/" + options_.role,
                                                  FirstState());
   store_->OnStored([this](uint64_t batch) { OnStored(batch); });
-  store_->OnRefused([](const std::string& reason) { Log("disk_refused").Add("reason", reason); });
+  store_->OnRefused([](const storage::WriteError& error) {
+    bool damaged = error.kind == storage::WriteError::Kind::kDamaged;
+    Log(damaged ? "store_damaged" : "disk_refused").Add("reason", error.reason);
+  });
   storage::OpenedTable opened = store_->TakeOpened();
   const replication::DurableState& state = opened.loaded.state;
   Log("loaded")
--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -306,29 +306,29 @@
   if (!synced) throw FolderError(folder_, "can't be synced");
 }
 
-std::string TableDisk::Write(const std::vector<StoreBatch>& batches) {
-  if (!database_) {
-    constexpr bool kCreate = false;
-    leveldb::Status status = OpenDatabase(kCreate);
-    if (!status.ok()) return status.ToString();
-  }
-  leveldb::WriteBatch write;
-  std::string error = AddBatches(batches, &write);
-  if (error.empty()) {
-    leveldb::Status status = WriteSynced(database_.get(), &write);
-    if (!status.ok()) error = status.ToString();
-  }
+WriteError TableDisk::Write(const std::vector<StoreBatch>& batches) {
+  constexpr bool kCreate = false;
+  leveldb::Status status = database_ ? leveldb::Status::OK() : OpenDatabase(kCreate);
+  if (status.ok()) status = WriteToDatabase(batches);
+  if (status.ok()) return {};
   // A database that has failed may refuse for ever, and its log may end in half a record.
-  if (!error.empty()) database_.reset();
-  return error;
+  database_.reset();
+  auto kind = status.IsCorruption() ? WriteError::Kind::kDamaged : WriteError::Kind::kRefused;
+  return {kind, status.ToString()};
 }
 
-std::string TableDisk::AddBatches(const std::vector<StoreBatch>& batches, leveldb::WriteBatch* out) {
+leveldb::Status TableDisk::WriteToDatabase(const std::vector<StoreBatch>& batches) {
+  leveldb::WriteBatch write;
+  leveldb::Status status = AddBatches(batches, &write);
+  return status.ok() ? WriteSynced(database_.get(), &write) : status;
+}
+
+leveldb::Status TableDisk::AddBatches(const std::vector<StoreBatch>& batches, leveldb::WriteBatch* out) {
   const StoreBatch* last_accepted = nullptr;
   for (const StoreBatch& batch : batches) {
     if (batch.replace_all) {
       out->Clear();  // records of the batches before
-      if (std::string error = EraseAllRecords(out); !error.empty()) return error;
+      if (leveldb::Status status = EraseAllRecords(out); !status.ok()) return status;
     }
     for (const Record& record : batch.records) PutRecord(record, out);
     for (const std::string& key : batch.erased) out->Delete(RecordKey(key));
@@ -336,14 +336,14 @@
   }
   if (last_accepted) PutAccepted(last_accepted->accepted, out);
   if (!batches.empty()) PutState(batches.back().state, out);
-  return {};
+  return leveldb::Status::OK();
 }
 
-std::string TableDisk::EraseAllRecords(leveldb::WriteBatch* out) {
+leveldb::Status TableDisk::EraseAllRecords(leveldb::WriteBatch* out) {
   std::unique_ptr<leveldb::Iterator> it(database_->NewIterator(CheckedRead()));
   leveldb::Slice prefix(kRecordPrefix.data(), kRecordPrefix.size());
   for (it->Seek(prefix); it->Valid() && it->key().starts_with(prefix); it->Next()) out->Delete(it->key());
-  return it->status().ok() ? std::string() : it->status().ToString();
+  return it->status();
 }
 
 void TableDisk::Create(const std::string& folder, const LoadedState& content) {
--- a/system/adapters/storage/table_disk.h
+++ b/system/adapters/storage/table_disk.h
@@ -46,6 +46,19 @@
   std::string unreadable;  // why a damaged store was put aside as `<folder>.unreadable`; empty: none was
 };
 
+// Why batches aren't on disk.
+struct WriteError {
+  enum class Kind {
+    kNone,
+    kRefused,  // the disk takes no writes at this time
+    kDamaged,  // the store can't be read any more
+  };
+  Kind kind = Kind::kNone;
+  std::string reason;  // one line
+
+  explicit operator bool() const { return kind != Kind::kNone; }
+};
+
 class TableDisk {
  public:
   // Opens `folder`, or makes a store in it; a new one is on disk when this returns. Throws, with one line,
@@ -57,10 +70,10 @@
   // Of the time of the constructor; to be taken once.
   OpenedTable TakeOpened() { return std::move(opened_); }
 
-  // Writes the batches in order, all or none, and syncs. Returns why it failed; empty: all would survive a
-  // loss of power. After a failure the database is opened anew by the next call, which must bring the same
-  // batches first: what has become of these isn't known.
-  std::string Write(const std::vector<replication::StoreBatch>& batches);
+  // Writes the batches in order, all or none, and syncs. Where it returns no error all would survive a loss
+  // of power. After an error the database is opened anew by the next call, which must bring the same batches
+  // first: what has become of these isn't known.
+  WriteError Write(const std::vector<replication::StoreBatch>& batches);
 
   // Makes a store that holds this. Throws std::runtime_error where the folder exists and isn't empty. Nothing
   // half is left under the folder's name.
@@ -80,8 +93,9 @@
   std::string CheckFormat();
   void PutAside();
   void MakeNew();
-  std::string AddBatches(const std::vector<replication::StoreBatch>& batches, leveldb::WriteBatch* out);
-  std::string EraseAllRecords(leveldb::WriteBatch* out);
+  leveldb::Status WriteToDatabase(const std::vector<replication::StoreBatch>& batches);
+  leveldb::Status AddBatches(const std::vector<replication::StoreBatch>& batches, leveldb::WriteBatch* out);
+  leveldb::Status EraseAllRecords(leveldb::WriteBatch* out);
 
   const std::string folder_;
   const OpenOptions options_;
--- a/system/adapters/storage/table_store.cpp
+++ b/system/adapters/storage/table_store.cpp
@@ -70,18 +70,21 @@
 
 // False when the disk refuses and this is to end.
 bool TableStore::WriteUntilDone(const std::vector<StoreBatch>& batches) {
-  for (bool first = true;; first = false) {
-    std::string error = disk_.Write(batches);
-    if (error.empty()) return true;
-    if (first) {
-      mailbox_.Post([this, error] {
-        if (refused_) refused_(error);
-      });
-    }
+  WriteError::Kind told = WriteError::Kind::kNone;
+  while (WriteError error = disk_.Write(batches)) {
+    if (error.kind != told) PostRefused(error);
+    told = error.kind;
     std::unique_lock lock(mutex_);
     std::chrono::milliseconds pause(retry_pause_ms_);
     if (wake_.wait_for(lock, pause, [this] { return stopping_; })) return false;
   }
+  return true;
+}
+
+void TableStore::PostRefused(const WriteError& error) {
+  mailbox_.Post([this, error] {
+    if (refused_) refused_(error);
+  });
 }
 
 void TableStore::OnWritten() {
--- a/system/adapters/storage/table_store.h
+++ b/system/adapters/storage/table_store.h
@@ -36,8 +36,9 @@
 
   using Stored = std::function<void(uint64_t batch_number)>;
   void OnStored(Stored stored) { stored_ = std::move(stored); }
-  // The disk has begun to refuse: told once for each write that fails at first.
-  using Refused = std::function<void(const std::string& reason)>;
+  // A write has failed: told once for each write, and again where the kind of error changes while it is tried
+  // again.
+  using Refused = std::function<void(const WriteError& error)>;
   void OnRefused(Refused refused) { refused_ = std::move(refused); }
 
   void Store(replication::StoreBatch batch);
@@ -50,6 +51,7 @@
   bool TakeWaiting(std::vector<replication::StoreBatch>* batches);
   bool WriteUntilDone(const std::vector<replication::StoreBatch>& batches);
   void OnWritten();
+  void PostRefused(const WriteError& error);
   void PostStored(const std::vector<replication::StoreBatch>& batches);
 
   TableDisk disk_;  // of `thread_` once that runs, but for TakeOpened
--- a/tests/system/golden_formats_test.cpp
+++ b/tests/system/golden_formats_test.cpp
@@ -238,7 +238,7 @@
     batch.state = sample.state;
     batch.accepted_changed = true;
     batch.accepted = sample.accepted;
-    STRCMP_EQUAL("", disk.Write({batch}).c_str());
+    STRCMP_EQUAL("", disk.Write({batch}).reason.c_str());
   }
   for (const auto& [key, value] : StoredPairs(store)) CheckBytes("store:" + key, value);
 }
--- a/tests/system/store_refusals_test.cpp
+++ b/tests/system/store_refusals_test.cpp
@@ -68,7 +68,7 @@
     tried_[key].insert(version);
     replication::StoreBatch batch = testing::Records({record});
     batch.state = opened_->loaded.state;
-    last_error_ = disk_->Write({batch});
+    last_error_ = disk_->Write({batch}).reason;
     env_->AwaitBackgroundWork();
     if (last_error_.empty()) told_[key] = version;
     return last_error_.empty();
--- a/tests/system/stored_disk.h
+++ b/tests/system/stored_disk.h
@@ -51,9 +51,7 @@
     }
     return std::move(opened->loaded);
   }
-  bool Write(const std::vector<replication::StoreBatch>& batches) override {
-    return store_->Write(batches).empty();
-  }
+  bool Write(const std::vector<replication::StoreBatch>& batches) override { return !store_->Write(batches); }
   void ProcessEnds(const std::vector<replication::StoreBatch>& unwritten) override {
     if (!store_) return;
     bool writing = !unwritten.empty() && random_() % 2 == 0;
--- a/tests/system/table_store_test.cpp
+++ b/tests/system/table_store_test.cpp
@@ -48,7 +48,10 @@
       CHECK_EQUAL(stored + 1, number);
       stored = number;
     });
-    store_.OnRefused([this](const std::string&) { ++refused; });
+    store_.OnRefused([this](const storage::WriteError& error) {
+      ++refused;
+      last_error = error;
+    });
   }
   uint64_t Store(StoreBatch batch) {
     batch.number = ++given_;
@@ -64,6 +67,7 @@
   OpenedTable opened;
   uint64_t stored = 0;
   int refused = 0;
+  storage::WriteError last_error;
 
  private:
   asio::io_context io_{1};
@@ -243,6 +247,24 @@
   CHECK_EQUAL(0u, life.stored);
 }
 
+// Guards against: only the first error of a write was told, so a store that was damaged meanwhile was tried
+// again without end and without a line.
+TEST(TableStoreTest, AStoreThatIsDamagedWhileItIsRefusedIsTold) {
+  FaultyEnv env(1, folder.table());
+  Life life(folder.table(), OptionsOn(&env));
+  constexpr int kForGood = 1 << 30;
+  env.Refuse(kForGood, 0);
+  life.Store(Records({MakeRecord("t/a", 1)}));
+  while (life.refused == 0) life.Poll();
+  CHECK(life.last_error.kind == storage::WriteError::Kind::kRefused);
+  std::ofstream(folder.table() + "/CURRENT") << "nonsense";
+  env.Refuse(0, 0);
+  while (life.refused == 1) life.Poll();
+  CHECK(life.last_error.kind == storage::WriteError::Kind::kDamaged);
+  STRCMP_CONTAINS("CURRENT", life.last_error.reason.c_str());
+  CHECK_EQUAL(0u, life.stored);
+}
+
 namespace {
 
 // What the disk must hold after each batch, by its revision: batch n of a run brings revision n.
