A start that puts a store aside is told even if the disk refuses behind it

What operators saw: a core that had put its damaged store aside came back as a learner, and no line of its log said why.

Cause: the new store was written, then an act behind that was refused, the sync of its folder for one. The start counted as failed, and the next one found a sound store: what had been done was taken for not done.

Why it works: a store that is put aside carries a mark, made before it is renamed. The first start that opens the new store tells of it and takes the mark away; a mark that can't be taken away is told once more.

--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -139,6 +139,9 @@
 // Where a damaged store is kept.
 std::string AsideFolder(const std::string& folder) { return folder + ".unreadable"; }
 
+// In a store that was put aside: no start has told so yet.
+std::string NotToldMark(const std::string& folder) { return folder + "/NOT_TOLD"; }
+
 // Random, and neither 0 nor the founders'.
 uint64_t DrawStoreId() {
   std::random_device device;
@@ -198,12 +201,15 @@
     found = OpenAndLoad();
     if (!found.damage.empty()) throw FolderError(folder_, found.damage);
   }
-  // The disk refused the new store at an earlier start.
-  if (found.empty && opened_.unreadable.empty() && std::filesystem::exists(AsideFolder(folder_)))
-    opened_.unreadable = "put aside at an earlier start";
+  // An earlier start put a store aside, and the disk refused, or seemed to refuse, the new one.
+  std::string aside = AsideFolder(folder_);
+  bool not_told = found.empty ? std::filesystem::exists(aside) : std::filesystem::exists(NotToldMark(aside));
+  if (not_told && opened_.unreadable.empty()) opened_.unreadable = "put aside at an earlier start";
   opened_.created = found.empty;
   opened_.loaded = std::move(found.loaded);
   if (found.empty) MakeNew();
+  std::error_code told_again_then;
+  std::filesystem::remove(NotToldMark(aside), told_again_then);
 }
 
 TableDisk::~TableDisk() = default;
@@ -289,7 +295,8 @@
   database_.reset();
   std::string aside = AsideFolder(folder_);
   std::error_code failed;
-  std::filesystem::remove_all(aside, failed);
+  std::filesystem::create_directory(NotToldMark(folder_), failed);
+  if (!failed) std::filesystem::remove_all(aside, failed);
   if (!failed) std::filesystem::rename(folder_, aside, failed);
   if (!failed) std::filesystem::create_directories(folder_, failed);
   if (failed) throw FolderError(folder_, "is damaged and can't be put aside: " + failed.message());
--- a/tests/system/store_refusals_test.cpp
+++ b/tests/system/store_refusals_test.cpp
@@ -194,6 +194,11 @@
   if (!machine->AnythingRefused()) CHECK(TablesIn(machine->folder()) != kOpenings);
 }
 
+void LoseCurrentFile(Machine* machine) {
+  machine->env().RemoveFile(machine->folder() + "/CURRENT");
+  machine->env().SyncFolder(machine->folder());
+}
+
 // Returns whether anything was refused.
 bool Play(Scenario scenario, const Fault& fault) {
   Machine machine(fault.seed);
@@ -242,3 +247,28 @@
 TEST(StoreRefusalsTest, ANewStoreIsTheFoundersAfterEachRefusedActOfItsFirstStart) {
   RefuseEachAct(FirstStart, 50);
 }
+
+// Guards against: the new store was made, then the folder's sync refused, and no start ever told that the one
+// before had been put aside.
+TEST(StoreRefusalsTest, AStoreThatWasPutAsideIsToldByTheFirstStartThatOpensTheNewOne) {
+  for (bool done : {false, true}) {
+    bool refused = true;
+    for (int act = 0; refused; ++act) {
+      Machine machine(1);
+      machine.Open();
+      machine.End();
+      LoseCurrentFile(&machine);
+      Fault fault = {.act = act, .done = done};
+      machine.Refuse(fault);
+      CHECK(machine.OpenWithTries());
+      std::string where = Where(fault, machine.env().last_refused());
+      CHECK_TEXT(!machine.opened()->unreadable.empty(), (where + "not told").c_str());
+      CHECK(machine.opened()->loaded.state.store_id != replication::kFounderStoreId);
+      refused = machine.AnythingRefused();
+      machine.End();
+      machine.env().RefuseAnyAct(0, 0);
+      CHECK(machine.Open());
+      CHECK(machine.opened()->unreadable.empty());
+    }
+  }
+}
