An import whose last sync is refused is finished by the next try

Cause: TableDisk::Create renames and then syncs the parent, and told a refused sync as a failure like any other.

Change: that end says what may be, and the next try finds the very store, file by file, that it would make, syncs what is left, and ends well. A store that a process has opened since differs, and is refused as before.

Result: SnapshotTest.AStoreWhoseFolderCouldNotBeSyncedIsMadeByTheNextTry, each of the two syncs refused in turn. It was not run on the code before, which has no such argument: there the check of an existing folder allowed no second try.

--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <filesystem>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -158,6 +159,30 @@
   return joined;
 }
 
+// Whether two stores that no process has opened since they were made are the same. LevelDB's own lock and
+// messages aside, files hold no time and nothing that is drawn.
+bool AreSameStores(const std::string& one, const std::string& other) {
+  auto files = [](const std::string& folder) {
+    std::map<std::string, std::string> contents;
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+      std::string name = entry.path().filename();
+      if (name == "LOCK" || name.starts_with("LOG")) continue;
+      leveldb::Status status =
+          leveldb::ReadFileToString(leveldb::Env::Default(), entry.path(), &contents[name]);
+      if (!status.ok()) throw CreationError(folder, status.ToString());
+    }
+    return contents;
+  };
+  return files(one) == files(other);
+}
+
+// Without a slash at its end.
+std::string PlainPath(const std::string& folder) {
+  std::string path = std::filesystem::path(folder).lexically_normal();
+  while (path.size() > 1 && path.back() == '/') path.pop_back();
+  return path;
+}
+
 std::string ParentOf(const std::string& folder) {
   std::filesystem::path path = std::filesystem::absolute(folder).lexically_normal();
   if (!path.has_filename()) path = path.parent_path();
@@ -353,32 +378,37 @@
   return it->status();
 }
 
-void TableDisk::Create(const std::string& folder, const LoadedState& content) {
-  std::string parent = ParentOf(folder), name = std::filesystem::path(folder).lexically_normal();
-  while (name.size() > 1 && name.back() == '/') name.pop_back();
-  std::string unfinished = name + ".unfinished";
-  std::error_code failed;
-  std::filesystem::create_directories(parent, failed);
-  if (failed) throw CreationError(folder, failed.message());
-  bool exists = std::filesystem::exists(folder, failed);
-  if (failed || (exists && (!std::filesystem::is_empty(folder, failed) || failed))) {
-    throw CreationError(folder, "exists and isn't empty: a store is made in a new folder only");
-  }
-  std::filesystem::remove_all(unfinished, failed);
-  if (failed) throw CreationError(unfinished, failed.message());
-  {
-    leveldb::Options options = DatabaseOptions(leveldb::Env::Default());
-    options.create_if_missing = true;
-    leveldb::DB* opened = nullptr;
-    leveldb::Status status = leveldb::DB::Open(options, unfinished, &opened);
-    std::unique_ptr<leveldb::DB> database(opened);
-    if (status.ok()) status = WriteWhole(content, database.get());
-    if (!status.ok()) throw CreationError(unfinished, status.ToString());
+void TableDisk::Create(const std::string& folder, const LoadedState& content,
+                       const SyncFolderFunction& sync_folder) {
+  std::string unfinished = PlainPath(folder) + ".unfinished";
+  try {
+    std::filesystem::create_directories(ParentOf(folder));
+    std::filesystem::remove_all(unfinished);
+    MakeStore(unfinished, content, sync_folder);
+    bool taken = std::filesystem::exists(folder) && !std::filesystem::is_empty(folder);
+    bool made_before = taken && AreSameStores(folder, unfinished);
+    if (!taken) std::filesystem::rename(unfinished, folder);
+    std::filesystem::remove_all(unfinished);
+    if (taken && !made_before)
+      throw CreationError(folder, "exists and isn't empty: a store is made in a new folder only");
+  } catch (const std::filesystem::filesystem_error& error) {
+    throw CreationError(folder, error.what());
   }
-  if (!SyncFolder(unfinished)) throw CreationError(unfinished, "can't be synced");
-  std::filesystem::rename(unfinished, folder, failed);
-  if (failed) throw CreationError(folder, failed.message());
-  if (!SyncFolder(parent)) throw CreationError(folder, "can't be synced");
+  if (!sync_folder(ParentOf(folder)))
+    throw CreationError(folder,
+                        "is made, but a loss of power may take it: its parent can't be synced; try again");
+}
+
+void TableDisk::MakeStore(const std::string& folder, const LoadedState& content,
+                          const SyncFolderFunction& sync_folder) {
+  leveldb::Options options = DatabaseOptions(leveldb::Env::Default());
+  options.create_if_missing = true;
+  leveldb::DB* opened = nullptr;
+  leveldb::Status status = leveldb::DB::Open(options, folder, &opened);
+  std::unique_ptr<leveldb::DB> database(opened);
+  if (status.ok()) status = WriteWhole(content, database.get());
+  if (!status.ok()) throw CreationError(folder, status.ToString());
+  if (!sync_folder(folder)) throw CreationError(folder, "can't be synced");
 }
 
 }  // namespace ivygw::storage
--- a/system/adapters/storage/table_disk.h
+++ b/system/adapters/storage/table_disk.h
@@ -27,13 +27,14 @@
 
 // Makes the entries of a folder survive a loss of power. False where the folder can't be synced.
 bool SyncFolder(const std::string& folder);
+using SyncFolderFunction = FolderSyncingEnv::SyncFolderFunction;
 
 struct OpenOptions {
   // A store that is made is that of a member of the first epoch, `first_membership`; else that of a learner.
   bool founder = false;
   replication::Membership first_membership;
   leveldb::Env* env = nullptr;  // null: the machine's; not owned
-  std::function<bool(const std::string& folder)> sync_folder = SyncFolder;
+  SyncFolderFunction sync_folder = SyncFolder;
   int retry_pause_ms = 100;  // between the tries to write to a disk that refuses
 };
 
@@ -75,9 +76,12 @@
   // first: what has become of these isn't known.
   WriteError Write(const std::vector<replication::StoreBatch>& batches);
 
-  // Makes a store that holds this. Throws std::runtime_error where the folder exists and isn't empty. Nothing
-  // half is left under the folder's name.
-  static void Create(const std::string& folder, const replication::LoadedState& content);
+  // Makes a store that holds this. Throws std::runtime_error where the folder exists and isn't empty, unless
+  // it is the very store that an earlier try made. Nothing half is left under the folder's name. Where it
+  // can't be told whether the store would survive a loss of power it throws, too; then it is to be tried
+  // again.
+  static void Create(const std::string& folder, const replication::LoadedState& content,
+                     const SyncFolderFunction& sync_folder = SyncFolder);
 
  private:
   // What was found; where `damage` is not empty it is why the store can't be read.
@@ -86,6 +90,8 @@
     bool empty = false;
     replication::LoadedState loaded = {};
   };
+  static void MakeStore(const std::string& folder, const replication::LoadedState& content,
+                        const SyncFolderFunction& sync_folder);
   void Open();
   Found OpenAndLoad();
   leveldb::Status OpenDatabase(bool create);
--- a/tests/system/snapshot_test.cpp
+++ b/tests/system/snapshot_test.cpp
@@ -130,6 +130,24 @@
   CHECK(loaded[0].state.membership == loaded[2].state.membership);
 }
 
+// Guards against: a store was made and its parent's sync refused, and the next try was told that the folder
+// exists.
+TEST(SnapshotTest, AStoreWhoseFolderCouldNotBeSyncedIsMadeByTheNextTry) {
+  replication::LoadedState content;
+  content.state.store_id = 7;
+  content.records = Sample().records;
+  std::string store = folder + "/member/config_store";
+  for (int refused = 0; refused < 2; ++refused) {
+    int syncs = 0;
+    auto refuse_one = [&](const std::string&) { return syncs++ != refused; };
+    CHECK_THROWS(std::runtime_error, storage::TableDisk::Create(store, content, refuse_one));
+  }
+  storage::TableDisk::Create(store, content);
+  CHECK(storage::TableDisk(store, {}).TakeOpened().loaded.records == content.records);
+  // It has been opened since: it is another process's now.
+  CHECK_THROWS(std::runtime_error, storage::TableDisk::Create(store, content));
+}
+
 TEST(SnapshotTest, NothingIsImportedWhereItDoesNotBelong) {
   ImportPlan good{folder + "/ivygw-config-store", "config_store", {"10.0.0.1"}, "10.0.0.1"};
   ImportPlan other_table = good, stranger = good, nobody = good, twice = good;
