Bans outlive a moment in which their file can't be read

What operators saw: a ban or drain told while the file of earlier ones could not be read (no descriptor left, an error of the disk) was taken, and all earlier bans were gone with the next process; the sound file lay there as .bad.

Cause: OperatorsFile::Change took each error of reading for a spoilt file.

Evidence: File.WhatCannotBeReadForAMomentIsNotReplaced, on the code before: "throws nothing", and the file was set aside.

Why it works: a file that was read whole and is spoilt has an error of its own (StateDamaged); only that is set aside, any other refuses the change.

--- a/src/state/files.cpp
+++ b/src/state/files.cpp
@@ -31,7 +31,7 @@
     if (n < 0) throw StateError("cannot read " + path + ": " + Why());
     if (n == 0) return text;
     text.append(part, static_cast<size_t>(n));
-    if (text.size() > kMostFile) throw StateError(path + ": it is longer than any file of ours");
+    if (text.size() > kMostFile) throw StateDamaged(path + ": it is longer than any file of ours");
   }
 }
 
@@ -40,7 +40,8 @@
 void SyncFolderOf(const std::string& path) {
   std::string folder = std::filesystem::absolute(path).parent_path();
   Descriptor opened(open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (opened.get() < 0 || fsync(opened.get()) != 0) throw StateError("cannot sync " + folder + ": " + Why());
+  if (opened.get() < 0 || fsync(opened.get()) != 0)
+    throw StateError("cannot sync " + folder + ": " + Why());
 }
 
 }  // namespace
--- a/src/state/files.h
+++ b/src/state/files.h
@@ -17,6 +17,12 @@
   using std::runtime_error::runtime_error;
 };
 
+// A file that was read whole and is spoilt or none of ours. Other errors say nothing of what it holds.
+class StateDamaged : public StateError {
+ public:
+  using StateError::StateError;
+};
+
 inline constexpr size_t kMostFile = size_t{16} << 20;  // bytes; a longer one is none of ours
 
 class Descriptor {
--- a/src/state/operators_file.cpp
+++ b/src/state/operators_file.cpp
@@ -78,7 +78,7 @@
   try {
     return Parse(*text, gateway_);
   } catch (const StateError& error) {
-    throw StateError(path_ + ": " + error.what());
+    throw StateDamaged(path_ + ": " + error.what());
   }
 }
 
@@ -87,7 +87,7 @@
   OperatorsWord word;
   try {
     word = Read();
-  } catch (const StateError&) {
+  } catch (const StateDamaged&) {
     rename(path_.c_str(), (path_ + ".bad").c_str());
   }
   change(&word);
--- a/src/state/operators_file.h
+++ b/src/state/operators_file.h
@@ -32,11 +32,12 @@
   // `directory` is shared by the gateway's processes; `gateway` is its name.
   OperatorsFile(const std::string& directory, std::string gateway);
 
-  // What the file says; nothing said where there is none. Throws StateError where it cannot be read.
+  // What the file says; nothing said where there is none. Throws StateDamaged where it is spoilt, and another
+  // StateError where it cannot be read at this time.
   OperatorsWord Read() const;
   // Reads, changes and writes it as one step among all processes; gives what it says now. Throws StateError
-  // where it cannot be written: then it says what it said before. A file that cannot be read is replaced, and
-  // set aside as .bad.
+  // where it cannot be read or written: then it says what it said before. A file that is spoilt is replaced,
+  // and set aside as .bad.
   OperatorsWord Change(const std::function<void(OperatorsWord*)>& change) const;
   // Whether it has been written since it was asked last; cheap.
   bool Changed();
--- a/tests/state/operators_file_test.cpp
+++ b/tests/state/operators_file_test.cpp
@@ -78,6 +78,19 @@
   EXPECT_EQ(file.Read().bans, std::set<std::string>{"s-1"});
 }
 
+// Guards against: a file that could not be read for a moment was taken for spoilt, and all bans were lost.
+TEST_F(File, WhatCannotBeReadForAMomentIsNotReplaced) {
+  OperatorsFile file(directory, "n0");
+  file.Change([](OperatorsWord* word) { word->bans.insert("s-1"); });
+  std::filesystem::rename(file.path(), file.path() + ".away");
+  std::filesystem::create_directory(file.path());  // it opens, and reading it is refused
+  EXPECT_THROW(file.Change([](OperatorsWord* word) { word->drained = true; }), StateError);
+  EXPECT_FALSE(std::filesystem::exists(file.path() + ".bad"));
+  std::filesystem::remove(file.path());
+  std::filesystem::rename(file.path() + ".away", file.path());
+  EXPECT_EQ(file.Read(), (OperatorsWord{{"s-1"}, false}));
+}
+
 // Each of two processes adds a hundred names: without the lock the one would write over the other's.
 TEST_F(File, TwoWritersLoseNothing) {
   pid_t children[2];
