A ban that a loss of power may undo isn't told as not kept

What operators saw: 'done here, but not kept for an upgrade' of a ban that the next process did keep: the file had been renamed, and its folder's sync refused.

Cause: WriteWhole told that third outcome as the second.

Change: StateNotDurable says that the new file is in place for every reader, and the operator's answer says that a loss of power may undo it.

Result: DurabilityTest.ARefusedSyncOfTheFolderIsNotToldAsNotKept, with the sync of the file refused (the old one stands), then that of the folder (the new one does). Both were one kind of error before, so nothing could tell them apart.

--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -46,13 +46,13 @@
     bans_.erase(name);
   }
   driver_->Tell(core::BanTold{ids_.Of(name), out});
-  return fault.empty() ? admin::Yes() : admin::No("done here, but not kept for an upgrade: " + fault);
+  return fault.empty() ? admin::Yes() : admin::No(fault);
 }
 
 std::string Gateway::OnDrain(bool on) {
   std::string fault = Keep([&](state::OperatorsWord* word) { word->drained = on; });
   driver_->Tell(core::DrainTold{on});
-  return fault.empty() ? admin::Yes() : admin::No("done here, but not kept for an upgrade: " + fault);
+  return fault.empty() ? admin::Yes() : admin::No(fault);
 }
 
 std::string Gateway::Figures() const {
@@ -84,9 +84,12 @@
     Follow(operators_->Change(change));
     operators_->Changed();  // it was this process
     return "";
+  } catch (const state::StateNotDurable& error) {
+    std::fprintf(stderr, "what operators said may be lost with the power: %s\n", error.what());
+    return std::string("done and kept for an upgrade, but a loss of power may undo it: ") + error.what();
   } catch (const state::StateError& error) {
     std::fprintf(stderr, "what operators said is not kept: %s\n", error.what());
-    return error.what();
+    return std::string("done here, but not kept for an upgrade: ") + error.what();
   }
 }
 
--- a/src/state/files.cpp
+++ b/src/state/files.cpp
@@ -41,7 +41,7 @@
   std::string folder = std::filesystem::absolute(path).parent_path();
   Descriptor opened(open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   if (opened.get() < 0 || fsync(opened.get()) != 0)
-    throw StateError("cannot sync " + folder + ": " + Why());
+    throw StateNotDurable("cannot sync " + folder + ": " + Why());
 }
 
 }  // namespace
--- a/src/state/files.h
+++ b/src/state/files.h
@@ -23,6 +23,12 @@
   using StateError::StateError;
 };
 
+// A file that is in place for every reader, though a loss of power may bring back the one before.
+class StateNotDurable : public StateError {
+ public:
+  using StateError::StateError;
+};
+
 inline constexpr size_t kMostFile = size_t{16} << 20;  // bytes; a longer one is none of ours
 
 class Descriptor {
@@ -49,7 +55,8 @@
   kPowerLoss,  // a loss of power, too: the old one or the new one is there, once written the new one
 };
 // Beside it, and then in its place: a reader sees the old one or the new one. With kPowerLoss the caller
-// waits for the disk. Throws StateError where what was asked for isn't sure.
+// waits for the disk. Throws StateNotDurable where the new one is there and a loss of power may take it, and
+// another StateError where the old one stands.
 void WriteWhole(const std::string& path, const std::string& text, Durability durability);
 
 }  // namespace ivygw::state
--- a/src/state/operators_file.h
+++ b/src/state/operators_file.h
@@ -35,9 +35,10 @@
   // What the file says; nothing said where there is none. Throws StateDamaged where it is spoilt, and another
   // StateError where it cannot be read at this time.
   OperatorsWord Read() const;
-  // Reads, changes and writes it as one step among all processes; gives what it says now. Throws StateError
-  // where it cannot be read or written: then it says what it said before. A file that is spoilt is replaced,
-  // and set aside as .bad.
+  // Reads, changes and writes it as one step among all processes; gives what it says now. Throws
+  // StateNotDurable where it says so now, but a loss of power may undo it, and another StateError where it
+  // cannot be read or written: then it says what it said before. A file that is spoilt is replaced, and set
+  // aside as .bad.
   OperatorsWord Change(const std::function<void(OperatorsWord*)>& change) const;
   // Whether it has been written since it was asked last; cheap.
   bool Changed();
--- a/tests/state/durability_test.cpp
+++ b/tests/state/durability_test.cpp
@@ -1,4 +1,5 @@
 // Which of the shared files wait for the disk. This program's fsync only counts.
+#include <errno.h>
 #include <gtest/gtest.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -10,11 +11,13 @@
 
 namespace {
 int sync_count = 0;
+int refused_sync = 0;  // the first is 1; 0: none
 }  // namespace
 
 extern "C" int fsync(int) {
-  ++sync_count;
-  return 0;
+  if (++sync_count != refused_sync) return 0;
+  errno = EIO;
+  return -1;
 }
 
 namespace ivygw::state {
@@ -25,7 +28,7 @@
   DurabilityTest() {
     char name[] = "/tmp/ivygw-durability-XXXXXX";
     directory_ = mkdtemp(name);
-    sync_count = 0;
+    sync_count = refused_sync = 0;
   }
   ~DurabilityTest() override { std::filesystem::remove_all(directory_); }
   std::string directory_;
@@ -45,5 +48,24 @@
   EXPECT_EQ(sync_count, 2) << "the file, then its folder";
 }
 
+// Guards against: an operator was told that a ban was not kept, and the next process kept it all the same.
+TEST_F(DurabilityTest, ARefusedSyncOfTheFolderIsNotToldAsNotKept) {
+  OperatorsFile file(directory_, "n0");
+  auto ban = [](OperatorsWord* word) { word->bans.insert("s-1"); };
+  refused_sync = 1;
+  try {
+    file.Change(ban);
+    FAIL() << "the file itself was not synced";
+  } catch (const StateNotDurable&) {
+    FAIL() << "the old one stands";
+  } catch (const StateError&) {
+    EXPECT_EQ(file.Read(), OperatorsWord());
+  }
+  sync_count = 0;
+  refused_sync = 2;
+  EXPECT_THROW(file.Change(ban), StateNotDurable);
+  EXPECT_EQ(file.Read().bans, std::set<std::string>{"s-1"});
+}
+
 }  // namespace
 }  // namespace ivygw::state
