--- a/system/adapters/snapshot/snapshot.cpp
+++ b/system/adapters/snapshot/snapshot.cpp
@@ -15,7 +15,8 @@
 
 #include "base/text_hash.h"
 #include "messages/bounded_archive.h"
-#include "storage/table_disk.h"
+#include "storage/data_folder.h"
+#include "storage/store_creation.h"
 
 namespace ivygw::snapshot {
 namespace {
@@ -222,7 +223,7 @@
 SnapshotError ImportSnapshot(const Snapshot& snapshot, const ImportPlan& plan) {
   if (SnapshotError error = CheckPlan(snapshot, plan)) return error;
   try {
-    storage::TableDisk::Create(plan.folder, FoundersState(snapshot, plan));
+    storage::CreateStore(plan.folder, FoundersState(snapshot, plan));
   } catch (const std::runtime_error& error) {
     return {SnapshotErrorCode::kUnwritable, "folder", error.what()};
   }
--- a/system/adapters/storage/folder_syncing_env.h
+++ b/system/adapters/storage/folder_syncing_env.h
@@ -14,16 +14,15 @@
 
 #include <leveldb/env.h>
 
-#include <functional>
 #include <mutex>
 #include <string>
 
+#include "storage/data_folder.h"
+
 namespace ivygw::storage {
 
 class FolderSyncingEnv : public leveldb::EnvWrapper {
  public:
-  using SyncFolderFunction = std::function<bool(const std::string& folder)>;
-
   // For the database in `folder`. `target` is not owned and outlives this. `sync_folder` returns false where
   // a folder can't be synced.
   FolderSyncingEnv(leveldb::Env* target, std::string folder, SyncFolderFunction sync_folder);
--- a/system/adapters/storage/table_disk.cpp
+++ b/system/adapters/storage/table_disk.cpp
@@ -1,14 +1,11 @@
 #include "storage/table_disk.h"
 
-#include <fcntl.h>
 #include <leveldb/db.h>
 #include <leveldb/env.h>
 #include <leveldb/write_batch.h>
-#include <unistd.h>
 
 #include <charconv>
 #include <filesystem>
-#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -16,6 +13,8 @@
 #include <string_view>
 
 #include "messages/bounded_archive.h"
+#include "storage/data_folder.h"
+#include "storage/table_format.h"
 
 namespace ivygw::storage {
 namespace {
@@ -23,89 +22,14 @@
 using messages::AcceptedChange;
 using messages::Deserialize;
 using messages::Record;
-using messages::Serialize;
 using replication::DurableState;
 using replication::LoadedState;
 using replication::StoreBatch;
 
-constexpr char kFormatKey[] = "!format";
-constexpr char kStateKey[] = "!state";
-constexpr char kAcceptedKey[] = "!accepted";
-constexpr std::string_view kRecordPrefix = "r/";
-
-constexpr size_t kWriteBuffer = size_t{1} << 20;  // bytes
-constexpr int kMostOpenFiles = 64;
-
-// DurableState as it is serialised here.
-struct StoredState {
-  DurableState state;
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(state.store_id, state.membership, state.revision, state.promised);
-  }
-};
-
-std::string RecordKey(const std::string& key) { return std::string(kRecordPrefix) + key; }
-
-void PutState(const DurableState& state, leveldb::WriteBatch* out) {
-  out->Put(kStateKey, Serialize(StoredState{state}));
-}
-
-void PutAccepted(const std::optional<AcceptedChange>& accepted, leveldb::WriteBatch* out) {
-  if (accepted) {
-    out->Put(kAcceptedKey, Serialize(*accepted));
-  } else {
-    out->Delete(kAcceptedKey);
-  }
-}
-
-void PutRecord(const Record& record, leveldb::WriteBatch* out) {
-  out->Put(RecordKey(record.item.key), Serialize(record));
-}
-
-leveldb::Status WriteSynced(leveldb::DB* database, leveldb::WriteBatch* batch) {
-  leveldb::WriteOptions options;
-  options.sync = true;
-  return database->Write(options, batch);
-}
-
-leveldb::Status WriteWhole(const LoadedState& content, leveldb::DB* database) {
-  leveldb::WriteBatch batch;
-  batch.Put(kFormatKey, std::to_string(kFormatVersion));
-  PutState(content.state, &batch);
-  PutAccepted(content.accepted, &batch);
-  for (const Record& record : content.records) PutRecord(record, &batch);
-  return WriteSynced(database, &batch);
-}
-
-leveldb::Options DatabaseOptions(leveldb::Env* env) {
-  leveldb::Options options;
-  options.paranoid_checks = true;
-  options.write_buffer_size = kWriteBuffer;
-  options.max_open_files = kMostOpenFiles;
-  options.env = env;
-  return options;
-}
-
-leveldb::ReadOptions CheckedRead() {
-  leveldb::ReadOptions options;
-  options.verify_checksums = true;
-  options.fill_cache = false;
-  return options;
-}
-
-std::string AboutFolder(const std::string& folder, const std::string& what) {
-  return "data_directory " + folder + ": " + what;
-}
-
 StoreUnavailable FolderError(const std::string& folder, const std::string& what) {
   return StoreUnavailable(AboutFolder(folder, what));
 }
 
-std::runtime_error CreationError(const std::string& folder, const std::string& what) {
-  return std::runtime_error(AboutFolder(folder, what));
-}
-
 std::runtime_error FormatError(const std::string& folder, const std::string& found) {
   return std::runtime_error(AboutFolder(
       folder, "holds a store of format " + found + ", and format " + std::to_string(kFormatVersion) +
@@ -159,46 +83,8 @@
   return joined;
 }
 
-// Whether two stores that no process has opened since they were made are the same. LevelDB's own lock and
-// messages aside, files hold no time and nothing that is drawn.
-bool AreSameStores(const std::string& one, const std::string& other) {
-  auto files = [](const std::string& folder) {
-    std::map<std::string, std::string> contents;
-    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
-      std::string name = entry.path().filename();
-      if (name == "LOCK" || name.starts_with("LOG")) continue;
-      leveldb::Status status =
-          leveldb::ReadFileToString(leveldb::Env::Default(), entry.path(), &contents[name]);
-      if (!status.ok()) throw CreationError(folder, status.ToString());
-    }
-    return contents;
-  };
-  return files(one) == files(other);
-}
-
-// Without a slash at its end.
-std::string PlainPath(const std::string& folder) {
-  std::string path = std::filesystem::path(folder).lexically_normal();
-  while (path.size() > 1 && path.back() == '/') path.pop_back();
-  return path;
-}
-
-std::string ParentOf(const std::string& folder) {
-  std::filesystem::path path = std::filesystem::absolute(folder).lexically_normal();
-  if (!path.has_filename()) path = path.parent_path();
-  return path.parent_path();
-}
-
 }  // namespace
 
-bool SyncFolder(const std::string& folder) {
-  int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (descriptor < 0) return false;
-  bool synced = fsync(descriptor) == 0;
-  close(descriptor);
-  return synced;
-}
-
 TableDisk::TableDisk(const std::string& folder, const OpenOptions& options)
     : folder_(folder),
       options_(options),
@@ -297,9 +183,9 @@
     if (key == kFormatKey) {
       good = true;
     } else if (key == kStateKey) {
-      std::optional<StoredState> stored = Deserialize<StoredState>(value);
-      good = has_state = stored.has_value() && stored->state.store_id != 0;
-      if (good) found.loaded.state = std::move(stored->state);
+      std::optional<DurableState> stored = ReadState(value);
+      good = has_state = stored.has_value();
+      if (good) found.loaded.state = std::move(*stored);
     } else if (key == kAcceptedKey) {
       found.loaded.accepted = Deserialize<AcceptedChange>(value);
       good = found.loaded.accepted.has_value();
@@ -378,37 +264,4 @@
   return it->status();
 }
 
-void TableDisk::Create(const std::string& folder, const LoadedState& content,
-                       const SyncFolderFunction& sync_folder) {
-  std::string unfinished = PlainPath(folder) + ".unfinished";
-  try {
-    std::filesystem::create_directories(ParentOf(folder));
-    std::filesystem::remove_all(unfinished);
-    MakeStore(unfinished, content, sync_folder);
-    bool taken = std::filesystem::exists(folder) && !std::filesystem::is_empty(folder);
-    bool made_before = taken && AreSameStores(folder, unfinished);
-    if (!taken) std::filesystem::rename(unfinished, folder);
-    std::filesystem::remove_all(unfinished);
-    if (taken && !made_before)
-      throw CreationError(folder, "exists and isn't empty: a store is made in a new folder only");
-  } catch (const std::filesystem::filesystem_error& error) {
-    throw CreationError(folder, error.what());
-  }
-  if (!sync_folder(ParentOf(folder)))
-    throw CreationError(folder,
-                        "is made, but a loss of power may take it: its parent can't be synced; try again");
-}
-
-void TableDisk::MakeStore(const std::string& folder, const LoadedState& content,
-                          const SyncFolderFunction& sync_folder) {
-  leveldb::Options options = DatabaseOptions(leveldb::Env::Default());
-  options.create_if_missing = true;
-  leveldb::DB* opened = nullptr;
-  leveldb::Status status = leveldb::DB::Open(options, folder, &opened);
-  std::unique_ptr<leveldb::DB> database(opened);
-  if (status.ok()) status = WriteWhole(content, database.get());
-  if (!status.ok()) throw CreationError(folder, status.ToString());
-  if (!sync_folder(folder)) throw CreationError(folder, "can't be synced");
-}
-
 }  // namespace ivygw::storage
--- a/system/adapters/storage/table_disk.h
+++ b/system/adapters/storage/table_disk.h
@@ -1,8 +1,5 @@
-// The records and the state of one replicated table in a LevelDB folder: format version 2, opened, checked
-// and written. All calls block on the disk. Used by one thread at a time.
-//
-// Keys: "!format" (its version as text), "!state" (DurableState), "!accepted" (AcceptedChange, where there is
-// one) and "r/" + key (Record); values by cereal's portable binary form.
+// The records and the state of one replicated table in a LevelDB folder (storage/table_format.h): opened,
+// checked and written. All calls block on the disk. Used by one thread at a time.
 #ifndef IVYGW_SYSTEM_STORAGE_TABLE_DISK_H_
 #define IVYGW_SYSTEM_STORAGE_TABLE_DISK_H_
 
@@ -12,6 +9,7 @@
 #include <vector>
 
 #include "replication/durable_state.h"
+#include "storage/data_folder.h"
 #include "storage/folder_syncing_env.h"
 #include "storage/log_tail.h"
 #include "storage/store_unavailable.h"
@@ -23,12 +21,6 @@
 
 namespace ivygw::storage {
 
-inline constexpr int kFormatVersion = 2;
-
-// Makes the entries of a folder survive a loss of power. False where the folder can't be synced.
-bool SyncFolder(const std::string& folder);
-using SyncFolderFunction = FolderSyncingEnv::SyncFolderFunction;
-
 struct OpenOptions {
   // A store that is made is that of a member of the first epoch, `first_membership`; else that of a learner.
   bool founder = false;
@@ -76,13 +68,6 @@
   // first: what has become of these isn't known.
   WriteError Write(const std::vector<replication::StoreBatch>& batches);
 
-  // Makes a store that holds this. Throws std::runtime_error where the folder exists and isn't empty, unless
-  // it is the very store that an earlier try made. Nothing half is left under the folder's name. Where it
-  // can't be told whether the store would survive a loss of power it throws, too; then it is to be tried
-  // again.
-  static void Create(const std::string& folder, const replication::LoadedState& content,
-                     const SyncFolderFunction& sync_folder = SyncFolder);
-
  private:
   // What was found; where `damage` is not empty it is why the store can't be read.
   struct Found {
@@ -90,8 +75,6 @@
     bool empty = false;
     replication::LoadedState loaded = {};
   };
-  static void MakeStore(const std::string& folder, const replication::LoadedState& content,
-                        const SyncFolderFunction& sync_folder);
   void Open();
   Found OpenAndLoad();
   leveldb::Status OpenDatabase(bool create);
--- a/tests/system/golden_formats_test.cpp
+++ b/tests/system/golden_formats_test.cpp
@@ -15,7 +15,9 @@
 #include "rig/golden.h"
 #include "snapshot/exporter.h"
 #include "snapshot/snapshot.h"
+#include "storage/store_creation.h"
 #include "storage/table_disk.h"
+#include "storage/table_format.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -219,7 +221,7 @@
 
 TEST(GoldenFormats, AStoreHasTheKeysAndValuesOfTheLandedBuild) {
   std::string store = folder.path() + "/store";
-  storage::TableDisk::Create(store, SampleStore());
+  storage::CreateStore(store, SampleStore());
   std::vector<std::pair<std::string, std::string>> written;
   for (const auto& [key, value] : StoredPairs(store)) written.emplace_back("store:" + key, value);
   LONGS_EQUAL(5, written.size());
@@ -262,7 +264,7 @@
   CHECK(loaded.accepted && loaded.accepted->number == sample.accepted->number);
   CHECK(loaded.accepted->change == sample.accepted->change);
   CHECK(loaded.records == sample.records);
-  storage::TableDisk::Create(again, loaded);
+  storage::CreateStore(again, loaded);
   for (const auto& [key, value] : StoredPairs(again)) CheckBytes("store:" + key, value);
 }
 
--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -99,7 +99,7 @@
   TOLD "broken: doubt")
 
 # Two fields of one type that change places in what is stored.
-planted_mistake(stored_fields_swapped SOURCE system/adapters/storage/table_disk.cpp
+planted_mistake(stored_fields_swapped SOURCE system/adapters/storage/table_format.cpp
   OBJECTS system_golden_formats_tests_objects LIBRARY system_snapshot RUN AStoreHasTheKeysAndValuesOfTheLandedBuild
   FROM "archive(state.store_id, state.membership, state.revision, state.promised)"
   TO "archive(state.revision, state.membership, state.store_id, state.promised)"
--- a/tests/system/snapshot_test.cpp
+++ b/tests/system/snapshot_test.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <string>
 
+#include "storage/store_creation.h"
 #include "storage/table_disk.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
@@ -140,12 +141,12 @@
   for (int refused = 0; refused < 2; ++refused) {
     int syncs = 0;
     auto refuse_one = [&](const std::string&) { return syncs++ != refused; };
-    CHECK_THROWS(std::runtime_error, storage::TableDisk::Create(store, content, refuse_one));
+    CHECK_THROWS(std::runtime_error, storage::CreateStore(store, content, refuse_one));
   }
-  storage::TableDisk::Create(store, content);
+  storage::CreateStore(store, content);
   CHECK(storage::TableDisk(store, {}).TakeOpened().loaded.records == content.records);
   // It has been opened since: it is another process's now.
-  CHECK_THROWS(std::runtime_error, storage::TableDisk::Create(store, content));
+  CHECK_THROWS(std::runtime_error, storage::CreateStore(store, content));
 }
 
 TEST(SnapshotTest, NothingIsImportedWhereItDoesNotBelong) {
