Refused acts of the store: removals alone go on, names are lost in many ways

Trials with planted mistakes showed what StoreRefusalsTest couldn't see. A file that is removed before the names are synced: only where removals are done while all writes are refused, and the one way of losing names is drawn that matters (found in draw 24 of write 26, 't/log is lost'). A store that is made where LevelDB can't see CURRENT: only where older records lie in a table, not in the log. Both are played now, and three mistakes are planted for good.

A fourth, that a database opens before its names are synced, is not told by any play: until a removal is allowed the CURRENT before is whole, logs and all. The check stays, as nothing may count as stored on a guess.

--- a/tests/system/planted_mistakes.cmake
+++ b/tests/system/planted_mistakes.cmake
@@ -125,3 +125,20 @@
   SOURCE system/decisions/rate_limit/quota_allocator.cpp RUN GrantsOfOneMomentFitBesideEachOther
   FROM "    Count(now, &tenant, &lease);" TO ""
   TOLD "more is granted than can be leased")
+
+# The store without what a refused act asks of it: a sound store is lost.
+function(planted_in_store name)
+  planted_mistake(${name} OBJECTS system_store_refusals_tests_objects LIBRARY system_storage ${ARGN})
+  target_include_directories(planted_${name} SYSTEM PRIVATE ${LEVELDB_INCLUDE} ${CEREAL_INCLUDE})
+  target_link_libraries(planted_${name} PRIVATE ${LEVELDB_LIBRARY})
+endfunction()
+
+planted_in_store(manifest_of_current_removed SOURCE system/adapters/storage/folder_syncing_env.cpp
+  FROM "if (MayBeCurrentManifest(path)) return" TO "if (path.empty()) return"
+  RUN ASoundStoreSurvivesEachRefusedActOfAStart TOLD "renaming to CURRENT.*expected <1>")
+planted_in_store(removed_before_names_are_synced SOURCE system/adapters/storage/folder_syncing_env.cpp
+  FROM "if (!synced.ok()) return synced" TO "if (path.empty()) return synced"
+  RUN ASoundStoreSurvivesEachRefusedActOfAStart TOLD "loss of power.*is lost")
+planted_in_store(made_where_current_is_not_seen SOURCE system/adapters/storage/table_disk.cpp
+  FROM "OpenDatabase(presence == Presence::kNoStore)" TO "OpenDatabase(presence != Presence::kLostItsCurrentFile)"
+  RUN ASoundStoreSurvivesEachRefusedActOfAStart TOLD "looking for CURRENT.*expected <1>")
--- a/tests/system/store_refusals_test.cpp
+++ b/tests/system/store_refusals_test.cpp
@@ -28,16 +28,23 @@
 namespace {
 
 constexpr int kForGood = 1 << 30;
+constexpr int kDrawsOfLostNames = 24;
 constexpr int kTries = 4;  // more than a disk that comes back refuses
 
-struct Fault {
-  int act = 0;  // the first one that is refused
+// What the disk refuses from an act on.
+struct Refusals {
   int times = 1;
+  bool any = true;    // reading and removing are acts, too
   bool done = false;  // told as refused, though it was done
+
+  bool Pass() const { return times < kTries; }
+};
+
+struct Fault {
+  int act = 0;  // the first one that is refused
+  Refusals refusals = {};
   std::optional<PowerLoss> loss = {};
   uint64_t seed = 1;
-
-  bool Passes() const { return times < kTries; }
 };
 
 // A machine with one store on a faulty disk, from process to process.
@@ -87,25 +94,36 @@
   }
   void End() { disk_.reset(); }
   void Refuse(const Fault& fault) {
-    env_->RefusedActsAreDone(fault.done);
+    env_->RefusedActsAreDone(fault.refusals.done);
     env_->ForgetOnRefusedSync(fault.seed % 2 == 0);
     refused_before_ = env_->refusals();
-    env_->RefuseAnyAct(fault.times, fault.act);
+    if (fault.refusals.any) {
+      env_->RefuseAnyAct(fault.refusals.times, fault.act);
+    } else {
+      env_->Refuse(fault.refusals.times, fault.act);
+    }
+  }
+  void RefuseNothing() {
+    env_->RefusedActsAreDone(false);
+    env_->RefuseAnyAct(0, 0);
+    env_->Refuse(0, 0);
   }
   bool AnythingRefused() const { return env_->refusals() > refused_before_; }
-  void LosePower(const PowerLoss& loss, uint64_t seed) {
-    std::string next = root_.other(1);
-    env_->CopyAsAfterPowerLoss(next, loss);
-    End();
-    folder_ = next;
-    UseFolder(seed);
+  // What is left is drawn this many times.
+  void CheckAfterLossesOfPower(const PowerLoss& loss, int draws, const std::string& where) {
+    for (int i = 0; i < draws; ++i) env_->CopyAsAfterPowerLoss(root_.other(i), loss);
+    for (int i = 0; i < draws; ++i) {
+      End();
+      folder_ = root_.other(i);
+      UseFolder(1);
+      CheckNextProcess(where);
+    }
   }
 
   // What the next process finds on a disk that is well again.
   void CheckNextProcess(const std::string& where) {
     End();
-    env_->RefusedActsAreDone(false);
-    env_->RefuseAnyAct(0, 0);
+    RefuseNothing();
     CHECK_TEXT(Open(), (where + "not opened").c_str());
     CHECK_TEXT(opened_->unreadable.empty(), (where + opened_->unreadable).c_str());
     CHECK_TEXT(!opened_->created || told_.empty(), (where + "made anew").c_str());
@@ -139,8 +157,9 @@
 };
 
 std::string Where(const Fault& fault, const std::string& refused) {
-  return "act " + std::to_string(fault.act) + " (" + refused + ")" + (fault.done ? ", done," : "") +
-         " refused " + (fault.Passes() ? std::to_string(fault.times) : "for good") + ", " +
+  return (fault.refusals.any ? "act " : "write ") + std::to_string(fault.act) + " (" + refused + ")" +
+         (fault.refusals.done ? ", done," : "") + " refused " +
+         (fault.refusals.Pass() ? std::to_string(fault.refusals.times) : "for good") + ", " +
          (fault.loss ? "loss of power, " : "") + "seed " + std::to_string(fault.seed) + ": ";
 }
 
@@ -149,17 +168,23 @@
   machine->Refuse(fault);
   bool done = machine->OpenWithTries() && machine->WriteWithTries("t/b", 2);
   std::string where = Where(fault, machine->env().last_refused());
-  CHECK_TEXT(done || !fault.Passes(), (where + "never stored: " + machine->last_error()).c_str());
+  CHECK_TEXT(done || !fault.refusals.Pass(), (where + "never stored: " + machine->last_error()).c_str());
 }
 
 using Scenario = void (*)(Machine* machine, const Fault& fault);
 
 void FirstStart(Machine* machine, const Fault& fault) { StartAndWrite(machine, fault); }
 
-void Start(Machine* machine, const Fault& fault) {
+// A process that writes a record, and ends. The next opening writes what the log holds to a table.
+void LiveOnce(Machine* machine, const std::string& key, uint64_t version) {
   machine->Open();
-  machine->Write("t/a", 1);
+  machine->Write(key, version, 1000);
   machine->End();
+}
+
+void Start(Machine* machine, const Fault& fault) {
+  LiveOnce(machine, "t/table", 1);
+  LiveOnce(machine, "t/log", 1);
   StartAndWrite(machine, fault);
 }
 
@@ -171,7 +196,8 @@
   machine->Refuse(fault);
   bool done = machine->WriteWithTries("t/b", 2);
   std::string where = Where(fault, machine->env().last_refused());
-  CHECK_TEXT(done || !fault.Passes(), (where + "never stored again: " + machine->last_error()).c_str());
+  CHECK_TEXT(done || !fault.refusals.Pass(),
+             (where + "never stored again: " + machine->last_error()).c_str());
 }
 
 size_t TablesIn(const std::string& folder) {
@@ -182,14 +208,11 @@
   return tables;
 }
 
-// Each opening writes what the log holds to a table; from the fourth one on they are compacted.
+// Four tables are compacted.
 void Compaction(Machine* machine, const Fault& fault) {
   constexpr uint64_t kOpenings = 4;
-  for (uint64_t version = 1; version <= kOpenings; ++version) {
-    machine->Open();
-    machine->Write("t/a", version, 1000);
-    machine->End();
-  }
+  LiveOnce(machine, "t/first", 1);
+  for (uint64_t version = 2; version <= kOpenings; ++version) LiveOnce(machine, "t/a", version);
   StartAndWrite(machine, fault);
   if (!machine->AnythingRefused()) CHECK(TablesIn(machine->folder()) != kOpenings);
 }
@@ -205,27 +228,39 @@
   scenario(&machine, fault);
   std::string where = Where(fault, machine.env().last_refused());
   bool refused = machine.AnythingRefused();
-  if (fault.loss) machine.LosePower(*fault.loss, fault.seed + 1);
-  machine.CheckNextProcess(where);
+  int draws = fault.refusals.any ? 1 : kDrawsOfLostNames;
+  if (fault.loss) {
+    machine.CheckAfterLossesOfPower(*fault.loss, draws, where);
+  } else {
+    machine.CheckNextProcess(where);
+  }
   return refused;
 }
 
 void RefuseEachAct(Scenario scenario, int acts_at_least) {
   const char* told = std::getenv("IVYGW_STORE_SEEDS");
   uint64_t seeds = told ? std::strtoull(told, nullptr, 10) : 1;
+  const std::vector<Refusals> refusals = {{.times = 1},
+                                          {.times = 1, .done = true},
+                                          {.times = 2},
+                                          {.times = 2, .done = true},
+                                          {.times = kForGood},
+                                          {.times = kForGood, .done = true},
+                                          {.times = kForGood, .any = false}};
   const std::vector<std::optional<PowerLoss>> losses = {std::nullopt, PowerLoss{},
                                                         PowerLoss{.loses_names = true},
                                                         PowerLoss{.loses_names = true, .tears_writes = true}};
   int plays = 0;
-  for (bool done : {false, true}) {
-    for (int times : {1, 2, kForGood}) {
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (const Refusals& refused : refusals) {
       for (const auto& loss : losses) {
-        for (uint64_t seed = 1; seed <= seeds; ++seed) {
-          int act = 0;
-          while (Play(scenario, {act, times, done, loss, seed})) ++act;
-          CHECK(act >= acts_at_least);
-          plays += act;
-        }
+        // What is removed where nothing is synced shows by names that are lost, if at all.
+        bool shows = refused.any || (loss && loss->loses_names && !loss->tears_writes);
+        if (!shows) continue;
+        int act = 0;
+        while (Play(scenario, {act, refused, loss, seed})) ++act;
+        CHECK(act >= (refused.any ? acts_at_least : acts_at_least / 2));
+        plays += act;
       }
     }
   }
@@ -258,7 +293,7 @@
       machine.Open();
       machine.End();
       LoseCurrentFile(&machine);
-      Fault fault = {.act = act, .done = done};
+      Fault fault = {.act = act, .refusals = {.done = done}};
       machine.Refuse(fault);
       CHECK(machine.OpenWithTries());
       std::string where = Where(fault, machine.env().last_refused());
@@ -266,7 +301,7 @@
       CHECK(machine.opened()->loaded.state.store_id != replication::kFounderStoreId);
       refused = machine.AnythingRefused();
       machine.End();
-      machine.env().RefuseAnyAct(0, 0);
+      machine.RefuseNothing();
       CHECK(machine.Open());
       CHECK(machine.opened()->unreadable.empty());
     }
