Review, case 2: proxies keep backends whose deregistration was acknowledged

Backends that register while two cores of three are down get 200 and are told to the proxies before anything is decided. Their deregistration, which is acknowledged once the cores are back, makes a tombstone with a version counted from what was decided, and the proxies keep what has the higher version.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A hot tenant's uploads take a proxy over its memory, and with it goes the work of all others that the proxy holds."""
+"""New backends register while two cores of three are down, and are rolled back: they deregister and are acknowledged, but the proxies keep them."""
 import pathlib
 import sys
 
@@ -6,141 +6,127 @@
 from rig import *
 
 HERE = pathlib.Path(__file__).resolve().parent
-MEMORY_MB = 260  # of an edge machine of kowhai-lend
-UPLOAD_BYTES, UPLOAD_S = 14_000_000, 6.0  # max_body_bytes is 64 MiB; 2.3 MB a second
-USUAL_PER_S, HOT_X, HOT_S = 2.0, 7.5, 6.5  # the largest dose of hot_tenant
-LIMIT_PER_S = 3  # 1.6 x the usual, rounded down
-CALM_S, DAY_S = 8.0, 26.0
-
-
-def resident_mb(pid):
-    for line in open(f"/proc/{pid}/status"):
-        if line.startswith("VmRSS"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
-class Case:
-    def __init__(self, trouble):
-        self.trouble, self.sent, self.over_memory, self.cut_while_run = trouble, 0, [], 0
-        self.answers, self.peaks = {}, {}
-        self.rig = Rig(proxies=2, memory_mb=MEMORY_MB, record=HERE / "record.txt")
-
-    async def limit_memory(self):
-        """The platform: a process dies when it goes over memory_mb, and is started again."""
-        while True:
-            for proxy in self.rig.proxies:
-                if not proxy.running():
-                    continue
-                try:
-                    used = resident_mb(proxy.child.pid)
-                except OSError:
-                    continue
-                self.peaks[proxy.machine] = max(self.peaks.get(proxy.machine, 0), used)
-                if used > MEMORY_MB:
-                    self.over_memory.append(proxy.machine)
-                    self.rig.note(f"{proxy.machine} ivygw-proxy is over its memory: {used:.0f} MB of {MEMORY_MB}; the platform ends it")
-                    proxy.send(signal.SIGKILL)
-            await asyncio.sleep(0.02)
-
-    def attempt(self):
-        self.sent += 1
-        return f"{self.sent:016x}"
-
-    async def request(self, path, key, size, seconds, deadline_ms):
-        """One try, of a body that is sent evenly over `seconds`, to a proxy that is ready."""
-        ready = [proxy for proxy in self.rig.proxies if proxy.running()]
-        if not ready:
-            return None
-        proxy, attempt = ready[self.sent % len(ready)], self.attempt()
-        status = "no connection"
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(proxy.ip, FRONT), 1)
-        except (OSError, asyncio.TimeoutError):
-            return None
-        try:
-            status = "cut"
-            writer.write((f"POST {path} HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: {attempt}\r\nCredential: {key}\r\n"
-                          f"Deadline-Remaining: {deadline_ms}\r\nContent-Length: {size}\r\n\r\n").encode())
-            parts = max(1, int(seconds / 0.1))
-            begun, sent = time.monotonic(), 0
-            for n in range(parts):
-                upto = size * (n + 1) // parts
-                writer.write(b"x" * (upto - sent))
-                sent = upto
-                await writer.drain()
-                await asyncio.sleep(max(0, begun + seconds * (n + 1) / parts - time.monotonic()))
-            head, _ = await asyncio.wait_for(read_message(reader), deadline_ms / 1000 + 1)
-            status = status_of(head)
-        except (EOFError, ConnectionError, asyncio.TimeoutError):
-            pass
-        finally:
-            writer.close()
-        kind = "upload" if size > 1_000_000 else "drawdown"
-        self.answers[kind, status] = self.answers.get((kind, status), 0) + 1
-        if status != 200:
-            self.rig.note(f"client of {attempt} ({kind}, {proxy.machine}) gets {status}")
-        if kind == "drawdown" and status == "cut" and any(attempt == ran[0] for b in self.rig.backends.values() for ran in b.ran):
-            self.cut_while_run += 1
-        return status
-
-    async def uploads(self, per_s, seconds):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.rig.spawn(self.upload())
-            await asyncio.sleep(1 / per_s)
-
-    async def upload(self):
-        # A try that was cut may be made once more: the route is idempotent, and a client of kowhai-lend repeats once.
-        for _ in range(2):
-            status = await self.request("/papers/a", "key-haulier", UPLOAD_BYTES, UPLOAD_S, 15000)
-            if status not in (None, "cut"):
-                return
-
-    async def drawdowns(self, seconds):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.rig.spawn(self.request("/drawdown/a", "key-broker", 4000, 0, 1200))
-            await asyncio.sleep(1 / 40)
-
-    async def play(self):
-        rig = self.rig
-        try:
-            await rig.start([Backend(rig, n, "papers-svc", work_s=0.12) for n in range(6)] + [Backend(rig, n + 6, "drawdown-svc", work_s=0.16) for n in range(6)])
-            status, _ = await rig.configure({
-                "service_table": [service("papers-svc"), service("drawdown-svc")],
-                "route_table": [route("papers", "papers-svc", timeout_ms=15000, public_access=False),
-                                route("drawdown", "drawdown-svc", "non_idempotent", timeout_ms=1200, public_access=False)],
-                "tenant_table": [{"name": "haulier", "api_keys": ["key-haulier"], "priority": 0, "rate_per_s": LIMIT_PER_S, "burst_size": LIMIT_PER_S},
-                                 {"name": "broker", "api_keys": ["key-broker"], "priority": 0, "rate_per_s": 0, "burst_size": 0}],
-                "limits": dict(LIMITS)})
-            if status != 200:
-                raise CouldNotRun(f"the first configuration got {status}")
-            await rig.all_ready()
-            await asyncio.sleep(2)
-            rig.spawn(self.limit_memory())
-            rig.spawn(self.drawdowns(DAY_S))
-            rig.spawn(self.uploads(USUAL_PER_S, DAY_S - UPLOAD_S))
-            await asyncio.sleep(CALM_S)
-            if self.trouble:
-                rig.note(f"haulier sends {HOT_X} times its usual for {HOT_S} s")
-                rig.spawn(self.uploads(USUAL_PER_S * (HOT_X - 1), HOT_S))
-            await asyncio.sleep(DAY_S - CALM_S + 1)
-            rig.note("answers: " + ", ".join(f"{kind} {status}: {n}" for (kind, status), n in sorted(self.answers.items(), key=str)))
-            rig.note("most memory of a proxy: " + ", ".join(f"{machine} {mb:.0f} MB" for machine, mb in sorted(self.peaks.items())))
-            rig.note(f"proxies that went over their memory: {self.over_memory}; drawdowns that a backend ran and whose connection then ended without an answer: {self.cut_while_run}")
-            by_itself = [p.machine for p in rig.cores + rig.proxies for _ in p.ended_itself]
-        finally:
-            await rig.end()
-        ends = self.over_memory + by_itself
-        print(f"answers {self.answers}, peaks {self.peaks}")
-        if len(ends) >= 3 and len(set(ends)) >= 2:
-            return [f"Fault: processes ended by themselves {len(ends)} times ({', '.join(ends)}), memory over the limit; drawdowns run and cut: {self.cut_while_run}"]
-        return []
+DRAIN_S, CONTACT_S = BOUNDS["drain_ms"] / 1000, BOUNDS["contact_ms"] / 1000
+DOWN_S = 2.0  # herd_kill: for_s 2
+OLD, NEW, STEP_S = 4, 8, 0.08
+START_S, ROLLBACK_S, SERVES_ON_S = 0.05, 1.0, 25.0
+REQUESTS_PER_S, WATCHED_S, RECOVERY_S = 60.0, 22.0, 15.0
+
+
+class Leaver(Backend):
+    """A backend that never says draining: it deregisters first, serves on for drain_ms and many seconds, and ends."""
+
+    def __init__(self, *arguments, **more):
+        super().__init__(*arguments, **more)
+        self.leaving, self.acknowledged_at = False, None
+
+    async def call(self, call, body):
+        """One call: the next core after a failure, a 5xx or a second of silence, with a pause that grows. Each call has a number of its own."""
+        cores, pause = random.sample(self.rig.control, 3), 0.02
+        for n in range(60):
+            core = cores[n % 3]
+            report = body()
+            try:
+                status, _ = await self.rig.call(core, f"{call}&of={self.name}", report, 1.0)
+            except (OSError, EOFError, asyncio.TimeoutError) as error:
+                status = type(error).__name__
+            self.rig.note(f"{self.name} {call} {report.get('call_sequence', '')} at {core}: {status}")
+            if status == 200:
+                return True
+            if n % 3 == 2:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, 0.5)
+            if call == "backends.heartbeat" and (self.leaving or n >= 5):
+                return False
+        return False
+
+    async def beat(self):
+        while not self.leaving:
+            await self.call("backends.heartbeat", self.report)
+            for _ in range(15):
+                if not self.leaving:
+                    await asyncio.sleep(0.1 * random.uniform(0.9, 1.1))
+        if await self.call("backends.deregister", dict):
+            self.acknowledged_at = self.rig.now()
+            await asyncio.sleep(SERVES_ON_S)
+            self.server.close()
 
 
 async def play(trouble):
-    return await Case(trouble).play()
+    rig = Rig(proxies=2, record=HERE / "record.txt")
+    sent, answers = 0, {}
+
+    async def request(proxy, attempt):
+        try:
+            status, _, _ = await exchange(proxy.ip, FRONT, (f"POST /drawdown/a HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: {attempt}\r\nDeadline-Remaining: 1200\r\n"
+                                                            "Connection: close\r\nContent-Length: 0\r\n\r\n").encode(), 2)
+        except (OSError, EOFError, asyncio.TimeoutError) as error:
+            status = type(error).__name__
+        answers[status] = answers.get(status, 0) + 1
+
+    async def traffic():
+        nonlocal sent
+        while not rig.over:
+            sent += 1
+            rig.spawn(request(rig.proxies[sent % 2], f"{sent:016x}"))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    arrived = {}
+
+    async def handler(backend, writer, attempt, method, path, body):
+        arrived.setdefault(backend.name, []).append(rig.now())
+        await asyncio.sleep(0.08)
+        writer.write(f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok".encode())
+        return True
+
+    try:
+        await rig.start([Backend(rig, n, "drawdown-svc", slots=2, handler=handler) for n in range(OLD)])
+        status, _ = await rig.configure({"service_table": [service("drawdown-svc")], "route_table": [route("drawdown", "drawdown-svc", "non_idempotent", timeout_ms=1200)],
+                                         "limits": dict(LIMITS)})
+        if status != 200:
+            raise CouldNotRun(f"the first configuration got {status}")
+        await rig.all_ready()
+        await asyncio.sleep(4)
+        rig.spawn(traffic())
+        down = [process for process in rig.cores if process.ip in rig.control[1:]]
+        if trouble:
+            rig.note("two cores are killed")
+            for process in down:
+                process.held = True
+                process.send(signal.SIGKILL)
+        killed_at = rig.now()
+        await asyncio.sleep(START_S)
+        leavers = [Leaver(rig, n + OLD, "drawdown-svc", slots=2, handler=handler) for n in range(NEW)]
+        for leaver in leavers:
+            await leaver.start()
+            await asyncio.sleep(STEP_S)
+        await asyncio.sleep(ROLLBACK_S)
+        rig.note("the release is rolled back: its backends leave")
+        for leaver in leavers:
+            leaver.leaving = True
+        await asyncio.sleep(max(0, killed_at + DOWN_S - rig.now()))
+        if trouble:
+            rig.note("the two cores are started again")
+            for process in down:
+                process.held = False
+        back_at = rig.now()
+        settled_at = back_at + CONTACT_S + 0.3
+        await asyncio.sleep(WATCHED_S)
+        late = {leaver.name: [at for at in arrived.get(leaver.name, []) if leaver.acknowledged_at and at > max(leaver.acknowledged_at + DRAIN_S, settled_at)
+                              and at < leaver.acknowledged_at + SERVES_ON_S] for leaver in leavers}
+        for leaver in leavers:
+            rig.note(f"{leaver.name}: deregistration acknowledged at {leaver.acknowledged_at}, requests that reached it later than drain_ms after that, sent by "
+                     f"machines in touch (from {settled_at:.2f} s on): {len(late[leaver.name])}")
+        very_late = sum(at > back_at + RECOVERY_S for times in late.values() for at in times)
+        rig.note(f"of these, {very_late} later than recovery_s after all cores were back; answers {answers}")
+    finally:
+        await rig.end()
+    if not all(leaver.acknowledged_at for leaver in leavers):
+        raise CouldNotRun("a deregistration was not acknowledged")
+    print(f"requests that came late, by backend: {[len(times) for times in late.values()]}, {very_late} of them over 15 s after all cores were back; answers {answers}")
+    if any(late.values()):
+        return [f"DRAIN: {sum(map(len, late.values()))} requests reached {sum(map(bool, late.values()))} backends later than drain_ms after their deregistration was acknowledged"]
+    return []
 
 
 run_case(play)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -45,6 +45,7 @@
     def __init__(self, rig, program, machine, settings):
         self.rig, self.program, self.machine, self.settings = rig, program, machine, settings
         self.child, self.expected, self.ended_itself = None, False, []
+        self.held = False  # not to be started now
         self.file = rig.folder / f"{machine}-{program}.json"
         self.log = rig.folder / f"{machine}-{program}.log"
 
@@ -67,7 +68,7 @@
 
     def watch(self):
         """Notes an end that nobody asked for, and starts the process again."""
-        if self.child is None or self.child.poll() is None:
+        if self.held or self.child is None or self.child.poll() is None:
             return
         if not self.expected:
             self.ended_itself.append((self.rig.now(), self.child.returncode))
