Review, case 2: more backends, rolled back nearer to the cores' return

Changed: 12 backends in place of 8, and the rollback 0.25 s later; the check, the disruption and its length are as they were.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,8 +8,8 @@
 HERE = pathlib.Path(__file__).resolve().parent
 DRAIN_S, CONTACT_S = BOUNDS["drain_ms"] / 1000, BOUNDS["contact_ms"] / 1000
 DOWN_S = 2.0  # herd_kill: for_s 2
-OLD, NEW, STEP_S = 4, 8, 0.08
-START_S, ROLLBACK_S, SERVES_ON_S = 0.05, 1.0, 25.0
+OLD, NEW, STEP_S = 4, 12, 0.05
+START_S, ROLLBACK_S, SERVES_ON_S = 0.05, 1.25, 25.0
 REQUESTS_PER_S, WATCHED_S, RECOVERY_S = 60.0, 22.0, 15.0
 
 
