Discovery: a decided change prevails over any undecided report of its key

Cause: cores push reports before they are decided, and the gateway's cache merged them with decided items by version.

Older proxies read such a push as before.

--- a/system/adapters/control_client/core_connections.cpp
+++ b/system/adapters/control_client/core_connections.cpp
@@ -61,7 +61,7 @@
   events.message = [this, key](messages::Message message) {
     if (const auto* push = std::get_if<messages::Push>(&message)) {
       events_.push(key.second, key.first, *push);
-      dialers_.at(key)->Send(messages::PushAck{push->number});
+      if (push->number != messages::kProvisionalPush) dialers_.at(key)->Send(messages::PushAck{push->number});
     } else if (const auto* state = std::get_if<messages::CoreStatus>(&message)) {
       OnStatus(key, *state);
     } else if (const auto* grants = std::get_if<messages::QuotaGrants>(&message)) {
--- a/system/adapters/replicated_table/publisher.cpp
+++ b/system/adapters/replicated_table/publisher.cpp
@@ -1,6 +1,7 @@
 #include "replicated_table/publisher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "messages/codec.h"
 
@@ -51,6 +52,8 @@
 void Publisher::OnPushAck(uint64_t peer, const messages::PushAck& ack) {
   auto it = subscribers_.find(peer);
   if (it == subscribers_.end()) return;
+  // Gateways of earlier versions acknowledge provisional pushes, too.
+  if (ack.number == messages::kProvisionalPush) return;
   Subscriber& subscriber = it->second;
   subscriber.acknowledged = ack.number;
   if (subscriber.list == Subscriber::List::kInProgress && ack.number == subscriber.part)
@@ -112,9 +115,7 @@
 }
 
 // `listing`: a subscriber whose list is in progress; what that list still has to send is left out.
-messages::Push Publisher::ChangesFor(const std::set<std::string>& keys,
-                                     const std::map<std::string, Item>& provisional,
-                                     const Subscriber* listing) const {
+messages::Push Publisher::ChangesFor(const std::set<std::string>& keys, const Subscriber* listing) const {
   messages::Push push;
   push.number = last_push_;
   push.revision = replica_.revision();
@@ -122,12 +123,7 @@
     bool still_to_come = listing && key > listing->cursor &&
                          listing->differing_ranges[messages::RangeOf(key, messages::kListRanges)];
     if (still_to_come) continue;
-    const Record* record = replica_.table().Find(key);
-    auto told = provisional.find(key);
-    bool newer = told != provisional.end() && (!record || messages::Newer(told->second, record->item));
-    if (newer) {
-      push.items.push_back(told->second);
-    } else if (record) {
+    if (const Record* record = replica_.table().Find(key)) {
       push.items.push_back(record->item);
     } else {
       push.removed_keys.push_back(key);
@@ -137,19 +133,20 @@
 }
 
 void Publisher::PushChanges() {
-  std::set<std::string> keys;
-  std::map<std::string, Item> provisional;
-  keys.swap(changed_keys_);
-  provisional.swap(provisional_);
-  for (const auto& [key, item] : provisional) keys.insert(key);
-  if (keys.empty()) return;
+  std::set<std::string> keys = std::exchange(changed_keys_, {});
+  if (!keys.empty()) PushDecided(keys);
+  std::map<std::string, Item> provisional = std::exchange(provisional_, {});
+  if (!provisional.empty()) PushUndecided(provisional);
+}
+
+void Publisher::PushDecided(const std::set<std::string>& keys) {
   ++last_push_;
-  std::string frame = messages::Encode(ChangesFor(keys, provisional, nullptr));
+  std::string frame = messages::Encode(ChangesFor(keys, nullptr));
   for (auto& [peer, subscriber] : subscribers_) {
     if (subscriber.listed) {
       events_.send_frame(peer, frame);
     } else if (subscriber.list == Subscriber::List::kInProgress) {
-      messages::Push push = ChangesFor(keys, provisional, &subscriber);
+      messages::Push push = ChangesFor(keys, &subscriber);
       if (push.items.empty() && push.removed_keys.empty()) continue;
       events_.send(peer, push);
     } else {
@@ -159,6 +156,22 @@
   }
 }
 
+// Marked as undecided, so that gateways let any later decision on the same keys prevail.
+void Publisher::PushUndecided(const std::map<std::string, Item>& provisional) {
+  messages::Push push;
+  push.number = messages::kProvisionalPush;
+  push.revision = replica_.revision();
+  for (const auto& [key, item] : provisional) {
+    const Record* record = replica_.table().Find(key);
+    if (!record || messages::Newer(item, record->item)) push.items.push_back(item);
+  }
+  if (push.items.empty()) return;
+  std::string frame = messages::Encode(push);
+  for (const auto& [peer, subscriber] : subscribers_) {
+    if (subscriber.listed) events_.send_frame(peer, frame);
+  }
+}
+
 // Begins the lists of all whose question is older than the last read, and starts a read for those whose
 // isn't.
 void Publisher::AnswerRequests() {
--- a/system/adapters/replicated_table/publisher.h
+++ b/system/adapters/replicated_table/publisher.h
@@ -80,9 +80,9 @@
   const std::vector<uint64_t>& PublishedDigests();
   void ScheduleBatch();
   void PushChanges();
-  messages::Push ChangesFor(const std::set<std::string>& keys,
-                            const std::map<std::string, messages::Item>& provisional,
-                            const Subscriber* listing) const;
+  void PushDecided(const std::set<std::string>& keys);
+  void PushUndecided(const std::map<std::string, messages::Item>& provisional);
+  messages::Push ChangesFor(const std::set<std::string>& keys, const Subscriber* listing) const;
   void AnswerRequests();
   void BeginList(uint64_t peer, Subscriber* subscriber);
   void ContinueList(uint64_t peer, Subscriber* subscriber);
--- a/system/decisions/messages/control.h
+++ b/system/decisions/messages/control.h
@@ -40,9 +40,11 @@
   std::vector<uint64_t> digests;  // of the gateway's items, one per key range, without tombstones
 };
 
+// The number of a Push whose items are not decided yet. It is not acknowledged.
+inline constexpr uint64_t kProvisionalPush = 0;
 // Core to gateway: changed items, or one part of a list.
 struct Push {
-  uint64_t number = 0;     // acknowledged by PushAck
+  uint64_t number = 0;     // acknowledged by PushAck; kProvisionalPush: the items are not decided yet
   bool list_part = false;  // part of a requested list, not an update
   uint64_t revision = 0;   // of the sender's table
   std::vector<Item> items;
--- a/system/programs/load_test/run.cpp
+++ b/system/programs/load_test/run.cpp
@@ -334,7 +334,7 @@
     in_bytes_ += bytes;
     if (!gateway.ready) list_bytes_ += bytes;
     if (const auto* push = std::get_if<messages::Push>(&message)) {
-      Send(g, i, messages::PushAck{push->number});
+      if (push->number != messages::kProvisionalPush) Send(g, i, messages::PushAck{push->number});
       for (const auto& item : push->items) {
         if (!gateway.ready && push->list_part && !item.dropped)
           gateway.sums[i % 2][messages::RangeOf(item.key, messages::kListRanges)] ^= messages::DigestOf(item);
--- a/system/programs/proxy/gateway.cpp
+++ b/system/programs/proxy/gateway.cpp
@@ -142,7 +142,11 @@
     RequestTokens();
   }
   if (ticks_ % 10 == 0) exchanges_.Sweep();
-  if (ticks_ % 20 == 0) cores_->OnTime();
+  if (ticks_ % 20 == 0) {
+    cores_->OnTime();
+    backends_.OnTime(Now());
+    OnUpdate();
+  }
   if (ticks_ % kFiguresInterval == 0) {
     Figures f = exchanges_.figures();
     auto a = admission_.counters();
@@ -164,7 +168,9 @@
         .Add("connections", f.connections)
         .Add("denied", f.denied)
         .Add("ended", f.ended)
-        .Add("held", exchanges_.active_requests());
+        .Add("held", exchanges_.active_requests())
+        .Add("provisional", backends_.provisional_items())
+        .Add("overruled", backends_.overruled_items());
   }
   if (DrainOnTime()) return ended_();
   timer_.expires_after(Seconds(kTick));
