Registry: a deregistration prevails over every heartbeat, however late it is decided

Callers could see 200 for a deregistration while the backend stayed in the table: its command took the version of the record known at the call plus one, so a heartbeat that was decided before it made it count as applied already. Over an expired backend's tombstone nothing was written, and a late heartbeat made the backend return.

The tombstone of a deregistration has the highest version there is, also over an expired backend's. Heartbeat numbers above 2^53 get 400, as JSON numbers stop being exact there, and the conversion of larger ones was undefined.

Red on the old code, green now: BackendRegistry.ADeregistrationPrevailsOverAHeartbeatThatIsDecidedBeforeIt, ADeregistrationOfAnExpiredBackendIsFinal, and the bound in FaultsOfHeartbeatsNameTheInvalidField.

--- a/system/decisions/discovery/backend.cpp
+++ b/system/decisions/discovery/backend.cpp
@@ -5,6 +5,8 @@
 namespace ivygw::discovery {
 namespace {
 
+constexpr double kMaxSequence = 9007199254740992;  // 2^53: up to it JSON numbers are exact integers
+
 std::string Read(const config_model::Object& root, Backend* out) {
   std::string state, fault;
   if (!(fault = root.Get("target_service", &out->service)).empty()) return fault;
@@ -29,7 +31,8 @@
   if (fault.empty()) fault = Read(root, out);
   double sequence = 0;
   if (fault.empty()) fault = root.Get("call_sequence", &sequence);
-  if (fault.empty() && !(sequence >= 0)) fault = "call_sequence: must not be below 0";
+  if (fault.empty() && !(sequence >= 0 && sequence <= kMaxSequence))
+    fault = "call_sequence: must be between 0 and 2^53";
   if (fault.empty()) out->sequence = static_cast<uint64_t>(sequence);
   return fault;
 }
--- a/system/decisions/registry/backend_records.cpp
+++ b/system/decisions/registry/backend_records.cpp
@@ -1,7 +1,5 @@
 #include "registry/backend_records.h"
 
-#include <algorithm>
-
 namespace ivygw::registry {
 
 using discovery::Backend;
@@ -65,16 +63,15 @@
 
 Item OnExpired(const Item& committed) { return {committed.key, committed.version + 1, true, kExpiredBody}; }
 
-BackendUpdate OnDeregister(const std::string& id, uint64_t sequence, const Item* committed) {
+BackendUpdate OnDeregister(const std::string& id, const Item* committed) {
   BackendUpdate update;
   update.wait_for_commit = true;
-  if (committed && committed->dropped) {
+  if (committed && committed->dropped && !HasExpired(*committed)) {
     update.item = *committed;
     return update;
   }
-  // Deregistration is the last call of a backend process, whatever its sequence number.
   update.item.key = kBackendPrefix + id;
-  update.item.version = std::max(committed ? committed->version + 1 : 1, sequence);
+  update.item.version = kDeregisteredVersion;
   update.item.dropped = true;
   update.write = true;
   return update;
--- a/system/decisions/registry/backend_records.h
+++ b/system/decisions/registry/backend_records.h
@@ -2,11 +2,13 @@
 // which commands the table accepts. Pure.
 //
 // A backend is one item. Its key is kBackendPrefix followed by its id, its version the sequence number of the
-// call that last wrote it, and its body the output of FormatBackend. A tombstone marks a
+// heartbeat that last wrote it, and its body the output of FormatBackend. A tombstone marks a
 // backend that has deregistered or expired.
 #ifndef IVYGW_SYSTEM_REGISTRY_BACKEND_RECORDS_H_
 #define IVYGW_SYSTEM_REGISTRY_BACKEND_RECORDS_H_
 
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,9 @@
 namespace ivygw::registry {
 
 inline constexpr char kBackendPrefix[] = "backend/";
+// The version of a deregistered backend's tombstone. Deregistration is the last call of a backend process, so
+// it prevails over every heartbeat, whatever its sequence number and however late it is decided.
+inline constexpr uint64_t kDeregisteredVersion = std::numeric_limits<uint64_t>::max();
 
 struct BackendUpdate {
   messages::Item item;           // the record that results from the call
@@ -29,8 +34,7 @@
 // Returns the tombstone of a backend that sent no heartbeat for too long. A heartbeat with a
 // sequence number above the tombstone's version makes the backend return.
 messages::Item OnExpired(const messages::Item& committed);
-// `sequence`: of the call; 0: not given.
-BackendUpdate OnDeregister(const std::string& id, uint64_t sequence, const messages::Item* committed);
+BackendUpdate OnDeregister(const std::string& id, const messages::Item* committed);
 
 // The higher version wins, for backends and all other records. A draining backend never becomes ready again,
 // and a deregistered one never returns, whatever commands are concurrent.
--- a/system/programs/registry/backend_directory.cpp
+++ b/system/programs/registry/backend_directory.cpp
@@ -40,12 +40,10 @@
   Write(update, std::move(answer));
 }
 
-void BackendDirectory::Deregister(const std::string& id, const std::string& body, Answer answer) {
+void BackendDirectory::Deregister(const std::string& id, Answer answer) {
   if (!node_.HasQuorumContact()) return answer(503, ErrorBody(kNoQuorumContact));
-  Backend reported;
-  uint64_t sequence = discovery::ParseHeartbeat(body, &reported).empty() ? reported.sequence : 0;
   Log("backend_gone").Add("id", id);
-  Write(OnDeregister(id, sequence, Find(kBackendPrefix + id)), std::move(answer));
+  Write(OnDeregister(id, Find(kBackendPrefix + id)), std::move(answer));
 }
 
 const Item* BackendDirectory::Find(const std::string& key) const {
--- a/system/programs/registry/backend_directory.h
+++ b/system/programs/registry/backend_directory.h
@@ -25,9 +25,9 @@
   // `node` outlives this.
   explicit BackendDirectory(replicated_table::CoreNode* node) : node_(*node) {}
 
-  // A backend's calls. `id` is the backend's, `body` the call's JSON.
+  // A backend's calls. `id` is the backend's, `body` the heartbeat's JSON.
   void Heartbeat(const std::string& id, const std::string& body, Answer answer);
-  void Deregister(const std::string& id, const std::string& body, Answer answer);
+  void Deregister(const std::string& id, Answer answer);
 
   // Another core has told which backends it has heard.
   void OnBackendsSeen(TimePoint now, const std::string& core, const messages::BackendsSeen& seen) {
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -167,7 +167,7 @@
   bool of_backend = call == "backends.heartbeat" || call == "backends.deregister";
   if (of_backend && id.empty()) return Reply(connection, 400, ErrorBody("of: missing"));
   if (call == "backends.heartbeat") return backends_.Heartbeat(id, message.body, AnswerTo(connection));
-  if (call == "backends.deregister") return backends_.Deregister(id, message.body, AnswerTo(connection));
+  if (call == "backends.deregister") return backends_.Deregister(id, AnswerTo(connection));
   if (call == "configuration.modify" || call == "configuration.show")
     return ForwardToStore(connection, call, message.body);
   Reply(connection, 404, ErrorBody("call: is not known"));
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -294,7 +294,7 @@
   b.sequence = 9;  // delayed in the network, or faulty
   CHECK(registry::OnHeartbeat(b, &drain.item).item == drain.item);
   CHECK(!registry::OnHeartbeat(b, &drain.item).write);
-  registry::BackendUpdate gone = registry::OnDeregister("i1", 0, &drain.item);
+  registry::BackendUpdate gone = registry::OnDeregister("i1", &drain.item);
   CHECK(gone.write && gone.wait_for_commit && gone.item.dropped && messages::Newer(gone.item, drain.item));
   CHECK(registry::OnHeartbeat(b, &gone.item).item.dropped);
 }
@@ -317,6 +317,36 @@
   CHECK(changes({"holder/c1/g1", 1, false, ""}));
 }
 
+// Guards against a deregistration that is acknowledged without effect: a heartbeat was decided between the
+// call and the evaluation of its command, so that the command counted as applied already.
+TEST(BackendRegistry, ADeregistrationPrevailsOverAHeartbeatThatIsDecidedBeforeIt) {
+  registry::RegistryPolicy policy;
+  replication::Table table;
+  messages::Item known = Backend("i", "s", "z", 3);
+  for (const messages::Item* committed :
+       {static_cast<const messages::Item*>(nullptr), &std::as_const(known)}) {
+    messages::Item gone = registry::OnDeregister("i", committed).item;
+    table.Put({Backend("i", "s", "z", 9), 2, {}});
+    replication::Evaluation evaluation = policy.Evaluate({gone}, replication::TableOverlay(table));
+    CHECK(evaluation.kind == replication::Evaluation::Kind::kApply);
+    CHECK(evaluation.records.at(0).item.dropped);
+  }
+}
+
+// Guards against a deregistered backend that returns by a late heartbeat, because it had expired before.
+TEST(BackendRegistry, ADeregistrationOfAnExpiredBackendIsFinal) {
+  registry::RegistryPolicy policy;
+  replication::Table table;
+  messages::Item expired = registry::OnExpired(Backend("i", "s", "z", 5));
+  registry::BackendUpdate gone = registry::OnDeregister("i", &expired);
+  CHECK(gone.write && gone.wait_for_commit);
+  table.Put({gone.item, 2, {}});
+  replication::Evaluation late =
+      policy.Evaluate({Backend("i", "s", "z", 9)}, replication::TableOverlay(table));
+  CHECK(late.kind == replication::Evaluation::Kind::kAlreadyApplied);
+  CHECK(!registry::OnDeregister("i", &gone.item).write);
+}
+
 TEST(BackendRegistry, SilentBackendsExpireOnlyWhileAllCoresReportAndMayReturn) {
   registry::HeartbeatTracker tracker;
   std::set<std::string> others = {"c2", "c3"};
@@ -370,6 +400,10 @@
   CheckContains(
       discovery::ParseHeartbeat(R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready"})", &b),
       "call_sequence");
+  CheckContains(
+      discovery::ParseHeartbeat(
+          R"({"target_service":"s","address":"1.2.3.4:5","oper_state":"ready","call_sequence":1e17})", &b),
+      "call_sequence");
 }
 
 TEST_GROUP(ConfigurationCommands){};
