Net: give buffers back where that was meant

Idle connections kept the memory of their last long message, and it counted as held: assigning an empty string keeps the capacity of the one that is assigned to. Seen as 50 kB that a connection to a backend held after its upload had been answered (trace of each change of its share); with the bound on bodies, idle connections would use it up for good.

Buffers are swapped with an empty string instead, those of the links between processes too, once they are over 64 KiB.

--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -44,7 +44,7 @@
     if (kept && Stale(socket_)) return links_->events_->OnStale(id_);
     interim_ = 0;
     reader_.Next();
-    body_ = std::string();
+    FreeMemory(&body_);
     busy_ = true;
     begun_ = wanted_ = any_written_ = false;
     ++exchange_;
@@ -88,7 +88,7 @@
       sending_ = false;
       if (!busy_) return;
       if (error) return Lost();
-      message_ = std::string();
+      FreeMemory(&message_);
       Account();
       last ? links_->events_->OnWritten(id_) : links_->events_->OnDrained(id_);
     };
@@ -151,7 +151,7 @@
     BackendAnswer answer = Head();
     answer.length = reader_.length();
     answer.body = std::move(body_);
-    body_ = std::string();
+    FreeMemory(&body_);
     Account();
     links_->events_->OnAnswerBegun(id_, std::move(answer));
     return true;
@@ -164,7 +164,7 @@
     wanted_ = false;
     if (!body_.empty()) {
       std::string bytes = std::move(body_);
-      body_ = std::string();
+      FreeMemory(&body_);
       Account();
       links_->events_->OnAnswerPart(id_, std::move(bytes));
     } else {
@@ -234,7 +234,7 @@
       out.result = (status == 503 || status == 504) && not_started ? Result::kFull : Result::kError;
     }
     out.keep = keep;
-    body_ = std::string();
+    FreeMemory(&body_);
     Account();
     busy_ = false;
     links_->events_->OnAnswer(id_, std::move(out));
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -173,7 +173,7 @@
     begun_ = continued_ = more_ = wanted_ = false;
     blank_ = 0;
     reader_.Next();
-    body_ = std::string();
+    FreeMemory(&body_);
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
   }
 
@@ -296,7 +296,7 @@
       Busy(true);
     }
     message.body = std::move(body_);
-    body_ = std::string();
+    FreeMemory(&body_);
     Account();
     server_->events_.on_request(id_, std::move(message));
   }
@@ -312,7 +312,7 @@
     more_ = !reader_.done();
     if (!more_) Busy(true);
     std::string bytes = std::move(body_);
-    body_ = std::string();
+    FreeMemory(&body_);
     Account();
     server_->events_.on_body(id_, std::move(bytes), !more_);
   }
@@ -390,7 +390,7 @@
       sending_ = false;
       if (error) return asio::post(server_->io_, [self, this] { Close(); });
       if (message_.capacity() > kMaxHeader) {
-        message_ = std::string();
+        FreeMemory(&message_);
       } else {
         message_.clear();
       }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -24,6 +24,9 @@
 inline constexpr size_t kMostRead = size_t{64} * 1024;        // bytes taken from a socket at once
 inline constexpr uint64_t kLongestBody = uint64_t{33} << 20;  // of a message that is passed on in pieces
 
+// Gives the string's memory back. Assigning an empty string need not.
+inline void FreeMemory(std::string* text) { std::string().swap(*text); }
+
 inline std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 // Headers that end at this hop (RFC 9110, 7.6.1), or that the gateway writes itself.
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -105,7 +105,7 @@
     at_ += bytes;
     if (at_ == in_.size()) {
       if (in_.capacity() > 2 * kReadChunk) {
-        in_ = std::string();
+        FreeMemory(&in_);
       } else {
         in_.clear();
       }
--- a/system/adapters/transport/links.cpp
+++ b/system/adapters/transport/links.cpp
@@ -98,7 +98,7 @@
     sending_ = false;
     if (!open_) return;
     if (error) return asio::post(socket_.get_executor(), [self] { self->Lost(); });
-    writing_.clear();
+    writing_.capacity() > kMostRead ? FreeMemory(&writing_) : writing_.clear();
     if (!out_.empty()) Write();
   });
 }
