Net: refuse heads of more than 256 lines

A head of 16 KiB may consist of over 3,000 lines, and each takes some 80 bytes beside its text once it is parsed, so that a client made the process hold many times what it had sent. Requests with more than 256 lines get 431; such an answer of a backend is none.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -20,6 +20,7 @@
 
 inline constexpr size_t kMaxBody = size_t{64} * 1024;
 inline constexpr size_t kMaxHeader = size_t{16} * 1024;
+inline constexpr size_t kMaxHeaderFields = 256;  // each takes memory beside its text
 inline constexpr size_t kReadChunk = 4096;
 inline constexpr size_t kMostRead = size_t{64} * 1024;        // bytes taken from a socket at once
 inline constexpr uint64_t kLongestBody = uint64_t{33} << 20;  // of a message that is passed on in pieces
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -48,6 +48,8 @@
         used = parser_->put(asio::buffer(in_.data() + at_, unread()), error);
         // The head is whole: what the parser would still wait for will never come.
         if (error == http::error::need_more) return http::error::bad_version;
+        if (!error && parser_->is_header_done() && TooManyFields(parser_->get()))
+          return http::error::header_limit;
         if (!error && parser_->is_header_done() && !SoundFraming(parser_->get())) {
           return http::error::bad_transfer_encoding;
         }
@@ -99,6 +101,14 @@
   void Drop() { Took(unread()); }
 
  private:
+  template <typename Fields>
+  static bool TooManyFields(const Fields& fields) {
+    size_t left = kMaxHeaderFields;
+    for (auto it = fields.begin(); it != fields.end(); ++it) {
+      if (left-- == 0) return true;
+    }
+    return false;
+  }
   std::string_view View() const { return std::string_view(in_).substr(at_); }
   // Memory that a long message needed is given back when nothing is left of it.
   void Took(size_t bytes) {
