Proxy: what requests hold counts, and a tenant has a part of the memory

Cause: the budget for bodies counted what connections hold, and a connection hands each part of a long body on. The request that collected it counted nothing, grew one string by doubling, and copied it for each attempt; the tenant's limit was looked at when the body was whole.

Change: a request's head and body count for its tenant until it is released; the budget is half of memory_mb; a tenant holds twice what is left at most (503, event body_refused). Key, route and limit are looked at when the head is here, and key and route again when the body is. Bodies are held and sent in pieces. Where nothing is left, unread answers and requests that aren't whole make room, oldest first.

--- a/src/bodies/body_memory.h
+++ b/src/bodies/body_memory.h
@@ -26,6 +26,10 @@
   size_t Window() const { return std::clamp(Left() / 128, kLeastWindow, kMostWindow); }
   // A further long body is turned away: what is left is for those that have begun, and for short ones.
   bool Crowded() const { return Left() < budget_ / 8; }
+  // Nothing is left: what is not whole yet, or not read by its client, makes room.
+  bool Full() const { return Left() == 0; }
+  // Up to how many bytes an answer is held until it is whole; a longer one goes on in pieces.
+  size_t WholeAnswer() const { return Crowded() ? kLeastWindow : kWhole; }
 
   size_t used() const { return used_; }
   size_t budget() const { return budget_; }
--- a/src/net/backend_links.cpp
+++ b/src/net/backend_links.cpp
@@ -76,6 +76,7 @@
 
   void Send(std::string text, bool last) {
     message_ = std::move(text);
+    last_sent_ = last;
     Account();
     uint64_t mine = exchange_;
     sending_ = true;
@@ -116,7 +117,7 @@
   bool Parse() {
     for (;;) {
       // Garbage, or an answer past every bound, ends this exchange.
-      size_t most = begun_ ? links_->memory_->Window() : BodyMemory::kWhole + 1;
+      size_t most = begun_ ? links_->memory_->Window() : links_->memory_->WholeAnswer() + 1;
       if (reader_.Parse(&body_, most) || interim_ > kMostInterim) return Lost(), true;
       Account();
       if (!reader_.head_done()) return false;
@@ -128,7 +129,7 @@
       if (reader_.unread() == 0) return false;
     }
     // Nothing after the answer's end, and nothing of its request left to write.
-    bool clean = reader_.unread() == 0 && !eof_ && !sending_;
+    bool clean = reader_.unread() == 0 && !eof_ && !sending_ && last_sent_;
     return Further(reader_.keep_alive() && clean);
   }
 
@@ -143,7 +144,8 @@
   bool Further(bool keep) {
     if (begun_) return GivePart(keep);
     if (reader_.done()) return Answered(keep), true;
-    bool is_long = reader_.length().value_or(0) > BodyMemory::kWhole || body_.size() > BodyMemory::kWhole;
+    size_t whole = links_->memory_->WholeAnswer();
+    bool is_long = reader_.length().value_or(0) > whole || body_.size() > whole;
     if (!is_long) return false;
     if (!Every() && reader_.head().result_int() != 200)
       return Answered(false), true;  // nobody reads the rest
@@ -251,6 +253,7 @@
   int interim_ = 0;
   bool closed_ = false, busy_ = false, reading_ = false;
   bool sending_ = false;      // of the message, something is still to be written
+  bool last_sent_ = true;     // the last piece of the message has been given to be written
   bool any_written_ = false;  // of the message, the system may have taken a byte
   bool begun_ = false;        // the answer is long, and told of in parts
   bool wanted_ = false;       // the next of it has been asked for
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -109,6 +109,14 @@
     Read();
   }
 
+  // No memory is left, and this request is not whole: nothing of it has been sent on.
+  void RefuseForMemory() {
+    if (state_ != State::kReading) return Close();
+    FreeMemory(&body_);
+    reader_.Drop();
+    Refuse(503);
+  }
+
   // Between requests only. Bytes that have come meanwhile are a request that is to be served.
   bool CloseIfIdle() {
     if (!idle()) return false;
@@ -127,6 +135,7 @@
     Busy(false);
     state_ = State::kClosed;
     NotIdle();
+    AnswerRead();
     timer_.cancel();
     CloseNow(socket_);
     ClientServer* server = server_;
@@ -160,6 +169,10 @@
     if (unfinished_at_.has_value()) server_->unfinished_.erase(*unfinished_at_);
     unfinished_at_.reset();
   }
+  void AnswerRead() {
+    if (unread_at_.has_value()) server_->unread_.erase(*unread_at_);
+    unread_at_.reset();
+  }
   void Unfinished() {
     NotIdle();
     unfinished_at_ = server_->unfinished_.insert(server_->unfinished_.end(), id_);
@@ -242,7 +255,10 @@
       // Nothing of it has been sent on, so turning it away is harmless.
       bool is_long = reader_.length().value_or(0) > bodies::BodyMemory::kWhole ||
                      body_.size() >= bodies::BodyMemory::kWhole;
-      if (is_long && server_->memory_->Crowded()) return Refuse(503);
+      if (is_long && server_->memory_->Crowded()) {
+        ++server_->memory_refusals_;
+        return RefuseForMemory();
+      }
       if (!continued_ && boost::beast::iequals(reader_.head()[http::field::expect], "100-continue")) {
         continued_ = true;
         static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -252,6 +268,7 @@
       if (body_.size() >= limit) return Given(true);
     }
     LimitRequest();
+    if (server_->memory_->Full()) server_->MakeRoom();
   }
 
   // A body may come as slowly as kSlowestBody once its head is here; what comes more slowly than that never
@@ -388,6 +405,7 @@
       if (state_ == State::kClosed) return;
       timer_.cancel();
       sending_ = false;
+      AnswerRead();
       if (error) return asio::post(server_->io_, [self, this] { Close(); });
       if (message_.capacity() > kMaxHeader) {
         FreeMemory(&message_);
@@ -398,6 +416,10 @@
       done();
     });
     LimitWriting();
+    if (sending_ && server_->memory_->Full())
+      asio::post(server_->io_, [self = shared_from_this(), this] {
+        if (state_ != State::kClosed) server_->MakeRoom();
+      });
   }
   void Drained() { server_->events_.on_drained(id_); }
 
@@ -419,6 +441,8 @@
   // Guards against a client that never reads its answer.
   void LimitWriting() {
     if (!sending_) return;
+    AnswerRead();  // of the part before, whose `done` has sent this one
+    unread_at_ = server_->unread_.insert(server_->unread_.end(), id_);
     timer_.expires_after(kAnswerRead);
     timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
       if (!cancelled && sending_) Close();
@@ -450,7 +474,7 @@
   bodies::BodyShare share_;
   MessageReader<true> reader_;
   std::string body_, message_;
-  std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_;
+  std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_, unread_at_;
   Clock::time_point first_;                // from which the request that is not whole is timed
   std::optional<Clock::time_point> head_;  // when its head was whole
   State state_ = State::kReading;
@@ -515,6 +539,20 @@
   retry_.cancel();
 }
 
+// Frees memory: first of the answer that has waited longest for its client to read it, then of the request
+// that began first and is not whole.
+void ClientServer::MakeRoom() {
+  while (memory_->Full() && (!unread_.empty() || !unfinished_.empty())) {
+    ++memory_refusals_;
+    if (!unread_.empty()) {
+      connections_.at(unread_.front())->Close();
+      continue;
+    }
+    auto oldest = connections_.at(unfinished_.front());
+    oldest->RefuseForMemory();
+  }
+}
+
 void ClientServer::Accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted || !accepting_) return;
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -73,11 +73,14 @@
   void AskToClose(bool on) { asking_to_close_ = on; }  // while it is so, each answer ends its connection
   void CloseIdle();                                    // those on which nothing has begun
   bool Quiet();  // no connection is open, and none waits that is this process's to take
+  // Requests refused, and connections closed, because no memory was left for them.
+  uint64_t memory_refusals() const { return memory_refusals_; }
   size_t busy() const { return busy_; }  // connections with a whole request whose answer is not out
 
  private:
   class Connection;
 
+  void MakeRoom();
   void Accept();
   void Taken(tcp::socket socket);
   std::shared_ptr<Connection> Find(uint64_t connection) const;
@@ -88,11 +91,12 @@
   const size_t most_;
   bodies::BodyMemory* memory_;
   Events events_;
-  uint64_t last_ = 0;
+  uint64_t last_ = 0, memory_refusals_ = 0;
   size_t busy_ = 0;
   bool asking_to_close_ = false, paused_ = false, accepting_ = false;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
   std::list<uint64_t> idle_;        // longest idle first
+  std::list<uint64_t> unread_;      // whose answer is not read by the client: the first to be sent first
   std::list<uint64_t> unfinished_;  // begun but not whole, or lingering: the first to begin first
 };
 
--- a/system/programs/proxy/exchanges.cpp
+++ b/system/programs/proxy/exchanges.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "net/address.h"
+#include "process/log.h"
 
 namespace ivygw::proxy {
 
@@ -19,7 +20,13 @@
 constexpr double kReserve = 0.004;                   // s of the client's time that are kept for the way back
 constexpr double kNotReady = 0.15;                   // s, after a refusal while the lists are on their way
 constexpr double kLeastRetryAfter = 0.05;            // s, after a refusal for a limit
+constexpr double kMemoryRetryAfter = 1;              // s, after a refusal for want of memory
+constexpr double kMemoryLogInterval = 1;             // s, between two events that tell of such refusals
 constexpr size_t kMostCollected = size_t{16} << 20;  // bytes of a body that is collected
+constexpr size_t kSmallRequest = size_t{8} * 1024;   // bytes of one that is taken whatever its tenant holds
+constexpr char kTooLong[] = "body: over 16 MiB, or over what limits.memory_mb lets one body take";
+constexpr char kNoMemory[] = "limits.memory_mb: no memory for this body now";
+constexpr size_t kFieldOverhead = 96;  // bytes of a header line beside its text, about
 
 // Headers that the proxy sets itself.
 bool Own(std::string_view name) {
@@ -30,6 +37,16 @@
   return false;
 }
 
+// The memory that a parsed head takes, about.
+size_t BytesOf(const http::request_header<>& head) {
+  size_t bytes = head.target().size();
+  for (const auto& field : head) bytes += field.name_string().size() + field.value().size() + kFieldOverhead;
+  return bytes;
+}
+
+// Of no tenant: public routes, and requests that are not identified yet.
+const std::string kNoTenant;
+
 lifecycle::BackendReply ReplyOf(BackendAnswer&& answer) {
   lifecycle::BackendReply reply;
   reply.attempt_id = std::move(answer.attempt_id);
@@ -55,6 +72,10 @@
 
 }  // namespace
 
+const std::string& Exchanges::TenantOf(const ActiveRequest& request) {
+  return request.tenant ? request.tenant->name : kNoTenant;
+}
+
 Exchanges::Exchanges(asio::io_context& io, bodies::BodyMemory* memory, routing::Routes* routes,
                      rate_limit::Admission* admission, load_balancing::Pool* pool,
                      load_balancing::RetryBudget* budget, const drain::DrainManager* drain)
@@ -64,6 +85,7 @@
       pool_(pool),
       budget_(budget),
       drain_(drain),
+      memory_(memory),
       lifecycle_(this),
       links_(io, memory, this, AnswerStyle::kEvery) {}
 
@@ -89,27 +111,55 @@
 
 void Exchanges::OnRequest(uint64_t client, ClientMessage message) {
   RequestId id = lifecycle_.StartRequest(ClientId{client});
-  ActiveRequest& request = active_requests_[id];
+  ActiveRequest& request = active_requests_.try_emplace(id, &memory_).first->second;
   request.arrived = Now();
   ++figures_.requests;
-  bool more = message.more;
+  request.body.Append(std::move(message.body));
   request.message = std::move(message);
-  if (more) return front_->ReadBody(client);
-  Begin(id);
+  FreeMemory(&request.message.body);
+  request.message.more ? BeginLong(client, id) : Begin(id);
 }
 
-void Exchanges::OnClientBody(uint64_t client, const std::string& bytes, bool last) {
+// A body that is still coming is collected only for a request that may be served: what is refused already
+// needn't be held for it.
+void Exchanges::BeginLong(uint64_t client, RequestId id) {
+  if (!Identify(id)) return;
+  ActiveRequest& request = active_requests_.at(id);
+  size_t longest = std::min(kMostCollected, memory_.LongestBody());
+  if (request.message.length.value_or(0) > longest) return Reject(id, 413, 0, kTooLong);
+  if (!memory_.MayBegin(TenantOf(request))) return RejectForMemory(id);
+  if (!Hold(id)) return;
+  request.body_timer = std::make_unique<asio::steady_timer>(io_);
+  request.body_timer->expires_after(Seconds(std::max(0.0, request.deadline - Now())));
+  request.body_timer->async_wait([this, id](error_code cancelled) {
+    if (!cancelled) Reject(id, 503, kNotReady, "deadline");
+  });
+  Judge(id);
+  if (active_requests_.count(id) > 0) front_->ReadBody(client);
+}
+
+void Exchanges::OnClientBody(uint64_t client, std::string bytes, bool last) {
   RequestId id = lifecycle_.RequestOf(ClientId{client});
   auto it = active_requests_.find(id);
   if (it == active_requests_.end()) return;
-  std::string& body = it->second.message.body;
-  body += bytes;
-  if (body.size() > kMostCollected) {
-    it->second.body_complete = true;  // no more of it is wanted
-    return Reject(id, 413, 0, "body");
-  }
+  RequestBody& body = it->second.body;
+  body.Append(std::move(bytes));
+  if (body.size() > std::min(kMostCollected, memory_.LongestBody())) return Reject(id, 413, 0, kTooLong);
   if (last) return Begin(id);
-  front_->ReadBody(client);
+  if (Hold(id)) front_->ReadBody(client);
+}
+
+// Whether the request may go on holding what it holds, by its tenant's part of the memory; if not, it is
+// rejected. A small one always may.
+bool Exchanges::Hold(RequestId id) {
+  ActiveRequest& request = active_requests_.at(id);
+  const std::string& tenant = TenantOf(request);
+  size_t bytes = BytesOf(request.message.head) + request.body.held();
+  request.share.Hold(tenant, bytes);
+  if (bytes <= kSmallRequest || memory_.WithinPart(tenant, request.body.size() > bodies::BodyMemory::kWhole))
+    return true;
+  RejectForMemory(id);
+  return false;
 }
 
 void Exchanges::RefuseIncomplete() {
@@ -131,18 +181,35 @@
   if (lifecycle_.RequestOf(ClientId{client}).valid()) Tell(lifecycle::ClientDrained{ClientId{client}});
 }
 
-// The body is here: who it is from and where it goes.
+// The body is here. Where the request goes is looked up anew, as the configuration may have changed since its
+// head came.
 void Exchanges::Begin(RequestId id) {
   ActiveRequest& request = active_requests_.at(id);
   request.body_complete = true;
-  auto& head = request.message.head;
-  if (!open_) return Reject(id, 503, kNotReady, "not ready");
+  request.body_timer.reset();
+  if (!Identify(id) || !Hold(id)) return;
+  bool judged = request.admission != Admission::kUndecided && request.judged && request.tenant &&
+                request.judged->name == request.tenant->name;
+  judged ? SendIfReady(id) : Judge(id);
+}
+
+// Finds out who the request is from, where it goes and until when. Rejects it and returns false where it
+// can't be served.
+bool Exchanges::Identify(RequestId id) {
+  ActiveRequest& request = active_requests_.at(id);
+  const auto& head = request.message.head;
+  auto reject = [&](int status, double retry_after_s, const char* reason) {
+    Reject(id, status, retry_after_s, reason);
+    return false;
+  };
+  if (!open_) return reject(503, kNotReady, "not ready");
   request.route = routes_->Find(View(head[http::field::host]), View(head.target()));
-  if (!request.route) return Reject(id, 404, 0, "no route");
+  if (!request.route) return reject(404, 0, "no route");
+  request.tenant.reset();
   if (routes_->has_tenants() && !request.route->open) {
     auto key = head.find("Credential");
     if (key != head.end()) request.tenant = routes_->FindTenant(std::string(View(key->value())));
-    if (!request.tenant) return Reject(id, 401, 0, "no key");
+    if (!request.tenant) return reject(401, 0, "no key");
   }
   double allowed = request.route->timeout_ms / 1000.0;
   std::string_view told = View(head["Deadline-Remaining"]);
@@ -151,19 +218,30 @@
   if (!told.empty() && bad == std::errc() && std::isfinite(ms))
     allowed = std::min(allowed, ms / 1000 - kReserve);
   request.deadline = request.arrived + allowed;
-  if (!drain_->MayServe(Now(), request.deadline)) return Reject(id, 503, kNotReady, "stopping");
-  if (!request.tenant) return Admitted(id);
+  if (!drain_->MayServe(Now(), request.deadline)) return reject(503, kNotReady, "stopping");
+  return true;
+}
+
+void Exchanges::Judge(RequestId id) {
+  ActiveRequest& request = active_requests_.at(id);
+  EndPending(id, &request);
+  request.judged = request.tenant;
+  if (!request.tenant) return Judged(id, {.admitted = true});
   Judged(id, admission_->OnRequest(request.arrived, *request.tenant));
 }
 
 void Exchanges::Judged(RequestId id, const rate_limit::AdmissionDecision& verdict) {
   ActiveRequest& request = active_requests_.at(id);
-  request.pending = verdict.pending && !verdict.admitted;
-  if (verdict.admitted) return Admitted(id);
+  if (verdict.admitted) {
+    request.admission = Admission::kAdmitted;
+    return SendIfReady(id);
+  }
   if (!verdict.pending) {
+    request.admission = Admission::kUndecided;
     ++figures_.limited;
     return Reject(id, 429, verdict.retry_after_s, "limit");
   }
+  request.admission = Admission::kPending;
   pending_.push_back(id);
   if (request.timer) return;
   request.timer = std::make_unique<asio::steady_timer>(io_);
@@ -175,30 +253,40 @@
 
 void Exchanges::OnTokenLate(RequestId id) {
   auto it = active_requests_.find(id);
-  if (it == active_requests_.end() || !it->second.pending) return;
-  it->second.pending = false;
+  if (it == active_requests_.end() || it->second.admission != Admission::kPending) return;
+  ActiveRequest& request = it->second;
+  request.admission = Admission::kUndecided;
   std::erase(pending_, id);
-  const std::string& tenant = it->second.tenant->name;
+  const std::string& tenant = request.judged->name;
   rate_limit::AdmissionDecision last = admission_->RetryPending(Now(), tenant);
-  if (last.admitted) return Admitted(id);
+  if (last.admitted) return Judged(id, last);
   if (last.pending) admission_->CancelPending(tenant);
   ++figures_.limited;
   Reject(id, 429, std::max(kLeastRetryAfter, last.retry_after_s), "limit");
 }
 
+// A request whose token is on its way needs none any more.
+void Exchanges::EndPending(RequestId id, ActiveRequest* request) {
+  if (request->admission != Admission::kPending) return;
+  request->admission = Admission::kUndecided;
+  std::erase(pending_, id);
+  admission_->CancelPending(request->judged->name);
+}
+
 void Exchanges::OnGrants() {
   std::deque<RequestId> ids;
   ids.swap(pending_);
   for (RequestId id : ids) {
     auto it = active_requests_.find(id);
-    if (it == active_requests_.end() || !it->second.pending) continue;
-    it->second.pending = false;
-    Judged(id, admission_->RetryPending(Now(), it->second.tenant->name));
+    if (it == active_requests_.end() || it->second.admission != Admission::kPending) continue;
+    it->second.admission = Admission::kUndecided;
+    Judged(id, admission_->RetryPending(Now(), it->second.judged->name));
   }
 }
 
-void Exchanges::Admitted(RequestId id) {
+void Exchanges::SendIfReady(RequestId id) {
   ActiveRequest& request = active_requests_.at(id);
+  if (!request.body_complete || request.admission != Admission::kAdmitted) return;
   lifecycle::RequestAdmitted event;
   event.request = id;
   event.attempt_id = View(request.message.head["Attempt-Id"]);
@@ -214,6 +302,21 @@
   Tell(lifecycle::RequestRejected{id, status, retry_after_s, reason});
 }
 
+void Exchanges::RejectForMemory(RequestId id) {
+  const ActiveRequest& request = active_requests_.at(id);
+  ++figures_.no_memory;
+  if (Now() >= memory_logged_at_ + kMemoryLogInterval) {
+    memory_logged_at_ = Now();
+    const std::string& tenant = TenantOf(request);
+    process::Log("body_refused")
+        .Add("tenant", tenant)
+        .Add("bytes", request.body.size())
+        .Add("tenant_bytes", memory_.HeldBy(tenant))
+        .Add("so_far", figures_.no_memory);
+  }
+  Reject(id, 503, kMemoryRetryAfter, kNoMemory);
+}
+
 // --- Backends: callbacks to events ---
 
 void Exchanges::OnConnected(uint64_t connection) {
@@ -305,27 +408,52 @@
 void Exchanges::CarryOut(lifecycle::SendRequest& effect) {
   ActiveRequest& request = active_requests_.at(effect.request);
   request.connect_timer.reset();
-  links_.Write(effect.connection.value, Message(request, effect.backend), true);
+  std::string message = HeadOf(request, effect.backend);
+  const std::vector<std::string>& pieces = request.body.pieces();
+  uint64_t connection = effect.connection.value;
+  if (pieces.size() <= 1) {
+    if (!pieces.empty()) message += pieces.front();
+    return links_.Write(connection, std::move(message), true);
+  }
+  sendings_[connection] = {effect.request, 0};
+  links_.Write(connection, std::move(message), true, true);
 }
 
-std::string Exchanges::Message(const ActiveRequest& request, const std::string& backend) const {
+// The next piece of a body. A copy, as another attempt may need it, too.
+void Exchanges::OnDrained(uint64_t connection) {
+  auto it = sendings_.find(connection);
+  if (it == sendings_.end()) return;
+  auto request = active_requests_.find(it->second.request);
+  if (request == active_requests_.end()) return void(sendings_.erase(it));
+  const std::vector<std::string>& pieces = request->second.body.pieces();
+  size_t piece = it->second.next_piece++;
+  if (piece >= pieces.size()) return void(sendings_.erase(it));
+  bool last = piece + 1 == pieces.size();
+  if (last) sendings_.erase(it);
+  links_.WriteMore(connection, pieces[piece], last);
+}
+
+std::string Exchanges::HeadOf(const ActiveRequest& request, const std::string& backend) const {
   const auto& head = request.message.head;
-  const std::string& body = request.message.body;
+  size_t length = request.body.size();
   long left_ms = static_cast<long>(std::max(1.0, (request.deadline - Now()) * 1000));
   std::string out;
-  out.reserve(512 + body.size());
+  out.reserve(512 + (request.body.pieces().size() == 1 ? length : 0));
   out.append(View(head.method_string())).append(" ").append(View(head.target())).append(" HTTP/1.1\r\n");
   AppendEndToEnd(head, &out, [](const auto& field) { return Own(View(field.name_string())); });
   out += "Deadline-Remaining: " + std::to_string(left_ms) + "\r\n";
   out += "Expected-Instance: " + backend + "\r\n";
   if (request.tenant) out += "Tenant-Name: " + request.tenant->name + "\r\n";
-  if (!body.empty() || head.method() == http::verb::post || head.method() == http::verb::put) {
-    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (length > 0 || head.method() == http::verb::post || head.method() == http::verb::put) {
+    out += "Content-Length: " + std::to_string(length) + "\r\n";
   }
-  return out.append("\r\n").append(body);
+  return out.append("\r\n");
 }
 
-void Exchanges::CarryOut(lifecycle::CloseConnection& effect) { links_.Close(effect.connection.value); }
+void Exchanges::CarryOut(lifecycle::CloseConnection& effect) {
+  sendings_.erase(effect.connection.value);
+  links_.Close(effect.connection.value);
+}
 
 void Exchanges::CarryOut(lifecycle::ReadAnswerPart& effect) { links_.ReadMore(effect.connection.value); }
 
@@ -363,8 +491,17 @@
   front_->Reply(effect.client.value, AnswerOf(std::move(effect.content)));
 }
 
+// No further attempt follows, so the body is not needed any more, however long the answer takes.
 void Exchanges::CarryOut(lifecycle::ForwardStart& effect) {
-  active_requests_.at(effect.request).timer.reset();
+  ActiveRequest& request = active_requests_.at(effect.request);
+  request.timer.reset();
+  bool is_sending = std::any_of(sendings_.begin(), sendings_.end(), [&](const auto& sending) {
+    return sending.second.request == effect.request;
+  });
+  if (!is_sending) {
+    request.body.Clear();
+    request.share.Hold(TenantOf(request), BytesOf(request.message.head));
+  }
   std::optional<uint64_t> length = effect.content.length;
   front_->ReplyBegin(effect.client.value, AnswerOf(std::move(effect.content)), length);
 }
@@ -382,10 +519,7 @@
 
 void Exchanges::CarryOut(lifecycle::ReleaseRequest& effect) {
   auto it = active_requests_.find(effect.request);
-  if (it->second.pending) {
-    std::erase(pending_, effect.request);
-    admission_->CancelPending(it->second.tenant->name);
-  }
+  EndPending(effect.request, &it->second);
   active_requests_.erase(it);
 }
 
--- a/system/programs/proxy/gateway.cpp
+++ b/system/programs/proxy/gateway.cpp
@@ -20,6 +20,12 @@
 size_t MaxClients(const process::Settings& settings) {
   return static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000));
 }
+// Half of the memory is for what clients and backends send; the other half for the program, its tables, and
+// what sockets hold.
+size_t BodyBudget(const process::Settings& settings) {
+  constexpr int kLeastMb = 16;
+  return static_cast<size_t>(std::max(kLeastMb, settings.memory_mb / 2)) << 20;
+}
 uint64_t Seed() {
   std::random_device source;
   return source();
@@ -31,7 +37,7 @@
     : io_(io),
       settings_(settings),
       ended_(std::move(ended)),
-      memory_(static_cast<size_t>(std::max(16, settings.memory_mb / 3)) << 20),
+      memory_(BodyBudget(settings)),
       configuration_(Table::kConfiguration, &journal_),
       backends_(Table::kBackends, &journal_),
       admission_({0.1, settings.quota_slack, settings.quota_window_s, 30}),
@@ -62,8 +68,8 @@
             });
           },
           [this](uint64_t client, bool answer_pending) { exchanges_.OnClientClosed(client, answer_pending); },
-          [this](uint64_t client, const std::string& bytes, bool last) {
-            exchanges_.OnClientBody(client, bytes, last);
+          [this](uint64_t client, std::string bytes, bool last) {
+            exchanges_.OnClientBody(client, std::move(bytes), last);
           },
           [this](uint64_t client) { exchanges_.OnClientDrained(client); }});
   exchanges_.Serve(front_.get());
@@ -169,6 +175,8 @@
         .Add("denied", f.denied)
         .Add("ended", f.ended)
         .Add("held", exchanges_.active_requests())
+        .Add("no_memory", f.no_memory + front_->memory_refusals())
+        .Add("memory_mb", memory_.used() >> 20)
         .Add("provisional", backends_.provisional_items())
         .Add("overruled", backends_.overruled_items());
   }
--- a/tests/bodies/body_memory_test.cpp
+++ b/tests/bodies/body_memory_test.cpp
@@ -7,6 +7,8 @@
 #include <random>
 #include <vector>
 
+#include "bodies/tenant_memory.h"
+
 namespace ivygw::bodies {
 namespace {
 
@@ -31,6 +33,46 @@
   EXPECT_FALSE(memory.Crowded());
 }
 
+TEST(TenantMemory, ASingleTenantTakesTwoThirdsAndLeavesRoomForAnother) {
+  BodyMemory memory(16 * kMb);  // 14 of them for long bodies
+  TenantMemory tenants(&memory);
+  TenantMemory::Share hot(&tenants), calm(&tenants);
+  hot.Hold("hot", 7 * kMb);
+  EXPECT_TRUE(tenants.MayBegin("hot"));
+  hot.Hold("hot", 9 * kMb);
+  EXPECT_FALSE(tenants.MayBegin("hot"));
+  EXPECT_TRUE(tenants.WithinPart("hot", true)) << "what has begun may go on";
+  hot.Hold("hot", 10 * kMb);
+  EXPECT_FALSE(tenants.WithinPart("hot", true));
+  EXPECT_TRUE(tenants.WithinPart("hot", false)) << "a further eighth is for bodies that are not long";
+  EXPECT_TRUE(tenants.MayBegin("calm"));
+  calm.Hold("calm", 2 * kMb);
+  EXPECT_TRUE(tenants.WithinPart("calm", true));
+}
+
+TEST(TenantMemory, WhatIsHeldFollowsItsTenantAndComesBack) {
+  BodyMemory memory(16 * kMb);
+  TenantMemory tenants(&memory);
+  {
+    TenantMemory::Share share(&tenants);
+    share.Hold("", 3000);
+    share.Hold("a", 3000);
+    EXPECT_EQ(tenants.HeldBy(""), 0u);
+    EXPECT_EQ(tenants.HeldBy("a"), 3000u);
+    EXPECT_EQ(memory.used(), 3000u);
+  }
+  EXPECT_EQ(tenants.HeldBy("a"), 0u);
+  EXPECT_EQ(memory.used(), 0u);
+}
+
+TEST(TenantMemory, TheLongestBodyIsOneThatIsWithinItsPartAlone) {
+  BodyMemory memory(16 * kMb);
+  TenantMemory tenants(&memory);
+  TenantMemory::Share share(&tenants);
+  share.Hold("a", tenants.LongestBody());
+  EXPECT_TRUE(tenants.WithinPart("a", true));
+}
+
 TEST(BodyMemory, SharesComeBack) {
   BodyMemory memory(kMb);
   {
