Registry: calls whose bodies are not whole count, and have a bound

Callers that begin large orders and don't end them could take a registry over its memory, and the next one that they go on to: each body was held up to 33 MiB and counted nowhere, as a connection hands it on.

What is collected counts; together an eighth of memory_mb, 16 MiB one (503 and 413, event call_refused).

CoreMachines.CallsThatAreNotWholeStayWithinTheRegistrysMemory failed on the code before (nobody refused within 15 s), and passes.

--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -5,6 +5,7 @@
 #include "config_model/json.h"
 #include "drain/drain_manager.h"
 #include "net/address.h"
+#include "process/log.h"
 #include "registry/call_target.h"
 
 namespace ivygw::registry {
@@ -18,7 +19,9 @@
 constexpr char kRole[] = "registry";
 constexpr Duration kForwardTimeout{1.5};  // for the store of configuration to answer
 constexpr Duration kStopTimeout = kForwardTimeout + Duration(0.5);  // at most
-constexpr size_t kBodyMemory = size_t{32} << 20;
+constexpr size_t kLongestCall = size_t{16} << 20;                   // bytes of a call's body
+constexpr char kTooLong[] = "body: over 16 MiB";
+constexpr char kNoMemory[] = "limits.memory_mb: no memory for this call now";
 // Ticks, of some 0.1 s.
 constexpr uint64_t kSeenInterval = 5;
 constexpr uint64_t kExpiryInterval = 20;
@@ -30,6 +33,13 @@
   return static_cast<size_t>(std::clamp((settings.descriptors - kReserved) * 6 / 10, kLeast, kMost));
 }
 
+// For the bodies of calls. The rest is for the table, the gateways' connections, and calls on their way to
+// the store.
+size_t BodyBudget(const process::Settings& settings) {
+  constexpr int kLeastMb = 16;
+  return static_cast<size_t>(std::max(kLeastMb, settings.memory_mb / 8)) << 20;
+}
+
 tcp::endpoint StoreAddress(const process::Settings& settings) {
   return {asio::ip::make_address(settings.ip), static_cast<uint16_t>(settings.first_port + 1)};
 }
@@ -41,7 +51,7 @@
       node_(io, settings, {kRole, settings.first_port, kBackendPrefix}, &policy_, NodeEvents()),
       backends_(&node_),
       quota_(&node_, settings.ip, settings.initial_boot),
-      memory_(kBodyMemory),
+      memory_(BodyBudget(settings)),
       server_(io, MaxClients(settings), &memory_, ServerEvents()),
       store_(std::make_unique<transport::Dialer>(io, StoreAddress(settings), StoreEvents())),
       stop_timeout_(std::min(kStopTimeout, Duration(drain::DrainSchedule::ForGrace(settings.grace_s).end))) {
@@ -142,20 +152,32 @@
 
 void Registry::OnCall(uint64_t connection, ClientMessage message) {
   if (!message.more) return Dispatch(connection, message);
-  incomplete_[connection] = std::move(message);
+  if (message.length.value_or(0) > kLongestCall) return Refuse(connection, 413, kTooLong);
+  incomplete_.try_emplace(connection, std::move(message), &memory_);
   server_.ReadBody(connection);
 }
 
 void Registry::OnCallBody(uint64_t connection, const std::string& bytes, bool last) {
   auto it = incomplete_.find(connection);
   if (it == incomplete_.end()) return;
-  it->second.body += bytes;
+  std::string& body = it->second.message.body;
+  body += bytes;
+  it->second.share.Hold(body.capacity());
+  if (body.size() > kLongestCall) return Refuse(connection, 413, kTooLong);
+  if (memory_.Full()) return Refuse(connection, 503, kNoMemory);
   if (!last) return server_.ReadBody(connection);
-  ClientMessage message = std::move(it->second);
+  ClientMessage message = std::move(it->second.message);
   incomplete_.erase(it);
   Dispatch(connection, message);
 }
 
+// Of a call whose body is not whole: nothing of it has been passed on.
+void Registry::Refuse(uint64_t connection, int status, const std::string& fault) {
+  incomplete_.erase(connection);
+  process::Log("call_refused").Add("fault", fault).Add("memory_mb", memory_.used() >> 20);
+  Reply(connection, status, ErrorBody(fault));
+}
+
 void Registry::Dispatch(uint64_t connection, const ClientMessage& message) {
   CallTarget target = ParseCallTarget(View(message.head.target()));
   if (target.segments != std::vector<std::string>{"ivygw", "rpc"})
--- a/system/programs/registry/registry.h
+++ b/system/programs/registry/registry.h
@@ -33,6 +33,14 @@
   const replicated_table::CoreNode& node() const { return node_; }
 
  private:
+  // A call whose body is still coming.
+  struct IncompleteCall {
+    IncompleteCall(ClientMessage begun, bodies::BodyMemory* memory)
+        : message(std::move(begun)), share(memory) {}
+    ClientMessage message;
+    bodies::BodyShare share;  // of the memory that the body takes
+  };
+
   // Events of the table, of clients, and of the store of configuration.
   replicated_table::CoreNode::Events NodeEvents();
   ClientServer::Events ServerEvents();
@@ -45,6 +53,7 @@
   // Calls.
   void OnCall(uint64_t connection, ClientMessage message);
   void OnCallBody(uint64_t connection, const std::string& bytes, bool last);
+  void Refuse(uint64_t connection, int status, const std::string& fault);
   void Dispatch(uint64_t connection, const ClientMessage& message);
   Answer AnswerTo(uint64_t connection);
   void Reply(uint64_t connection, int status, std::string body);
@@ -62,7 +71,7 @@
   ClientServer server_;
   std::unique_ptr<transport::Dialer> store_;
   call_routing::PendingCalls forwarded_{std::random_device()()};
-  std::map<uint64_t, ClientMessage> incomplete_;  // calls whose body is still coming, by connection
+  std::map<uint64_t, IncompleteCall> incomplete_;  // by connection
   uint64_t ticks_ = 0;
   const Duration stop_timeout_;
   TimePoint stop_deadline_;
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -3,6 +3,7 @@
 // condition holds, or a bound has passed.
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdlib>
@@ -318,6 +319,42 @@
   CHECK(Now() - began < 3);
 }
 
+// Guards against calls whose bodies never end and fill the registry's memory: each held up to 33 MiB, and
+// nothing bounded them together.
+TEST(CoreMachines, CallsThatAreNotWholeStayWithinTheRegistrysMemory) {
+  World world;
+  world.StartThree();
+  const size_t length = size_t{12} << 20;
+  const std::string head =
+      "POST /ivygw/rpc?call=configuration.modify HTTP/1.1\r\nHost: control\r\nContent-Length: " +
+      std::to_string(length) + "\r\n\r\n";
+  const std::string sent = head + std::string(length - 1, ' ');
+  struct Caller {
+    tcp::socket socket;
+    std::string answer;
+    bool refused = false;
+  };
+  std::vector<std::shared_ptr<Caller>> callers;
+  for (int i = 0; i < 8; ++i) {
+    auto caller = std::make_shared<Caller>(Caller{tcp::socket(world.io), "", false});
+    caller->socket.connect({asio::ip::make_address(Address(1)), kDoorPort});
+    asio::async_write(caller->socket, asio::buffer(sent), [caller](error_code, size_t) {});
+    asio::async_read_until(
+        caller->socket, asio::dynamic_buffer(caller->answer), "\r\n\r\n",
+        [caller](error_code, size_t) { caller->refused = caller->answer.find(" 503 ") == 8; });
+    callers.push_back(caller);
+  }
+  auto refused = [&] {
+    return std::count_if(callers.begin(), callers.end(), [](const auto& caller) { return caller->refused; });
+  };
+  CHECK(world.RunUntil([&] { return refused() >= 6; }));  // 32 MiB hold two of them
+  CHECK_EQUAL(200, world.Tell(1, "ready", 1).status);
+  for (const auto& caller : callers) caller->socket.close();
+  std::string too_long = Call(Route("r1", "00000007", 100)) + std::string(size_t{17} << 20, ' ');
+  CHECK_EQUAL(413, world.Modify(1, too_long).status);
+  CHECK_EQUAL(200, world.ModifyUntilClear(1, Call(Route("r1", "00000007", 100))).status);
+}
+
 TEST(CoreMachines, AFourthCoreTakesThePlaceOfOneThatIsGone) {
   World world;
   world.StartThree();
