--- a/system/decisions/discovery/table_cache.h
+++ b/system/decisions/discovery/table_cache.h
@@ -93,6 +93,7 @@
   template <typename Entry>
   static std::vector<std::string> KeysOf(const std::map<std::string, Entry>& entries) {
     std::vector<std::string> keys;
+    keys.reserve(entries.size());
     for (const auto& [key, entry] : entries) keys.push_back(key);
     return keys;
   }
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -153,7 +153,8 @@
 void Registry::OnCall(uint64_t connection, ClientMessage message) {
   if (!message.more) return Dispatch(connection, message);
   if (message.length.value_or(0) > kLongestCall) return Refuse(connection, 413, kTooLong);
-  incomplete_.try_emplace(connection, std::move(message), &memory_);
+  IncompleteCall& call = incomplete_.try_emplace(connection, &memory_).first->second;
+  call.message = std::move(message);
   server_.ReadBody(connection);
 }
 
--- a/system/programs/registry/registry.h
+++ b/system/programs/registry/registry.h
@@ -35,8 +35,7 @@
  private:
   // A call whose body is still coming.
   struct IncompleteCall {
-    IncompleteCall(ClientMessage begun, bodies::BodyMemory* memory)
-        : message(std::move(begun)), share(memory) {}
+    explicit IncompleteCall(bodies::BodyMemory* memory) : share(memory) {}
     ClientMessage message;
     bodies::BodyShare share;  // of the memory that the body takes
   };
