Discovery: an earlier report that is decided later ends no undecided one

Callers could see: a drain that gateways had been told of is taken back for a moment, and requests go to the backend again before the drain is acknowledged. Since any decided item of a later table ended an undecided one of its key; one of a lower version is an earlier report of the same backend, and says nothing of the later one. Tombstones and the absence of the key end it whatever the versions, as before.

--- a/system/decisions/discovery/table_cache.h
+++ b/system/decisions/discovery/table_cache.h
@@ -159,15 +159,18 @@
     });
   }
 
-  // What a table holds that is later than the one from which a provisional item came prevails, whatever the
-  // versions: the item was decided there, or it is not to be used. `decided`: the item of that table, or
-  // null.
+  // Ends the provisional item of the key where a table of `revision` shows that it is outdated: by a decided
+  // item that is no older, or by a tombstone or the absence of the key in a later table, whatever the
+  // versions. A decided item that is older is an earlier report, and says nothing of the later one.
+  // `decided`: the item of that table, or null.
   void EndProvisional(const std::string& key, uint64_t revision, const messages::Item* decided) {
     auto it = provisional_.find(key);
     if (it == provisional_.end()) return;
-    bool is_decided = decided && *decided == it->second.item;
-    if (!is_decided && revision <= it->second.revision) return;
-    overruled_items_ += is_decided ? 0 : 1;
+    const ProvisionalItem& provisional = it->second;
+    bool is_gone = !decided || decided->dropped;
+    bool is_outdated = is_gone && revision > provisional.revision;
+    if (!is_outdated && !(decided && !messages::Newer(provisional.item, *decided))) return;
+    if (!decided || *decided != provisional.item) ++overruled_items_;
     provisional_.erase(it);
   }
 
--- a/tests/system/decisions_test.cpp
+++ b/tests/system/decisions_test.cpp
@@ -753,18 +753,20 @@
   CHECK(gateway.Empty());
 }
 
-TEST(Plumbing, AnUndecidedItemGivesWayToTheDecidedStateOfALaterTable) {
+// Guards against a drain that is told and taken back, as an earlier report is decided after it.
+TEST(Plumbing, AnUndecidedItemStaysUntilOneThatIsNoOlderIsDecided) {
   CachedTable gateway;
   gateway.Push(5, {{"k", 3, false, "ready"}});
   gateway.PushUndecided(7, {"k", 5, false, "draining"});
-  gateway.Push(6, {{"k", 3, false, "ready"}});  // a table that can't hold the decision
-  CHECK(gateway.received["k"].body == "draining");
   gateway.Push(8, {{"k", 4, false, "warm"}});
-  CHECK(gateway.received["k"].body == "warm");
-  gateway.PushUndecided(8, {"k", 6, false, "draining"});
-  gateway.Push(9, {{"k", 6, false, "draining"}});
+  CHECK(gateway.received["k"].body == "draining");
+  gateway.Push(9, {{"k", 5, false, "draining"}});
   CHECK(gateway.received["k"].body == "draining");
   CHECK_EQUAL(0u, gateway.cache.provisional_items());
+  CHECK_EQUAL(0u, gateway.cache.overruled_items());
+  gateway.PushUndecided(9, {"k", 6, false, "undecided"});
+  gateway.Push(10, {{"k", 7, false, "decided"}});
+  CHECK(gateway.received["k"].body == "decided");
   CHECK_EQUAL(1u, gateway.cache.overruled_items());
 }
 
