--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -242,7 +242,7 @@
     ActiveRequest& active = it->second;
     active.deadline = now + active.request.left_s;
     for (Attempt& attempt : active.attempts) {
-      if (attempt.in_flight) attempt.sent_at = now;  // the backend's answer time is measured from here too
+      if (attempt.in_flight) attempt.sent_at = now;  // the backend's answer time counts from here too
     }
     ArmTimer(active, now, out);
   }
--- a/src/rehearsal/report.h
+++ b/src/rehearsal/report.h
@@ -11,7 +11,7 @@
 namespace ivygw::rehearsal {
 
 // The load generator's lateness, p99 of writing a request against its intended time, beyond which a run is
-// void: what it then measured is the generator.
+// void: its times are then those of the generator.
 inline constexpr double kMostLateS = 0.01;
 
 nlohmann::json JsonReport(const eventlog::Record& record, const checker::Verdict& verdict);
--- a/src/standin/listener.h
+++ b/src/standin/listener.h
@@ -17,7 +17,7 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   uint16_t port() const { return port_; }
-  void Refuse();  // the port stays ours, and nothing listens: connections are refused
+  void Refuse();  // the port stays bound, and nothing listens: connections are refused
   // As a machine that has vanished: a connection never comes up. The backlog is made full, so that the kernel
   // drops what asks for one.
   void FallSilent();
--- a/src/state/files.h
+++ b/src/state/files.h
@@ -17,7 +17,7 @@
   using std::runtime_error::runtime_error;
 };
 
-// A file that was read whole and is spoilt or none of ours. Other errors say nothing of what it holds.
+// A file that was read whole and is spoilt or of another format. Other errors say nothing of what it holds.
 class StateDamaged : public StateError {
  public:
   using StateError::StateError;
@@ -29,7 +29,7 @@
   using StateError::StateError;
 };
 
-inline constexpr size_t kMostFile = size_t{16} << 20;  // bytes; a longer one is none of ours
+inline constexpr size_t kMostFile = size_t{16} << 20;  // bytes; a longer one was not written by this program
 
 class Descriptor {
  public:
--- a/src/state/operators_file.h
+++ b/src/state/operators_file.h
@@ -20,7 +20,7 @@
   bool operator==(const OperatorsWord&) const = default;
 };
 
-inline constexpr size_t kMostBans = 100000;  // in a file; more is no file of ours
+inline constexpr size_t kMostBans = 100000;  // in a file; a file with more was not written by this program
 
 // The file's text, and back. Parse throws StateError naming the field on what is torn, of another gateway or
 // of a form that is not known.
--- a/system/decisions/rate_limit/admission.cpp
+++ b/system/decisions/rate_limit/admission.cpp
@@ -17,7 +17,7 @@
 constexpr double kDrawRound = 0.05;
 // The maximum number of draws in a round.
 constexpr int kMaxDrawsPerRound = 3;
-// Requested share, as a multiple of the measured demand.
+// Requested share, as a multiple of the averaged demand.
 constexpr double kDemandHeadroom = 1.15;
 // Lowest demand, in requests per second, for which a share is requested when the bucket cannot hold a whole
 // request.
--- a/system/programs/load_test/fit.h
+++ b/system/programs/load_test/fit.h
@@ -1,4 +1,4 @@
-// Slopes. A straight line through measured points by least squares, with its spread. Pure.
+// Slopes. A straight line through points by least squares, with its spread. Pure.
 #ifndef IVYGW_SYSTEM_LOAD_TEST_FIT_H_
 #define IVYGW_SYSTEM_LOAD_TEST_FIT_H_
 
