Settings: the derivations of descriptors and memory stand once

The proxy and the registry each worked out their clients and their memory for bodies; both are functions of the settings now, with the same values. An accessor that nothing called is gone.

--- a/src/bodies/tenant_memory.h
+++ b/src/bodies/tenant_memory.h
@@ -32,7 +32,6 @@
       tenant_ = tenant;
       held_ = bytes;
     }
-    size_t held() const { return held_; }
 
    private:
     TenantMemory& memory_;
--- a/system/adapters/process/settings.cpp
+++ b/system/adapters/process/settings.cpp
@@ -1,9 +1,21 @@
 #include "process/settings.h"
 
+#include <algorithm>
+
 #include "config_model/json.h"
 
 namespace ivygw::process {
 
+size_t MaxClients(const Settings& settings) {
+  constexpr int kReserved = 250, kLeast = 64, kMost = 20000;
+  return static_cast<size_t>(std::clamp((settings.descriptors - kReserved) * 6 / 10, kLeast, kMost));
+}
+
+size_t PartOfMemory(const Settings& settings, int parts) {
+  constexpr int kLeastMb = 16;
+  return static_cast<size_t>(std::max(kLeastMb, settings.memory_mb / parts)) << 20;
+}
+
 std::vector<std::string> ReadSettings(const std::string& json, Settings* out) {
   std::vector<std::string> faults;
   auto add_fault = [&](std::string fault) {
--- a/system/adapters/process/settings.h
+++ b/system/adapters/process/settings.h
@@ -2,6 +2,7 @@
 #ifndef IVYGW_SYSTEM_PROCESS_SETTINGS_H_
 #define IVYGW_SYSTEM_PROCESS_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,11 @@
   double quota_window_s = 5, quota_overrun = 0.1, quota_slack = 20;
 };
 
+// How many clients' connections a process takes: a part of its descriptors.
+size_t MaxClients(const Settings& settings);
+// One of so many equal parts of `memory_mb`, in bytes; 16 MiB at least.
+size_t PartOfMemory(const Settings& settings, int parts);
+
 // The host of a host:port text.
 inline std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
--- a/system/programs/proxy/gateway.cpp
+++ b/system/programs/proxy/gateway.cpp
@@ -14,18 +14,12 @@
 
 namespace {
 
-constexpr double kTick = 0.05;                                   // s
-constexpr uint64_t kReportInterval = 5, kFiguresInterval = 100;  // ticks
-
-size_t MaxClients(const process::Settings& settings) {
-  return static_cast<size_t>(std::clamp((settings.descriptors - 250) * 6 / 10, 64, 20000));
-}
+constexpr double kTick = 0.05;  // s
 // Half of the memory is for what clients and backends send; the other half for the program, its tables, and
 // what sockets hold.
-size_t BodyBudget(const process::Settings& settings) {
-  constexpr int kLeastMb = 16;
-  return static_cast<size_t>(std::max(kLeastMb, settings.memory_mb / 2)) << 20;
-}
+constexpr int kMemoryParts = 2;
+constexpr uint64_t kReportInterval = 5, kFiguresInterval = 100;  // ticks
+
 uint64_t Seed() {
   std::random_device source;
   return source();
@@ -37,7 +31,7 @@
     : io_(io),
       settings_(settings),
       ended_(std::move(ended)),
-      memory_(BodyBudget(settings)),
+      memory_(process::PartOfMemory(settings, kMemoryParts)),
       configuration_(Table::kConfiguration, &journal_),
       backends_(Table::kBackends, &journal_),
       admission_({0.1, settings.quota_slack, settings.quota_window_s, 30}),
@@ -56,7 +50,7 @@
     if (event.table == Table::kBackends) pool_.ApplyItem(event.at, event.item);
   });
   front_ = std::make_unique<ClientServer>(
-      io, MaxClients(settings), &memory_,
+      io, process::MaxClients(settings), &memory_,
       ClientServer::Events{
           [this](uint64_t client, ClientMessage message) {
             exchanges_.OnRequest(client, std::move(message));
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kForwardTimeout{1.5};  // for the store of configuration to answer
 constexpr Duration kStopTimeout = kForwardTimeout + Duration(0.5);  // at most
 constexpr size_t kLongestCall = size_t{16} << 20;                   // bytes of a call's body
+// One part is for the bodies of calls, the rest for the table, the gateways' connections, and calls on their
+// way to the store.
+constexpr int kMemoryParts = 8;
 constexpr char kTooLong[] = "body: over 16 MiB";
 constexpr char kNoMemory[] = "limits.memory_mb: no memory for this call now";
 // Ticks, of some 0.1 s.
@@ -27,19 +30,6 @@
 constexpr uint64_t kExpiryInterval = 20;
 constexpr uint64_t kPruneInterval = 20;
 
-// The descriptors that are left for clients' connections.
-size_t MaxClients(const process::Settings& settings) {
-  constexpr int kReserved = 250, kLeast = 64, kMost = 20000;
-  return static_cast<size_t>(std::clamp((settings.descriptors - kReserved) * 6 / 10, kLeast, kMost));
-}
-
-// For the bodies of calls. The rest is for the table, the gateways' connections, and calls on their way to
-// the store.
-size_t BodyBudget(const process::Settings& settings) {
-  constexpr int kLeastMb = 16;
-  return static_cast<size_t>(std::max(kLeastMb, settings.memory_mb / 8)) << 20;
-}
-
 tcp::endpoint StoreAddress(const process::Settings& settings) {
   return {asio::ip::make_address(settings.ip), static_cast<uint16_t>(settings.first_port + 1)};
 }
@@ -51,8 +41,8 @@
       node_(io, settings, {kRole, settings.first_port, kBackendPrefix}, &policy_, NodeEvents()),
       backends_(&node_),
       quota_(&node_, settings.ip, settings.initial_boot),
-      memory_(BodyBudget(settings)),
-      server_(io, MaxClients(settings), &memory_, ServerEvents()),
+      memory_(process::PartOfMemory(settings, kMemoryParts)),
+      server_(io, process::MaxClients(settings), &memory_, ServerEvents()),
       store_(std::make_unique<transport::Dialer>(io, StoreAddress(settings), StoreEvents())),
       stop_timeout_(std::min(kStopTimeout, Duration(drain::DrainSchedule::ForGrace(settings.grace_s).end))) {
   if (!settings.control_plane.empty())
