--- a/tests/system/proxy_wire_test.cpp
+++ b/tests/system/proxy_wire_test.cpp
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
-#include "config_model/model.h"
 #include "net/message_reader.h"
 #include "proxy/exchanges.h"
+#include "system/proxy_rig.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
@@ -37,7 +37,6 @@
     R"("timeout_ms":5000,"target_latency_ms":1000,"target_service":"s","max_attempts":2,"config_version":"00000001"}],)"
     R"("service_table":[{"name":"s","health_path":"/h","config_version":"00000001"}]}})";
 
-tcp::endpoint Loopback() { return {asio::ip::address_v4::loopback(), 0}; }
 // Of one that is passed on in parts.
 std::string LongBodyOf(const std::string& id) { return std::string(150000, 'l') + id; }
 std::string BodyOf(const std::string& id) { return "the answer to " + id; }
@@ -398,49 +397,6 @@
   bool done_ = false;
 };
 
-struct Proxy {
-  Proxy(asio::io_context& io, bodies::BodyMemory* memory, uint64_t seed,
-        const std::vector<std::string>& addresses)
-      : admission(rate_limit::AdmissionOptions{}),
-        pool(seed, "z"),
-        budget(1, 10, 1000),
-        exchanges(io, memory, &routes, &admission, &pool, &budget, &drain),
-        front(io, 100, memory,
-              {[this](uint64_t client, ClientMessage message) {
-                 exchanges.OnRequest(client, std::move(message));
-               },
-               [this](uint64_t client, bool held) { exchanges.OnClientClosed(client, held); },
-               [this](uint64_t client, std::string bytes, bool last) {
-                 exchanges.OnClientBody(client, std::move(bytes), last);
-               },
-               [this](uint64_t client) { exchanges.OnClientDrained(client); }}) {
-    static const config_model::Change change = [] {
-      config_model::Change read;
-      config_model::ReadChange(kConfiguration, &read);
-      return read;
-    }();
-    for (const auto& item : change.items) routes.ApplyItem(item);
-    for (size_t i = 0; i < addresses.size(); ++i) {
-      discovery::Backend backend;
-      backend.service = "s";
-      backend.address = addresses[i];
-      backend.zone = "z";
-      backend.slot_count = 4;
-      pool.ApplyItem(0, {"backend/b" + std::to_string(i), 1, false, discovery::FormatBackend(backend)});
-    }
-    exchanges.Serve(&front);
-    exchanges.Open(true);
-    front.Listen(Loopback());
-  }
-  routing::Routes routes;
-  rate_limit::Admission admission;
-  load_balancing::Pool pool;
-  load_balancing::RetryBudget budget;
-  drain::DrainManager drain{drain::DrainSchedule::ForGrace(6)};
-  proxy::Exchanges exchanges;
-  ClientServer front;
-};
-
 void Settle(asio::io_context& io) {
   for (int quiet = 0; quiet < 3; ++quiet) {
     io.restart();
@@ -460,7 +416,8 @@
   size_t offset = static_cast<size_t>(seed / kActions);
   Backend first(io, &dice, action, offset, &ledger), second(io, &dice, action, offset, &ledger);
   {
-    Proxy proxy(io, &memory, static_cast<uint64_t>(seed), {first.address(), second.address()});
+    ProxyRig proxy(io, &memory, static_cast<uint64_t>(seed), kConfiguration,
+                   {first.address(), second.address()}, 4);
     Client one(io, proxy.front.local(), "a", dice(), &ledger),
         two(io, proxy.front.local(), "b", dice(), &ledger);
     while (ledger.broken.empty() && !(one.done() && two.done())) io.run_one_for(std::chrono::seconds(5));
