Transport: bound what all connections to other processes hold

What others could do: whoever reaches a core's internal port made it hold 32 MiB a connection by a frame that never ends, also before a Hello; a peer that reads slowly made any process hold 64 MiB a connection. Nothing bounded them together.

Cause: the bounds were of one connection. A frame before the Hello has 16 KiB at most.

--- a/system/adapters/control_client/core_connections.cpp
+++ b/system/adapters/control_client/core_connections.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr int kLinkMemoryParts = 8;  // one of which is for what connections hold
 constexpr auto kListTimeout = std::chrono::milliseconds(400);
 // A core without quorum contact is not asked again for so long; it lists by itself once it has contact.
 constexpr auto kRefusalMemory = std::chrono::milliseconds(400);
@@ -19,7 +20,11 @@
 }  // namespace
 
 CoreConnections::CoreConnections(asio::io_context& io, const process::Settings& settings, Events events)
-    : io_(io), settings_(settings), events_(std::move(events)), incarnation_(RandomId()) {
+    : io_(io),
+      settings_(settings),
+      events_(std::move(events)),
+      incarnation_(RandomId()),
+      link_memory_(process::PartOfMemory(settings, kLinkMemoryParts)) {
   for (const std::string& seed : settings.seeds) seeds_.insert(process::HostOf(seed));
   for (const std::string& core : seeds_) Dial(core);
 }
@@ -69,8 +74,8 @@
     }
   };
   int port = settings_.first_port + (table == Table::kBackends ? 0 : 1);
-  dialers_[key] = std::make_unique<transport::Dialer>(io_, tcp::endpoint(ip, static_cast<uint16_t>(port)),
-                                                      std::move(events));
+  dialers_[key] = std::make_unique<transport::Dialer>(
+      io_, &link_memory_, tcp::endpoint(ip, static_cast<uint16_t>(port)), std::move(events));
 }
 
 void CoreConnections::OnStatus(const Key& key, const messages::CoreStatus& state) {
--- a/system/adapters/control_client/core_connections.h
+++ b/system/adapters/control_client/core_connections.h
@@ -58,6 +58,7 @@
     std::unique_ptr<asio::steady_timer> timeout;
   };
   std::map<discovery::Table, ListRequest> list_requests_;
+  transport::LinkMemory link_memory_;
   std::map<Key, std::unique_ptr<transport::Dialer>> dialers_;
   std::map<Key, std::vector<std::string>> named_by_;   // the cores that each connection's core names
   std::map<std::string, Clock::time_point> named_at_;  // when an address was last a seed or named
--- a/system/adapters/replicated_table/core_node.cpp
+++ b/system/adapters/replicated_table/core_node.cpp
@@ -16,6 +16,7 @@
 
 constexpr char kSnapshotRole[] = "snapshot";  // of a Hello; its node names the table
 constexpr size_t kExportPartBytes = size_t{256} * 1024;
+constexpr int kLinkMemoryParts = 4;  // one of which is for what connections hold
 constexpr auto kTick = std::chrono::milliseconds(50);
 constexpr uint64_t kOwnerTickInterval = 2;  // ticks
 constexpr uint64_t kFiguresInterval = 100;  // ticks
@@ -43,7 +44,8 @@
       events_(std::move(events)),
       incarnation_(RandomId()),
       voters_(replication::VotersToTolerate(static_cast<size_t>(settings.machine_failures))),
-      host_(io, HostEvents()),
+      link_memory_(process::PartOfMemory(settings, kLinkMemoryParts)),
+      host_(io, &link_memory_, HostEvents()),
       known_(settings.ip, SeedHosts(settings)),
       tick_timer_(io),
       wake_timer_(io) {
@@ -216,7 +218,7 @@
   };
   events.message = [](const messages::Message&) {};
   tcp::endpoint address(ip, static_cast<uint16_t>(options_.port));
-  dialers_[core] = std::make_unique<transport::Dialer>(io_, address, std::move(events));
+  dialers_[core] = std::make_unique<transport::Dialer>(io_, &link_memory_, address, std::move(events));
 }
 
 void CoreNode::CloseUnneeded() {
--- a/system/adapters/replicated_table/core_node.h
+++ b/system/adapters/replicated_table/core_node.h
@@ -71,6 +71,8 @@
   std::set<std::string> OtherCores() const;
   void Send(uint64_t peer, const messages::Message& message) { host_.Send(peer, message); }
   void SendToCores(const messages::Message& message);
+  // Of all connections of this process to others.
+  transport::LinkMemory* link_memory() { return &link_memory_; }
   // Tells gateways that follow an item that isn't decided yet.
   void PushProvisional(const messages::Item& item) { publisher_->PushProvisional(item); }
   // The gateways that hold a lease, as gateways are told.
@@ -113,6 +115,7 @@
   std::unique_ptr<storage::TableStore> store_;  // null without a data directory
   std::unique_ptr<replication::Replica> replica_;
   std::unique_ptr<Publisher> publisher_;
+  transport::LinkMemory link_memory_;
   transport::Host host_;
   KnownCores known_;
   std::map<std::string, std::unique_ptr<transport::Dialer>>
--- a/system/adapters/snapshot/exporter.cpp
+++ b/system/adapters/snapshot/exporter.cpp
@@ -21,7 +21,7 @@
   };
   events.message = [this](const messages::Message& message) { OnMessage(message); };
   events.down = [this] { catch_up_.OnSenderLost(); };
-  dialer_ = std::make_unique<transport::Dialer>(io, core, std::move(events));
+  dialer_ = std::make_unique<transport::Dialer>(io, &link_memory_, core, std::move(events));
   RestartTimeout();
 }
 
--- a/system/adapters/snapshot/exporter.h
+++ b/system/adapters/snapshot/exporter.h
@@ -41,6 +41,7 @@
   Done done_;
   replication::CatchUp catch_up_;
   asio::steady_timer timeout_timer_;
+  transport::LinkMemory link_memory_{transport::LinkMemory::kUnlimited};
   std::unique_ptr<transport::Dialer> dialer_;
 };
 
--- a/system/adapters/transport/links.cpp
+++ b/system/adapters/transport/links.cpp
@@ -16,6 +16,9 @@
 
 constexpr double kFirstPause = 0.05, kLongestPause = 0.25;  // s
 constexpr auto kComesUp = std::chrono::milliseconds(300);   // for a connection to come up
+constexpr size_t kMaxIdleBuffer = size_t{4} * 1024;         // bytes that an empty buffer keeps
+constexpr char kInvalidFrame[] = "a frame that is too long, or no message";
+constexpr char kUnread[] = "the peer leaves too much unread";
 
 void Guard(tcp::socket& socket) {
   unsigned ms = static_cast<unsigned>(kSilenceTimeout * 1000);
@@ -28,6 +31,7 @@
   message_ = std::move(message);
   closed_ = std::move(closed);
   last_received_ = Clock::now();
+  memory_.Add(this);
   Guard(socket_);
   Read();
   Watch();
@@ -36,6 +40,7 @@
 void Link::Close() {
   if (!open_) return;
   open_ = false;
+  memory_.Remove(this);
   timer_.cancel();
   CloseNow(socket_);
   message_ = nullptr;
@@ -50,36 +55,62 @@
   if (closed) closed();
 }
 
+// Not at once: whoever sends may be going through its links.
+void Link::Evict() {
+  evicted_ = true;
+  FreeMemory(&out_);
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Lost(); });
+}
+
+std::string Link::Peer() const {
+  error_code error;
+  tcp::endpoint peer = socket_.remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
+void Link::CountMemory() { memory_.Update(this, reader_.held() + out_.capacity() + writing_.capacity()); }
+
 void Link::Read() {
   ReadSome(socket_, kMostRead, [self = shared_from_this(), this](error_code error, std::string_view bytes) {
     if (!open_) return;
     if (error || bytes.empty()) return Lost();
     last_received_ = Clock::now();
     reader_.Add(bytes);
-    for (;;) {
-      std::string_view content;
-      FrameReader::ReadStatus got = reader_.Next(&content);
-      if (got == FrameReader::ReadStatus::kIncomplete) break;
-      std::optional<Message> message =
-          got == FrameReader::ReadStatus::kFrame ? Decode(content) : std::nullopt;
-      if (!message) return Lost();
-      if (std::holds_alternative<Ping>(*message)) {
-        Send(Pong{std::get<Ping>(*message).number});
-      } else if (!std::holds_alternative<Pong>(*message)) {
-        OnMessage handler = message_;
-        handler(std::move(*message));
-      }
-      if (!open_) return;
-    }
+    if (!HandleFrames()) return;
+    CountMemory();
     Read();
   });
 }
 
+// Returns whether the connection goes on.
+bool Link::HandleFrames() {
+  while (open_ && !evicted_) {
+    std::string_view content;
+    FrameReader::ReadStatus got = reader_.Next(&content);
+    if (got == FrameReader::ReadStatus::kIncomplete) return true;
+    std::optional<Message> message = got == FrameReader::ReadStatus::kFrame ? Decode(content) : std::nullopt;
+    if (!message) {
+      memory_.LogClosed(kInvalidFrame, Peer(), reader_.held());
+      Lost();
+    } else if (std::holds_alternative<Ping>(*message)) {
+      Send(Pong{std::get<Ping>(*message).number});
+    } else if (!std::holds_alternative<Pong>(*message)) {
+      OnMessage handler = message_;
+      handler(std::move(*message));
+    }
+  }
+  return false;
+}
+
 void Link::SendFrame(const std::string& frame) {
-  if (!open_) return;
+  if (!open_ || evicted_) return;
   out_ += frame;
-  if (out_.size() > kMaxUnsentBytes)
-    return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Lost(); });
+  if (out_.size() > kMaxUnsentBytes) {
+    memory_.LogClosed(kUnread, Peer(), out_.size());
+    return Evict();
+  }
+  CountMemory();
+  if (evicted_) return;
   if (sending_ || flushing_) return;
   // What one turn of the loop sends goes out in one write.
   flushing_ = true;
@@ -98,7 +129,8 @@
     sending_ = false;
     if (!open_) return;
     if (error) return asio::post(socket_.get_executor(), [self] { self->Lost(); });
-    writing_.capacity() > kMostRead ? FreeMemory(&writing_) : writing_.clear();
+    writing_.capacity() > kMaxIdleBuffer ? FreeMemory(&writing_) : writing_.clear();
+    CountMemory();
     if (!out_.empty()) Write();
   });
 }
@@ -114,8 +146,9 @@
   });
 }
 
-Dialer::Dialer(asio::io_context& io, tcp::endpoint address, Events events)
+Dialer::Dialer(asio::io_context& io, LinkMemory* memory, tcp::endpoint address, Events events)
     : io_(io),
+      memory_(*memory),
       address_(std::move(address)),
       events_(std::move(events)),
       timer_(io),
@@ -147,7 +180,7 @@
     dialing_.reset();
     if (error || !socket->is_open()) return Retry();
     backoff_ = 0;
-    link_ = std::make_shared<Link>(io_, std::move(*socket));
+    link_ = std::make_shared<Link>(io_, &memory_, std::move(*socket));
     link_->Start([this](Message message) { events_.message(std::move(message)); },
                  [this] {
                    link_.reset();
@@ -192,30 +225,35 @@
     }
     if (!Prepare(socket)) {
       uint64_t id = ++last_;
-      auto link = std::make_shared<Link>(io_, std::move(socket));
+      auto link = std::make_shared<Link>(io_, &memory_, std::move(socket));
       links_[id].link = link;
-      link->Start(
-          [this, id](Message message) {
-            auto it = links_.find(id);
-            if (it == links_.end()) return;
-            if (it->second.greeted) return events_.message(id, std::move(message));
-            const Hello* hello = std::get_if<Hello>(&message);
-            if (!hello || hello->protocol_version != kProtocolVersion) return Close(id);
-            it->second.greeted = true;
-            events_.up(id, *hello);
-          },
-          [this, id] {
-            auto it = links_.find(id);
-            if (it == links_.end()) return;
-            bool greeted = it->second.greeted;
-            links_.erase(it);
-            if (greeted) events_.down(id);
-          });
+      link->LimitFrames(kMaxHelloBytes);
+      link->Start([this, id](Message message) { OnMessage(id, std::move(message)); },
+                  [this, id] { OnClosed(id); });
     }
     Accept();
   });
 }
 
+void Host::OnMessage(uint64_t id, Message message) {
+  auto it = links_.find(id);
+  if (it == links_.end()) return;
+  if (it->second.greeted) return events_.message(id, std::move(message));
+  const Hello* hello = std::get_if<Hello>(&message);
+  if (!hello || hello->protocol_version != kProtocolVersion) return Close(id);
+  it->second.greeted = true;
+  it->second.link->LimitFrames(messages::kMaxFrameBytes);
+  events_.up(id, *hello);
+}
+
+void Host::OnClosed(uint64_t id) {
+  auto it = links_.find(id);
+  if (it == links_.end()) return;
+  bool greeted = it->second.greeted;
+  links_.erase(it);
+  if (greeted) events_.down(id);
+}
+
 void Host::Send(uint64_t peer, const Message& message) {
   auto it = links_.find(peer);
   if (it != links_.end()) it->second.link->Send(message);
--- a/system/adapters/transport/links.h
+++ b/system/adapters/transport/links.h
@@ -14,6 +14,7 @@
 #include "messages/codec.h"
 #include "net/clock.h"
 #include "net/http.h"
+#include "transport/link_memory.h"
 
 namespace ivygw::transport {
 
@@ -24,28 +25,39 @@
 
 // For which a peer may say nothing before the connection counts as dead; each side pings three times in it.
 inline constexpr double kSilenceTimeout = 1.5;  // s
-inline constexpr size_t kMaxUnsentBytes = size_t{64}
-                                          << 20;  // bytes; a peer that reads no more loses its connection
+// Bytes; a peer that leaves more unread loses its connection.
+inline constexpr size_t kMaxUnsentBytes = size_t{64} << 20;
+// Of a frame before the peer has said who it is.
+inline constexpr size_t kMaxHelloBytes = size_t{16} * 1024;
 
-class Link : public std::enable_shared_from_this<Link> {
+class Link : public std::enable_shared_from_this<Link>, private LinkMemory::Holder {
  public:
   using OnMessage = std::function<void(Message)>;
   using OnClosed = std::function<void()>;
-  Link(asio::io_context& io, tcp::socket socket) : socket_(std::move(socket)), timer_(io) {}
+  // `memory` must not end before Close or `closed`.
+  Link(asio::io_context& io, LinkMemory* memory, tcp::socket socket)
+      : memory_(*memory), socket_(std::move(socket)), timer_(io) {}
 
   // Neither is called any more after Close or after `closed`.
   void Start(OnMessage message, OnClosed closed);
   void Send(const Message& message) { SendFrame(Encode(message)); }
   void SendFrame(const std::string& frame);  // of Encode
   void Close();
+  // A frame that is longer ends the connection.
+  void LimitFrames(size_t bytes) { reader_.LimitFrames(bytes); }
   bool open() const { return open_; }
 
  private:
+  void Evict() override;
+  std::string Peer() const override;
+  void CountMemory();
   void Read();
+  bool HandleFrames();
   void Write();
   void Watch();
   void Lost();
 
+  LinkMemory& memory_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   OnMessage message_;
@@ -54,6 +66,7 @@
   std::string out_, writing_;
   Clock::time_point last_received_{};
   bool open_ = true, sending_ = false, flushing_ = false;
+  bool evicted_ = false;  // and about to be closed
 };
 
 // Keeps one connection to one address open, and dials anew when it ends, until this is destroyed.
@@ -64,7 +77,8 @@
     std::function<void(Message)> message;
     std::function<void()> down;
   };
-  Dialer(asio::io_context& io, tcp::endpoint address, Events events);
+  // `memory` outlives this.
+  Dialer(asio::io_context& io, LinkMemory* memory, tcp::endpoint address, Events events);
   ~Dialer();
   Dialer(const Dialer&) = delete;
   Dialer& operator=(const Dialer&) = delete;
@@ -78,6 +92,7 @@
   void Dial();
   void Retry();
   asio::io_context& io_;
+  LinkMemory& memory_;
   const tcp::endpoint address_;
   Events events_;
   asio::steady_timer timer_;
@@ -96,8 +111,9 @@
     std::function<void(uint64_t, Message)> message;
     std::function<void(uint64_t)> down;
   };
-  Host(asio::io_context& io, Events events)
-      : io_(io), acceptor_(io), retry_(io), events_(std::move(events)) {}
+  // `memory` outlives this.
+  Host(asio::io_context& io, LinkMemory* memory, Events events)
+      : io_(io), memory_(*memory), acceptor_(io), retry_(io), events_(std::move(events)) {}
   ~Host();
   void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
   void Send(uint64_t peer, const Message& message);
@@ -106,7 +122,10 @@
 
  private:
   void Accept();
+  void OnMessage(uint64_t id, Message message);
+  void OnClosed(uint64_t id);
   asio::io_context& io_;
+  LinkMemory& memory_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_;
   Events events_;
--- a/system/decisions/messages/codec.h
+++ b/system/decisions/messages/codec.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "messages/control.h"
 
@@ -22,18 +23,26 @@
 // Splits a byte stream into frames.
 class FrameReader {
  public:
-  void Add(std::string_view bytes) { buffer_.append(bytes); }
+  void Add(std::string_view bytes);
+  // A longer frame is kTooLong; kMaxFrameBytes unless this is called.
+  void LimitFrames(size_t bytes) { max_frame_ = bytes; }
+  size_t held() const { return buffer_.capacity(); }  // bytes
   enum class ReadStatus {
     kFrame,       // a frame was read
     kIncomplete,  // more bytes are needed
-    kTooLong      // the frame exceeds kMaxFrameBytes
+    kTooLong      // the frame exceeds the limit
   };
   // Reads the next frame. On kFrame, `content` is set to its content, which stays valid until the next call.
   ReadStatus Next(std::string_view* content);
 
  private:
-  std::string buffer_;
+  // The length of the first unread frame; nullopt while it is not known.
+  std::optional<size_t> NextLength() const;
+  void DropReadBytes();
+
+  std::vector<char> buffer_;
   size_t offset_ = 0;  // of the first unread byte in buffer_
+  size_t max_frame_ = kMaxFrameBytes;
 };
 
 }  // namespace ivygw::messages
--- a/system/programs/load_test/run.cpp
+++ b/system/programs/load_test/run.cpp
@@ -316,7 +316,8 @@
       events.message = [this, g, i](const messages::Message& message) { Told(g, i, message); };
       tcp::endpoint to(asio::ip::make_address(CoreIp(i / 2)),
                        static_cast<uint16_t>(plan_.first_port + i % 2));
-      gateway.dialers.push_back(std::make_unique<transport::Dialer>(io_, to, std::move(events)));
+      gateway.dialers.push_back(
+          std::make_unique<transport::Dialer>(io_, &link_memory_, to, std::move(events)));
     }
   }
   void Ask(int g, int i) {
@@ -469,6 +470,7 @@
   asio::signal_set signals_;
   Cores cores_;
   Result result_;
+  transport::LinkMemory link_memory_{transport::LinkMemory::kUnlimited};
   std::vector<Gateway> gateways_;
   std::map<std::string, Spreading> spreading_;
   std::vector<double> spread_ms_, ack_ms_;
--- a/system/programs/registry/registry.cpp
+++ b/system/programs/registry/registry.cpp
@@ -43,7 +43,8 @@
       quota_(&node_, settings.ip, settings.initial_boot),
       memory_(process::PartOfMemory(settings, kMemoryParts)),
       server_(io, process::MaxClients(settings), &memory_, ServerEvents()),
-      store_(std::make_unique<transport::Dialer>(io, StoreAddress(settings), StoreEvents())),
+      store_(std::make_unique<transport::Dialer>(io, node_.link_memory(), StoreAddress(settings),
+                                                 StoreEvents())),
       stop_timeout_(std::min(kStopTimeout, Duration(drain::DrainSchedule::ForGrace(settings.grace_s).end))) {
   if (!settings.control_plane.empty())
     server_.Listen(ParseAddress("listen_addresses.control_plane", settings.control_plane));
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -17,6 +17,7 @@
 #include "config_store/store.h"
 #include "control_client/core_connections.h"
 #include "discovery/table_cache.h"
+#include "messages/codec.h"
 #include "registry/registry.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
@@ -355,6 +356,84 @@
   CHECK_EQUAL(200, world.ModifyUntilClear(1, Call(Route("r1", "00000007", 100))).status);
 }
 
+namespace {
+
+// Somebody at a core's internal port, who sends a part of a frame and keeps the connection alive with a byte
+// now and then.
+class PeerWithAPartOfAFrame : public std::enable_shared_from_this<PeerWithAPartOfAFrame> {
+ public:
+  PeerWithAPartOfAFrame(asio::io_context& io, std::string sent)
+      : sent_(std::move(sent)), socket_(io), timer_(io) {}
+  void Start(const std::string& address) {
+    socket_.connect({asio::ip::make_address(address), kFirstPort});
+    asio::async_write(socket_, asio::buffer(sent_), [self = shared_from_this()](error_code error, size_t) {
+      if (!error) self->SendOneByte();
+    });
+    asio::async_read(socket_, asio::dynamic_buffer(received_),
+                     [self = shared_from_this()](error_code, size_t) { self->closed_ = true; });
+  }
+  void Stop() {
+    timer_.cancel();
+    socket_.close();
+  }
+  bool closed() const { return closed_; }
+
+ private:
+  void SendOneByte() {
+    timer_.expires_after(std::chrono::milliseconds(200));
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (cancelled) return;
+      asio::async_write(self->socket_, asio::buffer(" ", 1), [self](error_code error, size_t) {
+        if (!error) self->SendOneByte();
+      });
+    });
+  }
+  const std::string sent_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::string received_;
+  bool closed_ = false;
+};
+
+std::string PartOfAFrame(uint32_t length, size_t sent) {
+  std::string frame;
+  for (int shift : {24, 16, 8, 0}) frame += static_cast<char>(length >> shift);
+  return frame + std::string(sent, ' ');
+}
+
+}  // namespace
+
+// Guards against frames of peers that never end and fill a core's memory: each connection held up to 32 MiB,
+// and nothing bounded them together.
+TEST(CoreMachines, FramesThatAreNotWholeStayWithinTheMemory) {
+  World world;
+  world.StartThree();
+  messages::Hello hello;
+  hello.role = "proxy";
+  std::string sent = messages::Encode(hello) + PartOfAFrame(uint32_t{30} << 20, size_t{12} << 20);
+  std::vector<std::shared_ptr<PeerWithAPartOfAFrame>> peers;
+  for (int i = 0; i < 8; ++i) {
+    peers.push_back(std::make_shared<PeerWithAPartOfAFrame>(world.io, sent));
+    peers.back()->Start(Address(1));
+  }
+  auto closed = [&] {
+    return std::count_if(peers.begin(), peers.end(), [](const auto& peer) { return peer->closed(); });
+  };
+  CHECK(world.RunUntil([&] { return closed() >= 3; }, 5));  // a quarter of 256 MB holds five of them
+  CHECK_EQUAL(200, world.ModifyUntilClear(1, Call(Route("r1", "00000007", 100))).status);
+  CHECK(world.HasQuorumContact(1));
+  for (const auto& peer : peers) peer->Stop();
+}
+
+// Guards against long frames of whoever connects to a core's internal port: 32 MiB before it said who it is.
+TEST(CoreMachines, APeerThatHasNotSaidWhoItIsSendsNoLongFrame) {
+  World world;
+  world.StartThree();
+  auto peer = std::make_shared<PeerWithAPartOfAFrame>(world.io, PartOfAFrame(uint32_t{1} << 20, 1000));
+  peer->Start(Address(1));
+  CHECK(world.RunUntil([&] { return peer->closed(); }, 5));
+}
+
 TEST(CoreMachines, AFourthCoreTakesThePlaceOfOneThatIsGone) {
   World world;
   world.StartThree();
--- a/tests/system/snapshot_export_test.cpp
+++ b/tests/system/snapshot_export_test.cpp
@@ -21,8 +21,9 @@
 // A core that answers for a table, which changes after each part that it sends.
 struct ChangingCore {
   explicit ChangingCore(asio::io_context& io)
-      : host(io, {[this](uint64_t, const messages::Hello& hello) { greeted = hello; },
-                  [this](uint64_t peer, messages::Message m) { Answer(peer, m); }, [](uint64_t) {}}) {
+      : host(io, &link_memory,
+             {[this](uint64_t, const messages::Hello& hello) { greeted = hello; },
+              [this](uint64_t peer, messages::Message m) { Answer(peer, m); }, [](uint64_t) {}}) {
     tcp::acceptor any(io, {asio::ip::make_address("127.0.0.1"), 0});
     address = any.local_endpoint();
     any.close();
@@ -45,6 +46,7 @@
     Put(30 + parts);
     if (parts % 3 == 0) table.Erase("t/" + std::to_string(parts - 2), ++revision);
   }
+  transport::LinkMemory link_memory{transport::LinkMemory::kUnlimited};
   transport::Host host;
   tcp::endpoint address;
   messages::Hello greeted;
