Proxy: what a request makes it hold, and its bounds, in a class of its own

CollectedBody holds the head's bytes and the body and says what may be held; Exchanges turns its verdicts into answers. Behaviour as before. Measured: system_proxy_memory_tests, system_proxy_wire_tests, system_backend_links_tests, system_core_node_tests, system_links_tests pass.

--- a/system/programs/proxy/exchanges.cpp
+++ b/system/programs/proxy/exchanges.cpp
@@ -16,17 +16,14 @@
 
 namespace {
 
-constexpr double kConnectTimeout = 0.25;             // s, for a connection to a backend to be established
-constexpr double kReserve = 0.004;                   // s of the client's time that are kept for the way back
-constexpr double kNotReady = 0.15;                   // s, after a refusal while the lists are on their way
-constexpr double kLeastRetryAfter = 0.05;            // s, after a refusal for a limit
-constexpr double kMemoryRetryAfter = 1;              // s, after a refusal for want of memory
-constexpr double kMemoryLogInterval = 1;             // s, between two events that tell of such refusals
-constexpr size_t kMostCollected = size_t{16} << 20;  // bytes of a body that is collected
-constexpr size_t kSmallRequest = size_t{8} * 1024;   // bytes of one that is taken whatever its tenant holds
+constexpr double kConnectTimeout = 0.25;   // s, for a connection to a backend to be established
+constexpr double kReserve = 0.004;         // s of the client's time that are kept for the way back
+constexpr double kNotReady = 0.15;         // s, after a refusal while the lists are on their way
+constexpr double kLeastRetryAfter = 0.05;  // s, after a refusal for a limit
+constexpr double kMemoryRetryAfter = 1;    // s, after a refusal for want of memory
+constexpr double kMemoryLogInterval = 1;   // s, between two events that tell of such refusals
 constexpr char kTooLong[] = "body: over 16 MiB, or over what limits.memory_mb lets one body take";
 constexpr char kNoMemory[] = "limits.memory_mb: no memory for this body now";
-constexpr size_t kFieldOverhead = 96;  // bytes of a header line beside its text, about
 
 // Headers that the proxy sets itself.
 bool Own(std::string_view name) {
@@ -37,13 +34,6 @@
   return false;
 }
 
-// The memory that a parsed head takes, about.
-size_t BytesOf(const http::request_header<>& head) {
-  size_t bytes = head.target().size();
-  for (const auto& field : head) bytes += field.name_string().size() + field.value().size() + kFieldOverhead;
-  return bytes;
-}
-
 // Of no tenant: public routes, and requests that are not identified yet.
 const std::string kNoTenant;
 
@@ -114,9 +104,11 @@
   ActiveRequest& request = active_requests_.try_emplace(id, &memory_).first->second;
   request.arrived = Now();
   ++figures_.requests;
-  request.body.Append(std::move(message.body));
+  CollectedBody::Verdict verdict = request.body.Append(std::move(message.body));
   request.message = std::move(message);
   FreeMemory(&request.message.body);
+  request.body.SetHead(request.message.head);
+  if (!Check(id, verdict)) return;
   request.message.more ? BeginLong(client, id) : Begin(id);
 }
 
@@ -125,10 +117,7 @@
 void Exchanges::BeginLong(uint64_t client, RequestId id) {
   if (!Identify(id)) return;
   ActiveRequest& request = active_requests_.at(id);
-  size_t longest = std::min(kMostCollected, memory_.LongestBody());
-  if (request.message.length.value_or(0) > longest) return Reject(id, 413, 0, kTooLong);
-  if (!memory_.MayBegin(TenantOf(request))) return RejectForMemory(id);
-  if (!Hold(id)) return;
+  if (!Check(id, request.body.MayBegin(TenantOf(request), request.message.length)) || !Hold(id)) return;
   request.body_timer = std::make_unique<asio::steady_timer>(io_);
   request.body_timer->expires_after(Seconds(std::max(0.0, request.deadline - Now())));
   request.body_timer->async_wait([this, id](error_code cancelled) {
@@ -142,24 +131,26 @@
   RequestId id = lifecycle_.RequestOf(ClientId{client});
   auto it = active_requests_.find(id);
   if (it == active_requests_.end()) return;
-  RequestBody& body = it->second.body;
-  body.Append(std::move(bytes));
-  if (body.size() > std::min(kMostCollected, memory_.LongestBody())) return Reject(id, 413, 0, kTooLong);
+  if (!Check(id, it->second.body.Append(std::move(bytes)))) return;
   if (last) return Begin(id);
   if (Hold(id)) front_->ReadBody(client);
 }
 
+// Rejects the request and returns false unless what it holds may be held.
+bool Exchanges::Check(RequestId id, CollectedBody::Verdict verdict) {
+  switch (verdict) {
+    case CollectedBody::Verdict::kHeld: return true;
+    case CollectedBody::Verdict::kTooLong: Reject(id, 413, 0, kTooLong); return false;
+    case CollectedBody::Verdict::kNoMemory: RejectForMemory(id); return false;
+  }
+  return false;
+}
+
 // Whether the request may go on holding what it holds, by its tenant's part of the memory; if not, it is
-// rejected. A small one always may.
+// rejected.
 bool Exchanges::Hold(RequestId id) {
   ActiveRequest& request = active_requests_.at(id);
-  const std::string& tenant = TenantOf(request);
-  size_t bytes = BytesOf(request.message.head) + request.body.held();
-  request.share.Hold(tenant, bytes);
-  if (bytes <= kSmallRequest || memory_.WithinPart(tenant, request.body.size() > bodies::BodyMemory::kWhole))
-    return true;
-  RejectForMemory(id);
-  return false;
+  return Check(id, request.body.Hold(TenantOf(request)));
 }
 
 void Exchanges::RefuseIncomplete() {
@@ -498,10 +489,7 @@
   bool is_sending = std::any_of(sendings_.begin(), sendings_.end(), [&](const auto& sending) {
     return sending.second.request == effect.request;
   });
-  if (!is_sending) {
-    request.body.Clear();
-    request.share.Hold(TenantOf(request), BytesOf(request.message.head));
-  }
+  if (!is_sending) request.body.ClearBody(TenantOf(request));
   std::optional<uint64_t> length = effect.content.length;
   front_->ReplyBegin(effect.client.value, AnswerOf(std::move(effect.content)), length);
 }
--- a/system/programs/proxy/exchanges.h
+++ b/system/programs/proxy/exchanges.h
@@ -18,7 +18,7 @@
 #include "load_balancing/retry_budget.h"
 #include "net/backend_links.h"
 #include "net/client_server.h"
-#include "proxy/request_body.h"
+#include "proxy/collected_body.h"
 #include "rate_limit/admission.h"
 #include "request_lifecycle/lifecycle.h"
 #include "routing/routes.h"
@@ -57,10 +57,9 @@
   enum class Admission { kUndecided, kPending, kAdmitted };
   // What a request consists of, and the timers of its stages.
   struct ActiveRequest {
-    explicit ActiveRequest(bodies::TenantMemory* memory) : share(memory) {}
+    explicit ActiveRequest(bodies::TenantMemory* memory) : body(memory) {}
     ClientMessage message;  // without its body
-    RequestBody body;
-    bodies::TenantMemory::Share share;  // of the memory that the message and the body take
+    CollectedBody body;
     routing::Routes::Route route;
     routing::Routes::Tenant tenant;
     routing::Routes::Tenant judged;  // the tenant whose limit `admission` is of
@@ -102,6 +101,7 @@
   void BeginLong(uint64_t client, RequestId id);
   void Begin(RequestId id);
   bool Identify(RequestId id);
+  bool Check(RequestId id, CollectedBody::Verdict verdict);
   bool Hold(RequestId id);
   void Judge(RequestId id);
   void Judged(RequestId id, const rate_limit::AdmissionDecision& verdict);
