Net: a full server takes clients again once a connection is idle

Cause: the listener paused while all connections were busy, and only a close ended that; one that becomes idle could make room, too. Change: ConnectionSlots decides apart from sockets, each change of a connection may end the pause, and room is made for a client that waits. The newest connection is kept until its first answer, so that waiting clients don't drive out each other.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -28,6 +28,7 @@
 constexpr size_t kMostBlank = 64;                     // bytes of empty lines ahead of a request
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
+constexpr size_t kMostTakenAtOnce = 16;  // clients in one turn of the event loop
 
 const char* Reason(int status) {
   switch (status) {
@@ -134,17 +135,14 @@
     bool held = state_ == State::kHeld || state_ == State::kReplying;
     Busy(false);
     state_ = State::kClosed;
-    NotIdle();
     AnswerRead();
     timer_.cancel();
     CloseNow(socket_);
     ClientServer* server = server_;
     server->connections_.erase(id_);
+    server->slots_.Remove(id_);
     server->events_.on_closed(id_, held);
-    if (server->paused_ && server->connections_.size() < server->most_ && server->accepting_) {
-      server->paused_ = false;
-      server->Accept();
-    }
+    server->AcceptIfPaused();
   }
   void Detach() {
     state_ = State::kClosed;
@@ -163,20 +161,14 @@
     server_->busy_ += now ? 1 : -1;
   }
 
-  void NotIdle() {
-    if (idle_at_.has_value()) server_->idle_.erase(*idle_at_);
-    idle_at_.reset();
-    if (unfinished_at_.has_value()) server_->unfinished_.erase(*unfinished_at_);
-    unfinished_at_.reset();
+  void SetSlot(ConnectionSlots::State state) {
+    server_->slots_.Set(id_, state);
+    server_->AcceptIfPaused();
   }
   void AnswerRead() {
     if (unread_at_.has_value()) server_->unread_.erase(*unread_at_);
     unread_at_.reset();
   }
-  void Unfinished() {
-    NotIdle();
-    unfinished_at_ = server_->unfinished_.insert(server_->unfinished_.end(), id_);
-  }
   // What strings have set aside counts, not what they hold of it: they grow by doubling.
   void Account() { share_.Hold(reader_.unread() + body_.capacity() + message_.capacity()); }
 
@@ -187,7 +179,7 @@
     blank_ = 0;
     reader_.Next();
     FreeMemory(&body_);
-    idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
+    SetSlot(ConnectionSlots::State::kIdle);
   }
 
   bool WantsBytes() const {
@@ -238,11 +230,11 @@
       reader_.Skip();
       if (++blank_ > kMostBlank) return Refuse(400);
     }
-    if (reader_.unread() == 0 && !begun_) return;
+    if (reader_.unread() == 0 && !begun_) return server_->AcceptIfPaused();
     if (!begun_) {
       begun_ = true;
       if (timed_) first_ = Clock::now();  // what it was silent before does not count
-      Unfinished();
+      SetSlot(ConnectionSlots::State::kUnfinished);
     }
     size_t limit = server_->memory_->HoldLimit();
     error_code error = reader_.Parse(&body_, limit);
@@ -297,7 +289,7 @@
   void Given(bool more) {
     if (timed_) timer_.cancel();
     timed_ = false;
-    NotIdle();
+    SetSlot(ConnectionSlots::State::kBusy);
     keep_ = reader_.keep_alive();
     minor_ = reader_.head().version() % 10;
     state_ = State::kHeld;
@@ -454,7 +446,7 @@
     state_ = State::kLingering;
     reader_.Drop();
     Account();
-    Unfinished();
+    SetSlot(ConnectionSlots::State::kUnfinished);
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     LimitLinger();
@@ -474,7 +466,7 @@
   bodies::BodyShare share_;
   MessageReader<true> reader_;
   std::string body_, message_;
-  std::optional<std::list<uint64_t>::iterator> idle_at_, unfinished_at_, unread_at_;
+  std::optional<std::list<uint64_t>::iterator> unread_at_;
   Clock::time_point first_;                // from which the request that is not whole is timed
   std::optional<Clock::time_point> head_;  // when its head was whole
   State state_ = State::kReading;
@@ -492,9 +484,9 @@
     : io_(io),
       acceptor_(io),
       retry_(io),
-      most_(most_connections),
       memory_(memory),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      slots_(most_connections) {}
 
 ClientServer::~ClientServer() {
   for (auto& [id, connection] : connections_) connection->Detach();
@@ -529,6 +521,7 @@
 void ClientServer::StartAccepting() {
   if (accepting_ || !acceptor_.is_open()) return;
   accepting_ = true;
+  acceptor_.non_blocking(true);
   Accept();
 }
 
@@ -542,45 +535,61 @@
 // Frees memory: first of the answer that has waited longest for its client to read it, then of the request
 // that began first and is not whole.
 void ClientServer::MakeRoom() {
-  while (memory_->Full() && (!unread_.empty() || !unfinished_.empty())) {
-    ++memory_refusals_;
+  while (memory_->Full()) {
+    std::optional<uint64_t> unfinished = slots_.OldestUnfinished();
     if (!unread_.empty()) {
-      connections_.at(unread_.front())->Close();
-      continue;
+      Find(unread_.front())->Close();
+    } else if (unfinished) {
+      Find(*unfinished)->RefuseForMemory();
+    } else {
+      return;
     }
-    auto oldest = connections_.at(unfinished_.front());
-    oldest->RefuseForMemory();
+    ++memory_refusals_;
   }
 }
 
 void ClientServer::Accept() {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
     if (error == asio::error::operation_aborted || !accepting_) return;
-    if (error) {
-      // Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning
-      // loop.
-      retry_.expires_after(kAcceptRetry);
-      retry_.async_wait([this](error_code cancelled) {
-        if (!cancelled) Accept();
-      });
-      return;
-    }
+    TakeWaiting();
+  });
+}
+
+void ClientServer::AcceptIfPaused() {
+  if (accepting_ && slots_.ShouldResume()) Accept();
+}
+
+// Takes clients that wait, until there are none or all slots are taken. Where all were taken before, room is
+// made for one, but not for nobody: another process may have taken a client from an inherited socket.
+void ClientServer::TakeWaiting() {
+  bool room = !slots_.Full() || !ClientWaits() ||
+              slots_.MakeRoom([this](uint64_t id) { return Find(id)->CloseIfIdle(); },
+                              [this](uint64_t id) { Find(id)->Close(); });
+  if (!room) return;
+  for (size_t taken = 0; taken < kMostTakenAtOnce && !slots_.Full(); ++taken) {
+    tcp::socket socket(io_);
+    error_code error;
+    acceptor_.accept(socket, error);
+    if (error == asio::error::would_block) break;
+    if (error) return AcceptLater();
     Taken(std::move(socket));
-    if (connections_.size() >= most_) {
-      // One that has been idle longest makes room, as it may be closed between requests; else the one that
-      // began first to send what is not whole, or to be read out after its last answer.
-      std::vector<uint64_t> oldest(idle_.begin(), idle_.end());
-      bool room = false;
-      for (size_t i = 0; i < oldest.size() && !room; ++i) {
-        room = oldest[i] != last_ && connections_.at(oldest[i])->CloseIfIdle();
-      }
-      if (!room && !unfinished_.empty()) connections_.at(unfinished_.front())->Close();
-    }
-    paused_ = connections_.size() >= most_;
-    if (!paused_) Accept();
+  }
+  Accept();
+}
+
+// Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning loop.
+void ClientServer::AcceptLater() {
+  retry_.expires_after(kAcceptRetry);
+  retry_.async_wait([this](error_code cancelled) {
+    if (!cancelled) Accept();
   });
 }
 
+bool ClientServer::ClientWaits() {
+  pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
+  return poll(&waiting, 1, 0) != 0;
+}
+
 void ClientServer::Taken(tcp::socket socket) {
   Prepare(socket);
   uint64_t id = ++last_;
@@ -611,16 +620,12 @@
 
 bool ClientServer::Quiet() {
   if (!connections_.empty()) return false;
-  if (!acceptor_.is_open()) return true;
-  pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
-  return poll(&waiting, 1, 0) == 0;
+  return !acceptor_.is_open() || !ClientWaits();
 }
 
 void ClientServer::CloseIdle() {
-  std::vector<uint64_t> ids(idle_.begin(), idle_.end());
-  for (uint64_t id : ids) {
-    auto it = connections_.find(id);
-    if (it != connections_.end()) it->second->CloseIfIdle();
+  for (uint64_t id : slots_.Idle()) {
+    if (auto connection = Find(id)) connection->CloseIfIdle();
   }
 }
 
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -11,6 +11,7 @@
 
 #include "bodies/body_memory.h"
 #include "net/clock.h"
+#include "net/connection_slots.h"
 #include "net/http.h"
 
 namespace ivygw {
@@ -82,22 +83,24 @@
 
   void MakeRoom();
   void Accept();
+  void AcceptIfPaused();
+  void TakeWaiting();
+  void AcceptLater();
+  bool ClientWaits();
   void Taken(tcp::socket socket);
   std::shared_ptr<Connection> Find(uint64_t connection) const;
 
   asio::io_context& io_;
   tcp::acceptor acceptor_;
   asio::steady_timer retry_;
-  const size_t most_;
   bodies::BodyMemory* memory_;
   Events events_;
   uint64_t last_ = 0, memory_refusals_ = 0;
   size_t busy_ = 0;
-  bool asking_to_close_ = false, paused_ = false, accepting_ = false;
+  bool asking_to_close_ = false, accepting_ = false;
+  ConnectionSlots slots_;
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> connections_;
-  std::list<uint64_t> idle_;        // longest idle first
-  std::list<uint64_t> unread_;      // whose answer is not read by the client: the first to be sent first
-  std::list<uint64_t> unfinished_;  // begun but not whole, or lingering: the first to begin first
+  std::list<uint64_t> unread_;  // whose answer is not read by the client: the first to be sent first
 };
 
 }  // namespace ivygw
--- a/tests/system/proxy_memory_test.cpp
+++ b/tests/system/proxy_memory_test.cpp
@@ -88,15 +88,15 @@
  public:
   Client(World* world, const std::string& key, size_t length, bool chunked = false,
          int deadline_ms = kLongDeadlineMs)
-      : socket_(world->io), chunked_(chunked) {
-    socket_.connect(world->proxy->front.local());
+      : socket_(std::make_shared<tcp::socket>(world->io)), chunked_(chunked) {
+    socket_->connect(world->proxy->front.local());
     std::string framing =
         chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(length);
     Send("POST /a/x HTTP/1.1\r\nHost: h\r\nCredential: " + key +
          "\r\nDeadline-Remaining: " + std::to_string(deadline_ms) +
          "\r\nAttempt-Id: " + std::to_string(++world->last_id) + "\r\n" + framing + "\r\n\r\n");
   }
-  ~Client() { socket_.close(); }
+  ~Client() { socket_->close(); }
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
   void SendBody(const std::string& bytes) {
@@ -105,8 +105,8 @@
     Send(chunked_ ? size + bytes + "\r\n" : bytes);
   }
   void ReadAnswer() {
-    asio::async_read_until(socket_, asio::dynamic_buffer(reply_->text), "\r\n\r\n",
-                           [reply = reply_](error_code error, size_t) {
+    asio::async_read_until(*socket_, asio::dynamic_buffer(reply_->text), "\r\n\r\n",
+                           [reply = reply_, socket = socket_](error_code error, size_t) {
                              reply->status = error ? -1 : std::stoi(reply->text.substr(9, 3));
                            });
   }
@@ -119,9 +119,9 @@
   };
   void Send(std::string bytes) {
     auto held = std::make_shared<std::string>(std::move(bytes));
-    asio::async_write(socket_, asio::buffer(*held), [held](error_code, size_t) {});
+    asio::async_write(*socket_, asio::buffer(*held), [held, socket = socket_](error_code, size_t) {});
   }
-  tcp::socket socket_;
+  std::shared_ptr<tcp::socket> socket_;  // outlives the client where a write is still queued
   const bool chunked_;
   std::shared_ptr<Reply> reply_ = std::make_shared<Reply>();
 };
