Tests of the clients' server in tests/net; one RunUntil; seven comments reworded

The tests of src/net/client_server sit beside those of src/net. AFullServerKeepsIdleConnections- WhileNobodyWaits was green on the old code, too; its clients now come one after the other, and it fails there: idle ones were closed ahead of a client. Comments of seven places say what a value is, not that it was measured or observed.

--- a/src/parts/share_lease_manager.cpp
+++ b/src/parts/share_lease_manager.cpp
@@ -8,7 +8,7 @@
 namespace ivygw::parts {
 namespace {
 constexpr double kNever = 1e300;
-// Ratio of the requested share to the observed demand, which lags behind the current demand.
+// Ratio of the requested share to the known demand, which lags behind the current demand.
 constexpr double kDemandHeadroom = 1.25;
 // How long a pending call is waited for after the demand has ended, in lease durations. The engine's own
 // timeout is shorter.
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -247,7 +247,7 @@
     ArmTimer(active, now, out);
   }
 
-  // The time until the response starts measures the backend; how long the stream then lasts depends on the client.
+  // The time until the response starts is the backend's; how long the stream then lasts depends on the client.
   void OnStreamBegun(double now, uint32_t request, Actions* out) {
     auto it = requests_.find(request);
     if (it == requests_.end() || it->second.streaming) return;
--- a/src/policy/quotas.cpp
+++ b/src/policy/quotas.cpp
@@ -209,7 +209,7 @@
   if (c.entries < 2) return 0;
   double rate = PlanOf(c).rate, sum = c.own_rate_mean + c.others_rate_mean,
          age = (c.refilled_at - c.sound_total_at) / WindowS(PlanOf(c));
-  // Observed shares decay to even ones: traffic moves, and stale shares of several gateways don't add up.
+  // Known shares decay to even ones: traffic moves, and stale shares of several gateways don't add up.
   double own = sum / c.entries + std::exp(-age / kShareDecayWindows) * (c.own_rate_mean - sum / c.entries);
   double part = sum < rate ? own + (rate - sum) * kUnusedShareFactor / c.entries : rate * own / sum;
   part = std::clamp(part, rate * kMinPartShare / c.entries, rate);
--- a/src/policy/quotas.h
+++ b/src/policy/quotas.h
@@ -15,7 +15,7 @@
 inline constexpr double kCeilingSlackShare = 0.95;  // share of a ceiling's slack in use; the rest covers rounding
 inline constexpr double kMinPartShare = 0.5;  // share of an even part kept for traffic that moves here in an outage
 inline constexpr double kUnusedShareFactor = 1.5;  // even shares of the unused rate added to a gateway's own rate
-inline constexpr double kShareDecayWindows = 4;  // time constant of decay of observed rate shares to even ones
+inline constexpr double kShareDecayWindows = 4;  // time constant of decay of rate shares to even ones
 inline constexpr uint64_t kReportTimerTag = 1ULL << 41;  // timer for reports deferred by the gap between calls
 inline constexpr int kUnsoundAnswerLimit = 2;  // failed or unsound answers in a row at which the local part applies
 
--- a/system/adapters/transport/links.cpp
+++ b/system/adapters/transport/links.cpp
@@ -16,7 +16,6 @@
 
 constexpr double kFirstPause = 0.05, kLongestPause = 0.25;  // s
 constexpr auto kComesUp = std::chrono::milliseconds(300);   // for a connection to come up
-constexpr size_t kMaxIdleBuffer = size_t{4} * 1024;         // bytes that an empty buffer keeps
 constexpr char kInvalidFrame[] = "a frame that is too long, or no message";
 constexpr char kUnread[] = "the peer leaves too much unread";
 
@@ -129,7 +128,7 @@
     sending_ = false;
     if (!open_) return;
     if (error) return asio::post(socket_.get_executor(), [self] { self->Lost(); });
-    writing_.capacity() > kMaxIdleBuffer ? FreeMemory(&writing_) : writing_.clear();
+    writing_.capacity() > messages::kMaxIdleBuffer ? FreeMemory(&writing_) : writing_.clear();
     CountMemory();
     if (!out_.empty()) Write();
   });
--- a/system/decisions/messages/codec.cpp
+++ b/system/decisions/messages/codec.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr size_t kLengthBytes = 4;
-constexpr size_t kMaxIdleBuffer = size_t{4} * 1024;  // bytes that an empty buffer keeps
 
 }  // namespace
 
--- a/system/decisions/messages/codec.h
+++ b/system/decisions/messages/codec.h
@@ -12,6 +12,7 @@
 
 namespace ivygw::messages {
 
+inline constexpr size_t kMaxIdleBuffer = size_t{4} * 1024;  // bytes that an empty buffer keeps
 inline constexpr size_t kMaxFrameBytes = size_t{32} << 20;  // a longer frame ends its connection
 
 // Returns the whole frame, including the length. Aborts if the message exceeds kMaxFrameBytes: senders must
--- a/system/decisions/replication/timing.h
+++ b/system/decisions/replication/timing.h
@@ -1,4 +1,4 @@
-// Timeouts and intervals of the replication protocol, in seconds. Each core measures them with its own steady
+// Timeouts and intervals of the replication protocol, in seconds. Each core goes by its own steady
 // clock; safety does not depend on them.
 #ifndef IVYGW_SYSTEM_REPLICATION_TIMING_H_
 #define IVYGW_SYSTEM_REPLICATION_TIMING_H_
--- a/system/programs/apps/load_test.cpp
+++ b/system/programs/apps/load_test.cpp
@@ -1,4 +1,4 @@
-// ivygw-load-test: load and experiments for control, with hollow gateways and backends beside real cores.
+// ivygw-load-test: load tests of control, with hollow gateways and backends beside real cores.
 #include <cstdio>
 #include <cstdlib>
 #include <cxxopts.hpp>
--- a/system/programs/load_test/run.h
+++ b/system/programs/load_test/run.h
@@ -1,4 +1,4 @@
-// Load and experiments for control. Hollow gateways, backends and tenants in one process, which speak the
+// Load tests of control. Hollow gateways, backends and tenants in one process, which speak the
 // real messages over loopback with real cores that it starts and ends. One thread. Bounded in number and
 // time.
 #ifndef IVYGW_SYSTEM_LOAD_TEST_RUN_H_
--- a/tests/system/client_server_test.cpp
+++ b/tests/net/client_server_test.cpp
@@ -2,22 +2,20 @@
 // loopback, and by a search of all orders of events over a few connections.
 #include "net/client_server.h"
 
-#include <array>
+#include <gtest/gtest.h>
+
 #include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "net/connection_slots.h"
+#include "rig/run_until.h"
 
-#include <CppUTest/TestHarness.h>  // after all others: it names new anew
-
-using namespace ivygw;
-
+namespace ivygw {
 namespace {
 
 constexpr size_t kMostConnections = 3;
@@ -32,18 +30,12 @@
     server.Listen({asio::ip::address_v4::loopback(), 0});
   }
   bool RunUntil(const std::function<bool()>& condition, double bound_s = 5) {
-    auto until = Clock::now() + Seconds(bound_s);
-    while (!condition() && Clock::now() < until) {
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(5));
-    }
-    return condition();
+    return ivygw::RunUntil(io, condition, bound_s);
   }
-  tcp::socket& AddClient(const std::string& sent) {
+  void AddClient(const std::string& sent) {
     clients.push_back(std::make_unique<tcp::socket>(io));
     clients.back()->connect(server.local());
     asio::write(*clients.back(), asio::buffer(sent));
-    return *clients.back();
   }
   void AnswerFirst() {
     Answer answer;
@@ -58,12 +50,6 @@
   std::vector<std::unique_ptr<tcp::socket>> clients;
 };
 
-}  // namespace
-
-TEST_GROUP(ClientServer){};
-
-namespace {
-
 using State = ConnectionSlots::State;
 
 // A listener, its clients and the connections that it holds, as the server sees them. `resume_on_close_only`:
@@ -202,34 +188,38 @@
 
 }  // namespace
 
-// Guards against a listener that is paused while a connection may make room, in any order of events.
-TEST(ClientServer, AListenerIsPausedOnlyWhileNoConnectionMayMakeRoom) {
-  SearchResult found = SearchAll(false);
-  STRCMP_EQUAL("", found.fault.c_str());
-  CHECK(found.states > 1000);
-  SearchResult planted = SearchAll(true);
-  STRCMP_EQUAL("paused beside a connection that may make room", planted.fault.c_str());
-}
-
 // Guards against a server that stays shut after its connections were all busy at one moment, though they are
 // idle later (review/1).
 TEST(ClientServer, AServerThatWasFullTakesClientsAgainOnceAConnectionIsIdle) {
   FullServer server;
   for (size_t i = 0; i < kMostConnections; ++i) server.AddClient(kRequest);
-  CHECK(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
+  EXPECT_TRUE(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
   server.AddClient(kRequest);
-  CHECK(!server.RunUntil([&] { return server.held.size() > kMostConnections; }, 0.1));  // busy ones stay
+  EXPECT_TRUE(
+      !server.RunUntil([&] { return server.held.size() > kMostConnections; }, 0.1));  // busy ones stay
   server.AnswerFirst();
-  CHECK(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
+  EXPECT_TRUE(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
 }
 
-// Guards against connections that are closed to make room although nobody waits for it.
+// Guards against idle connections that are closed ahead of a client that needs their slots.
 TEST(ClientServer, AFullServerKeepsIdleConnectionsWhileNobodyWaits) {
   FullServer server;
-  for (size_t i = 0; i < kMostConnections; ++i) server.AddClient(kRequest);
-  CHECK(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
-  while (!server.held.empty()) server.AnswerFirst();
-  server.RunUntil([] { return false; }, 0.05);
+  for (size_t i = 0; i < kMostConnections; ++i) {
+    server.AddClient(kRequest);
+    ASSERT_TRUE(server.RunUntil([&] { return server.held.size() == 1; }));
+    server.AnswerFirst();
+  }
   for (const auto& client : server.clients) asio::write(*client, asio::buffer(std::string(kRequest)));
-  CHECK(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
+  EXPECT_TRUE(server.RunUntil([&] { return server.held.size() == kMostConnections; }));
+}
+
+// Guards against a listener that is paused while a connection may make room, in any order of events.
+TEST(ClientServer, AListenerIsPausedOnlyWhileNoConnectionMayMakeRoom) {
+  SearchResult found = SearchAll(false);
+  EXPECT_EQ("", found.fault);
+  EXPECT_TRUE(found.states > 1000);
+  SearchResult planted = SearchAll(true);
+  EXPECT_EQ("paused beside a connection that may make room", planted.fault);
 }
+
+}  // namespace ivygw
--- a/tests/system/core_node_test.cpp
+++ b/tests/system/core_node_test.cpp
@@ -19,6 +19,7 @@
 #include "discovery/table_cache.h"
 #include "messages/codec.h"
 #include "registry/registry.h"
+#include "rig/run_until.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -73,12 +74,7 @@
     std::filesystem::remove_all(folder);
   }
   bool RunUntil(const std::function<bool()>& condition, double bound = kBound) {
-    double until = Now() + bound;
-    while (!condition() && Now() < until) {
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(10));
-    }
-    return condition();
+    return ivygw::RunUntil(io, condition, bound);
   }
   void RunFor(double seconds) {
     RunUntil([] { return false; }, seconds);
--- a/tests/system/links_test.cpp
+++ b/tests/system/links_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "messages/codec.h"
+#include "rig/run_until.h"
 
 #include <CppUTest/TestHarness.h>  // after all others: it names new anew
 
@@ -19,6 +20,7 @@
 constexpr size_t kMebibyte = size_t{1} << 20;
 constexpr size_t kLimit = 40 * kMebibyte;
 constexpr int kPeers = 8;
+constexpr double kBound = 10;  // s
 
 messages::Push LongPush() {
   messages::Push push;
@@ -40,14 +42,7 @@
     io.restart();
     io.run_for(std::chrono::milliseconds(10));
   }
-  bool RunUntil(const std::function<bool()>& condition) {
-    auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-    while (!condition() && std::chrono::steady_clock::now() < until) {
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(10));
-    }
-    return condition();
-  }
+  bool RunUntil(const std::function<bool()>& condition) { return ivygw::RunUntil(io, condition, kBound); }
   // Says who it is, and then reads nothing.
   void AddSilentPeer() {
     silent.push_back(std::make_unique<tcp::socket>(io));
